--- /dev/null
+++ b/internal/base/rattanmodel/lineage.go
@@ -0,0 +1,59 @@
+package rattanmodel
+
+import "github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+
+// A TermStart says at which index a term began.
+type TermStart struct {
+	Term       uint64
+	StartIndex uint64
+}
+
+// A Lineage lists the terms of a log with the index at which each began, oldest
+// first.
+type Lineage []TermStart
+
+// LineageFromWire converts a wire lineage.
+func LineageFromWire(starts []*rattanv1.TermStart) Lineage {
+	lineage := make(Lineage, 0, len(starts))
+	for _, start := range starts {
+		lineage = append(lineage, TermStart{Term: start.GetTerm(), StartIndex: start.GetStartIndex()})
+	}
+	return lineage
+}
+
+// Wire returns l as wire messages.
+func (l Lineage) Wire() []*rattanv1.TermStart {
+	starts := make([]*rattanv1.TermStart, 0, len(l))
+	for _, start := range l {
+		starts = append(starts, &rattanv1.TermStart{Term: start.Term, StartIndex: start.StartIndex})
+	}
+	return starts
+}
+
+// Resolve returns the index that a log of this lineage must hold to contain all
+// of the acknowledged entries up to p. When p's term has ended, entries past the
+// end of that term were never acknowledged, so the index is cut at the start of
+// the next term. The second result is false when p's term is newer than every
+// term of the lineage: the log cannot contain p.
+func (l Lineage) Resolve(p Position) (uint64, bool) {
+	if p.Term == 0 {
+		return 0, true
+	}
+	for _, start := range l {
+		if start.Term > p.Term {
+			return min(p.Index, start.StartIndex-1), true
+		}
+	}
+	if len(l) == 0 || l[len(l)-1].Term < p.Term {
+		return 0, false
+	}
+	return p.Index, true
+}
+
+// Term returns the newest term of l, 0 when l is empty.
+func (l Lineage) Term() uint64 {
+	if len(l) == 0 {
+		return 0
+	}
+	return l[len(l)-1].Term
+}
