rattantransaction: keep interactive transactions of a daemon

Cause: statements of a transaction have to run in order on one connection and for one client account, whichever daemon receives them. Measured: go test -race ./internal/caller/rattantransaction passes (7 cases).

--- /dev/null
+++ b/internal/caller/rattantransaction/registry_test.go
@@ -0,0 +1,156 @@
+package rattantransaction
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+type fakeConnection struct {
+	executed   atomic.Int32
+	rolledBack atomic.Int32
+	running    atomic.Int32
+	overlapped atomic.Bool
+	done       chan struct{}
+}
+
+func (c *fakeConnection) Execute(context.Context, *rattanv1.Statement) (*rattanv1.Result, error) {
+	if c.running.Add(1) > 1 {
+		c.overlapped.Store(true)
+	}
+	time.Sleep(10 * time.Millisecond)
+	c.running.Add(-1)
+	return &rattanv1.Result{Affected: int64(c.executed.Add(1))}, nil
+}
+
+func (c *fakeConnection) Commit(context.Context, string) (rattanmodel.Position, error) {
+	return rattanmodel.Position{Term: 1, Index: 7}, nil
+}
+
+func (c *fakeConnection) Rollback()             { c.rolledBack.Add(1) }
+func (c *fakeConnection) Done() <-chan struct{} { return c.done }
+
+var owner = Owner{ClientAccount: "shop/dealer", KeyID: "k1"}
+
+func begin(ctx context.Context, t *testing.T, r *Registry) (ID, *fakeConnection) {
+	t.Helper()
+	connection := &fakeConnection{done: make(chan struct{})}
+	id, err := r.Begin(ctx, owner, "shop/orders", func() (Connection, error) { return connection, nil })
+	if err != nil {
+		t.Fatalf("Begin: %v", err)
+	}
+	return id, connection
+}
+
+func assertReason(t *testing.T, err error, want rattanv1.Reason) {
+	t.Helper()
+	refusal, ok := rattanerr.AsRefusal(err)
+	if !ok || refusal.Reason != want || refusal.RunState != rattanerr.NotRun {
+		t.Fatalf("got %v, want a not run refusal with reason %s", err, want)
+	}
+}
+
+// TestRegistry guards against mixed statements, statements that run twice, and
+// transactions that keep a connection after their end.
+func TestRegistry(t *testing.T) {
+	const idle = 30 * time.Second
+	for _, tc := range []struct {
+		name string
+		run  func(ctx context.Context, t *testing.T, cancel func(), r *Registry)
+	}{
+		{"repeated statement number runs once", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			id, connection := begin(ctx, t, r)
+			first, err := r.Execute(ctx, id, owner, 1, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			second, err := r.Execute(ctx, id, owner, 1, nil)
+			if err != nil || first != second || connection.executed.Load() != 1 {
+				t.Errorf("repeat: %v, same answer %t, ran %d times", err, first == second, connection.executed.Load())
+			}
+			_, err = r.Execute(ctx, id, owner, 3, nil)
+			assertReason(t, err, rattanv1.Reason_REASON_BAD_REQUEST)
+		}},
+		{"calls of one transaction do not overlap", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			id, connection := begin(ctx, t, r)
+			for range 4 {
+				go func() { _, _ = r.Execute(ctx, id, owner, 1, nil) }()
+			}
+			time.Sleep(time.Second)
+			if connection.overlapped.Load() || connection.executed.Load() != 1 {
+				t.Errorf("overlapped %t, ran %d times", connection.overlapped.Load(), connection.executed.Load())
+			}
+		}},
+		{"another client account does not reach it", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			id, _ := begin(ctx, t, r)
+			_, err := r.Execute(ctx, id, Owner{ClientAccount: "shop/other"}, 1, nil)
+			assertReason(t, err, rattanv1.Reason_REASON_TRANSACTION_LOST)
+		}},
+		{"idle transaction is rolled back", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			id, connection := begin(ctx, t, r)
+			time.Sleep(idle + time.Second)
+			if connection.rolledBack.Load() != 1 || r.Len() != 0 {
+				t.Errorf("rolled back %d times, %d open", connection.rolledBack.Load(), r.Len())
+			}
+			_, err := r.Execute(ctx, id, owner, 1, nil)
+			assertReason(t, err, rattanv1.Reason_REASON_TRANSACTION_LOST)
+		}},
+		{"end of its lifetime rolls it back", func(ctx context.Context, t *testing.T, cancel func(), r *Registry) {
+			_, connection := begin(ctx, t, r)
+			cancel()
+			synctest.Wait()
+			if connection.rolledBack.Load() != 1 {
+				t.Error("connection was not rolled back")
+			}
+		}},
+		{"commit ends it once", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			id, _ := begin(ctx, t, r)
+			if _, _, err := r.Commit(ctx, id, owner, "r1"); err != nil {
+				t.Fatal(err)
+			}
+			_, _, err := r.Commit(ctx, id, owner, "r1")
+			refusal, ok := rattanerr.AsRefusal(err)
+			if !ok || refusal.RunState != rattanerr.Unknown || refusal.RequestID != "r1" {
+				t.Errorf("repeated commit: got %v, want an unknown outcome of r1", err)
+			}
+		}},
+		{"drain ends what is left at its time", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			_, connection := begin(ctx, t, r)
+			drainCtx, cancelDrain := context.WithTimeout(ctx, time.Second)
+			defer cancelDrain()
+			if left := r.Drain(drainCtx); left != 1 || connection.rolledBack.Load() != 1 {
+				t.Errorf("%d left, rolled back %d times", left, connection.rolledBack.Load())
+			}
+			_, err := r.Begin(ctx, owner, "g", nil)
+			assertReason(t, err, rattanv1.Reason_REASON_SHUTTING_DOWN)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r := New(rattanclock.System(), "vm-a1", 3, Limits{Open: 10, Idle: idle})
+				tc.run(ctx, t, cancel, r)
+			})
+		})
+	}
+}
+
+// FuzzParseID guards against a panic on an identifier from outside.
+func FuzzParseID(f *testing.F) {
+	f.Add(NewID("vm-a1", 3).String())
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := ParseID(text)
+		if err == nil && id.VM() == "" {
+			t.Error("accepted an identifier without a VM")
+		}
+	})
+}
