rattancmd, rattanservice: operators' commands and callers' service

Cause: the path from callers and operators to the daemon is needed first. Change: cobra commands over OperatorService with documented exit codes; the callers' service over small interfaces, with refusals that state their effect.

--- /dev/null
+++ b/internal/caller/rattanservice/call.go
@@ -0,0 +1,131 @@
+package rattanservice
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// maxRequestIDLength bounds the request identifiers that callers choose.
+const maxRequestIDLength = 64
+
+// A call is one request after authentication and before admission.
+type call struct {
+	identity Identity
+	route    Route
+	session  Session
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// end stops tracking the call's key.
+func (c *call) end() { c.cancel() }
+
+// refuse replaces err by the withdrawal of the key when that ended the call.
+// The run state stays that of err.
+func (c *call) refuse(err error) error {
+	cause, withdrawn := rattanerr.AsRefusal(context.Cause(c.ctx))
+	if !withdrawn {
+		return err
+	}
+	ended := *cause
+	ended.RunState = rattanerr.Unknown
+	if refusal, ok := rattanerr.AsRefusal(err); ok {
+		ended.RunState = refusal.RunState
+		ended.RequestID = refusal.RequestID
+	}
+	return &ended
+}
+
+// authenticate resolves key, route and session of a request.
+func (s *Service) authenticate(ctx context.Context, header http.Header, service, route string) (*call, error) {
+	if s.stopping.Load() {
+		return nil, errShuttingDown()
+	}
+	key := bearer(header)
+	if key == "" {
+		return s.openCall(ctx, header, service, route)
+	}
+	identity, err := s.keyring.Authenticate(key)
+	if err != nil {
+		if open, openErr := s.openCall(ctx, header, service, route); openErr == nil {
+			return open, nil
+		}
+		return nil, err
+	}
+	found, ok := s.catalog.Route(identity.ClientAccount, service, route)
+	if !ok {
+		return nil, errNoRoute(service, route)
+	}
+	if !found.Open && !s.catalog.MayUse(identity.ClientAccount, found.Service) {
+		return nil, rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAUTHENTICATED, 0,
+			"client account %s may not use service %s", identity.ClientAccount, found.Service)
+	}
+	if found.Open && !s.catalog.MayUse(identity.ClientAccount, found.Service) {
+		identity = Identity{ClientAccount: found.ClientAccount}
+	}
+	return s.newCall(ctx, header, identity, found)
+}
+
+// openCall returns the call of a request without a valid key on an open route.
+func (s *Service) openCall(ctx context.Context, header http.Header, service, route string) (*call, error) {
+	found, ok := s.catalog.Route("", service, route)
+	if !ok || !found.Open {
+		return nil, rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAUTHENTICATED, 0,
+			"service %q route %q needs a key in the header Authorization: Bearer rsk_...", service, route)
+	}
+	return s.newCall(ctx, header, Identity{ClientAccount: found.ClientAccount}, found)
+}
+
+func (s *Service) newCall(ctx context.Context, header http.Header, identity Identity, route Route) (*call, error) {
+	session, err := s.sessions.Open(header.Get(SessionHeader), identity.ClientAccount)
+	if err != nil {
+		return nil, err
+	}
+	c := &call{identity: identity, route: route, session: session, ctx: ctx, cancel: func() {}}
+	if identity.KeyID != "" {
+		c.ctx, c.cancel = s.keyring.Track(ctx, identity.KeyID)
+	}
+	if _, ok := c.ctx.Deadline(); !ok {
+		timed, cancelTimed := context.WithTimeout(c.ctx, s.limits.StatementTime)
+		cancelTrack := c.cancel
+		c.ctx = timed
+		c.cancel = func() {
+			cancelTimed()
+			cancelTrack()
+		}
+	}
+	return c, nil
+}
+
+// requestID returns the identifier of a write: the caller's, or a new one.
+func requestID(given string) (string, error) {
+	if len(given) > maxRequestIDLength {
+		return "", rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0,
+			"request identifier has %d characters, at most %d are accepted", len(given), maxRequestIDLength)
+	}
+	if given == "" {
+		return rand.Text(), nil
+	}
+	return given, nil
+}
+
+func checkStatement(statement *rattanv1.Statement) error {
+	if statement.GetText() == "" {
+		return rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0, "statement text is empty")
+	}
+	return nil
+}
+
+func errNoRoute(service, route string) error {
+	return rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0, "no service %q with route %q is in force", service, route)
+}
+
+func errShuttingDown() error {
+	const retryAfter = 100 * time.Millisecond // the balancer has chosen another VM by then
+	return rattanerr.NewNotRun(rattanv1.Reason_REASON_SHUTTING_DOWN, retryAfter, "daemon is shutting down")
+}
--- /dev/null
+++ b/internal/caller/rattanservice/headers.go
@@ -0,0 +1,69 @@
+package rattanservice
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// SessionHeader is the header that carries the session token in requests and answers.
+const SessionHeader = "Rattanstream-Session"
+
+// bearerPrefix precedes the key in the Authorization header.
+const bearerPrefix = "Bearer "
+
+// bearer returns the key of a request, "" when it has none.
+func bearer(header http.Header) string {
+	value := header.Get("Authorization")
+	if len(value) > len(bearerPrefix) && strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
+		return value[len(bearerPrefix):]
+	}
+	return ""
+}
+
+// connectCode maps a reason to the Connect code of its error.
+func connectCode(reason rattanv1.Reason) connect.Code {
+	switch reason {
+	case rattanv1.Reason_REASON_UNAUTHENTICATED, rattanv1.Reason_REASON_KEY_WITHDRAWN:
+		return connect.CodeUnauthenticated
+	case rattanv1.Reason_REASON_OVER_RATE, rattanv1.Reason_REASON_OVERLOADED, rattanv1.Reason_REASON_TOO_LARGE:
+		return connect.CodeResourceExhausted
+	case rattanv1.Reason_REASON_DEADLINE:
+		return connect.CodeDeadlineExceeded
+	case rattanv1.Reason_REASON_BAD_REQUEST:
+		return connect.CodeInvalidArgument
+	case rattanv1.Reason_REASON_CONFLICT, rattanv1.Reason_REASON_TRANSACTION_LOST:
+		return connect.CodeAborted
+	default:
+		return connect.CodeUnavailable
+	}
+}
+
+// connectError converts a refusal to the error that the caller gets.
+func connectError(err error) error {
+	refusal, ok := rattanerr.AsRefusal(err)
+	if !ok {
+		refusal = rattanerr.NewUnknown(rattanv1.Reason_REASON_UNAVAILABLE, "", "internal error")
+	}
+	connectErr := connect.NewError(connectCode(refusal.Reason), refusal)
+	if detail, err := connect.NewErrorDetail(refusal.Wire()); err == nil {
+		connectErr.AddDetail(detail)
+	}
+	if refusal.RetryAfter > 0 {
+		connectErr.Meta().Set("Retry-After", retryAfterSeconds(refusal.RetryAfter))
+	}
+	return connectErr
+}
+
+// retryAfterSeconds returns d in whole seconds, rounded up, as HTTP wants it.
+// The exact time is in the Refusal detail.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64(math.Ceil(d.Seconds())), 10)
+}
--- /dev/null
+++ b/internal/cmd/rattancmd/change.go
@@ -0,0 +1,77 @@
+package rattancmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+// changeAttempts is how often a change is sent when its answer is lost. All
+// attempts have the same change identifier, so that it is applied once.
+const changeAttempts = 3
+
+// edit changes keys of the team's document and reports how far the change is in force.
+func (c *config) edit(ctx context.Context, edits []*rattanv1.SettingsEdit, expectedRevision uint64, dryRun bool) error {
+	request := &rattanv1.EditSettingsRequest{
+		Team:             c.operator.team,
+		Edits:            edits,
+		ExpectedRevision: expectedRevision,
+		ChangeId:         newChangeID(),
+		DryRun:           dryRun,
+	}
+	return c.withOperator(ctx, func(ctx context.Context, client rattanv1connect.OperatorServiceClient) error {
+		response, err := repeatUnavailable(func() (*connect.Response[rattanv1.ApplySettingsResponse], error) {
+			return client.EditSettings(ctx, connect.NewRequest(request))
+		})
+		if err != nil {
+			return err
+		}
+		return c.reportChange(response.Msg, dryRun)
+	})
+}
+
+// repeatUnavailable calls f again when its answer may have been lost.
+func repeatUnavailable[T any](f func() (T, error)) (T, error) {
+	var result T
+	var err error
+	for range changeAttempts {
+		result, err = f()
+		if connect.CodeOf(err) != connect.CodeUnavailable {
+			break
+		}
+	}
+	return result, err
+}
+
+// reportChange prints the difference and how far the change is in force.
+func (c *config) reportChange(response *rattanv1.ApplySettingsResponse, dryRun bool) error {
+	if c.output == outputJSON {
+		if err := c.printJSON(response); err != nil {
+			return err
+		}
+	} else {
+		for _, line := range response.GetDiff() {
+			fmt.Fprintln(c.stdout, line)
+		}
+	}
+	if dryRun {
+		return nil
+	}
+	if c.output == outputTable {
+		fmt.Fprintf(c.stdout, "revision %d in force on %d of %d VMs\n", response.GetRevision(), response.GetConfirmed(), response.GetDaemons())
+	}
+	if len(response.GetMissing()) > 0 {
+		return pendingError{fmt.Sprintf("revision %d is stored and not yet confirmed by VMs %s",
+			response.GetRevision(), strings.Join(response.GetMissing(), ", "))}
+	}
+	return nil
+}
+
+func setEdit(section, key, value string) *rattanv1.SettingsEdit {
+	return &rattanv1.SettingsEdit{Section: section, Key: key, Value: value}
+}
--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -2,26 +2,82 @@
 package rattancmd
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
 
+// A config holds the global flags and the streams of the process.
+type config struct {
+	output   string
+	logLevel string
+	stdout   io.Writer
+	stderr   io.Writer
+	operator operatorFlags
+}
+
 // Main runs the command line and returns the exit code of the process.
 func Main() int {
-	if err := newRootCmd().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "rattanstream:", err)
-		return 1
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	c := &config{stdout: stdout, stderr: stderr}
+	cmd := newRootCmd(c)
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(stderr, "rattanstream:", err)
+		return exitCode(err)
 	}
-	return 0
+	return exitOK
 }
 
-func newRootCmd() *cobra.Command {
-	return &cobra.Command{
-		Use:           "rattanstream",
-		Short:         "Database proxy with session consistency",
-		SilenceErrors: true,
-		SilenceUsage:  true,
+func newRootCmd(c *config) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:               "rattanstream",
+		Short:             "Database proxy with session consistency",
+		SilenceErrors:     true,
+		SilenceUsage:      true,
+		PersistentPreRunE: func(*cobra.Command, []string) error { return c.check() },
+	}
+	cmd.PersistentFlags().StringVar(&c.output, "output", outputTable, "format of results: table or json")
+	cmd.PersistentFlags().StringVar(&c.logLevel, "log-level", "", "lowest level that is logged: debug, info, warn or error")
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	cmd.AddCommand(
+		newAccountCmd(c),
+		newDomainCmd(c),
+		newDumpCmd(c),
+		newEndpointCmd(c),
+		newGroupCmd(c),
+		newKeyCmd(c),
+		newRouteCmd(c),
+		newSettingsCmd(c),
+		newStatusCmd(c),
+		newVersionCmd(c),
+	)
+	return cmd
+}
+
+// check refuses values of global flags that no command accepts.
+func (c *config) check() error {
+	switch c.output {
+	case outputTable, outputJSON:
+	default:
+		return usageErrorf("--output %q: accepted are table and json", c.output)
+	}
+	switch c.logLevel {
+	case "", "debug", "info", "warn", "error":
+		return nil
+	default:
+		return usageErrorf("--log-level %q: accepted are debug, info, warn and error", c.logLevel)
 	}
 }
--- /dev/null
+++ b/internal/cmd/rattancmd/endpointcmd.go
@@ -0,0 +1,16 @@
+package rattancmd
+
+import "github.com/spf13/cobra"
+
+func newEndpointCmd(c *config) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "endpoint",
+		Short: "Take endpoints out of service and return them",
+	}
+	c.addOperatorFlags(cmd)
+	cmd.AddCommand(
+		newDrainCmd(c, "take-out", "Take an endpoint out of service", "endpoint.", true),
+		newDrainCmd(c, "return", "Return an endpoint to service", "endpoint.", false),
+	)
+	return cmd
+}
--- /dev/null
+++ b/internal/cmd/rattancmd/exitcode.go
@@ -0,0 +1,61 @@
+package rattancmd
+
+import (
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+)
+
+// The exit codes of the process, as docs/operators.md lists them.
+const (
+	exitOK          = 0
+	exitFailure     = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitDenied      = 4
+	exitInvalid     = 5
+	exitUnavailable = 6
+	exitPending     = 7
+)
+
+// A usageError is a wrong flag or argument.
+type usageError struct{ err error }
+
+func usageErrorf(format string, args ...any) error {
+	return usageError{errors.Errorf(format, args...)}
+}
+
+// Error implements the error interface.
+func (e usageError) Error() string { return e.err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e usageError) Unwrap() error { return e.err }
+
+// A pendingError says that a change is stored and not in force everywhere yet.
+type pendingError struct{ message string }
+
+// Error implements the error interface.
+func (e pendingError) Error() string { return e.message }
+
+// exitCode returns the exit code for an error of a command.
+func exitCode(err error) int {
+	var usage usageError
+	var pending pendingError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &pending):
+		return exitPending
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeAborted:
+		return exitConflict
+	case connect.CodeUnauthenticated, connect.CodePermissionDenied:
+		return exitDenied
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeFailedPrecondition:
+		return exitInvalid
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
+		return exitUnavailable
+	default:
+		return exitFailure
+	}
+}
