rattanexecutor, rattanlisten: run statements on groups; HTTP servers

Cause: reads and writes need retries, acknowledgements and stated effects. Change: executor over small interfaces (endpoints, views); HTTP servers with connection limit, certificates that reload, and graceful shutdown.

--- /dev/null
+++ b/internal/daemon/rattanlisten/certificate.go
@@ -0,0 +1,92 @@
+package rattanlisten
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// A Certificate is a certificate and key in files that may be replaced while
+// the daemon runs. A pair that cannot be read leaves the last good one in use.
+type Certificate struct {
+	certificateFile string
+	keyFile         string
+
+	mutex    sync.Mutex
+	modified time.Time
+	loaded   *tls.Certificate
+}
+
+// LoadCertificate reads the pair. The error names the file.
+func LoadCertificate(certificateFile, keyFile string) (*Certificate, error) {
+	c := &Certificate{certificateFile: certificateFile, keyFile: keyFile}
+	if err := c.reload(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Certificate) reload() error {
+	info, err := os.Stat(c.certificateFile)
+	if err != nil {
+		return errors.Wrap(err, "read certificate")
+	}
+	if c.loaded != nil && info.ModTime().Equal(c.modified) {
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(c.certificateFile, c.keyFile)
+	if err != nil {
+		return errors.Wrapf(err, "load certificate %s", c.certificateFile)
+	}
+	c.loaded, c.modified = &pair, info.ModTime()
+	return nil
+}
+
+// current returns the newest pair that could be loaded.
+func (c *Certificate) current() *tls.Certificate {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_ = c.reload() // a half-written file must not end service
+	return c.loaded
+}
+
+// ServerConfig returns the TLS settings of a server that shows the certificate.
+func (c *Certificate) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		NextProtos:     []string{"h2", "http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.current(), nil },
+	}
+}
+
+// MutualConfig returns the TLS settings of links between daemons: both sides
+// show a certificate of authority.
+func (c *Certificate) MutualConfig(authority *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		ClientAuth:     tls.RequireAndVerifyClientCert,
+		ClientCAs:      authority,
+		RootCAs:        authority,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.current(), nil },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return c.current(), nil
+		},
+	}
+}
+
+// LoadAuthority reads the certificates of an authority. The error names the file.
+func LoadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("authority %s holds no certificate", file)
+	}
+	return pool, nil
+}
--- /dev/null
+++ b/internal/daemon/rattanlisten/server.go
@@ -0,0 +1,107 @@
+// Package rattanlisten runs the daemon's HTTP servers: HTTP/1.1 and HTTP/2,
+// with and without TLS, bounded in connections and message sizes.
+package rattanlisten
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// headerTimeout bounds the time in which a client sends its headers.
+const headerTimeout = 10 * time.Second
+
+// maxHeaderBytes bounds the headers of a request. A session token of 100 groups
+// takes about 8 KiB.
+const maxHeaderBytes = 64 << 10
+
+// A Server is one HTTP server on one address.
+type Server struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+	tls      *tls.Config
+	grace    time.Duration
+}
+
+// An Option changes a Server.
+type Option func(*Server)
+
+// WithTLS serves TLS.
+func WithTLS(config *tls.Config) Option {
+	return func(s *Server) { s.tls = config }
+}
+
+// WithConnectionLimit accepts at most limit connections at a time; others wait
+// in the operating system's queue.
+func WithConnectionLimit(limit int) Option {
+	return func(s *Server) { s.listener = newLimitListener(s.listener, limit) }
+}
+
+// WithGrace bounds how long Serve waits for running requests after its context ended.
+func WithGrace(d time.Duration) Option {
+	return func(s *Server) { s.grace = d }
+}
+
+// Listen returns a Server that already listens on address, so that a wrong
+// address is an error at the start. The name appears in errors.
+func Listen(name, address string, handler http.Handler, options ...Option) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", name)
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &Server{
+		name:     name,
+		listener: listener,
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			Protocols:         &protocols,
+		},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// String returns the server's name for the supervisor's log.
+func (s *Server) String() string { return s.name + " server" }
+
+// Serve serves until ctx ends, then waits for running requests.
+func (s *Server) Serve(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.serve() }()
+	select {
+	case err := <-failed:
+		return errors.Wrapf(err, "serve %s", s.name)
+	case <-ctx.Done():
+	}
+	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.grace)
+	defer cancel()
+	if err := s.server.Shutdown(graceCtx); err != nil {
+		_ = s.server.Close() // requests that outlast the grace are cut off
+	}
+	<-failed
+	return ctx.Err()
+}
+
+func (s *Server) serve() error {
+	if s.tls == nil {
+		return s.server.Serve(s.listener)
+	}
+	s.server.TLSConfig = s.tls
+	return s.server.ServeTLS(s.listener, "", "")
+}
--- /dev/null
+++ b/internal/endpoint/rattanexecutor/write.go
@@ -0,0 +1,187 @@
+package rattanexecutor
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/caller/rattanservice"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanroute"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// writePause is the wait before a failed write is tried again, unless the
+// group's view changes before.
+const writePause = 50 * time.Millisecond
+
+// Write runs a write at most once and returns when it is acknowledged. Attempts
+// repeat the request identifier, whose record at the endpoint keeps a second
+// attempt from running. The error is a *rattanerr.Refusal.
+func (e *Executor) Write(ctx context.Context, write rattanservice.Write) (rattanservice.Answer, error) {
+	job := Job{ClientAccount: write.ClientAccount, Weight: write.Weight}
+	uncertain := false
+	for {
+		changed := e.views.Changed(write.Group)
+		view, err := e.awaitPrimary(ctx, write.Group)
+		if err != nil {
+			return rattanservice.Answer{}, refuse(ctx, err, uncertain)
+		}
+		answer, err := e.writeOnce(ctx, job, write, view)
+		if err == nil {
+			return answer, nil
+		}
+		uncertain = uncertain || mayHaveRun(err)
+		if isFinal(err) || ctx.Err() != nil {
+			return rattanservice.Answer{}, refuse(ctx, err, uncertain)
+		}
+		e.views.Refresh(write.Group)
+		if !e.pause(ctx, changed, writePause) {
+			return rattanservice.Answer{}, refuse(ctx, err, uncertain)
+		}
+		job.Retry = true
+		e.retries.Add(1)
+	}
+}
+
+// awaitPrimary returns the group's view as soon as it has a primary that takes writes.
+func (e *Executor) awaitPrimary(ctx context.Context, group string) (rattanmodel.GroupView, error) {
+	start := e.clock.Now()
+	waits := false
+	for {
+		changed := e.views.Changed(group)
+		view := e.views.View(group)
+		if _, ok := rattanroute.Write(view); ok {
+			return view, nil
+		}
+		if !waits {
+			waits = true
+			defer e.waiting.Add(-1)
+			if e.waiting.Add(1) > e.limits.WaitingWrites {
+				return view, errNoPrimary(group)
+			}
+		}
+		e.views.Refresh(group)
+		if e.clock.Now().Sub(start) >= e.limits.PrimaryWait || !e.pause(ctx, changed, writePause) {
+			return view, errNoPrimary(group)
+		}
+	}
+}
+
+func (e *Executor) writeOnce(ctx context.Context, job Job, write rattanservice.Write, view rattanmodel.GroupView) (rattanservice.Answer, error) {
+	endpoint, ok := e.endpoints.Endpoint(view.Primary)
+	if !ok {
+		return rattanservice.Answer{}, errNoPrimary(write.Group)
+	}
+	request := &rattanv1.RunStatementsRequest{
+		ClientAccount: write.ClientAccount,
+		RequestId:     write.RequestID,
+		Statements:    write.Statements,
+		Term:          view.Term,
+	}
+	response, err := endpoint.Run(ctx, job, request)
+	if err != nil {
+		e.observeError(view.Primary, err)
+		return rattanservice.Answer{}, err
+	}
+	e.views.Observe(view.Primary, response.GetStatus())
+	position := rattanmodel.PositionFromWire(response.GetPosition())
+	if write.AcknowledgeMajority {
+		if err := e.acknowledge(ctx, view, position, response.GetStatus()); err != nil {
+			return rattanservice.Answer{}, err
+		}
+	}
+	return rattanservice.Answer{
+		Results:  response.GetResults(),
+		Position: position,
+		Endpoint: view.Primary,
+		Repeated: response.GetRepeated(),
+	}, nil
+}
+
+// acknowledge returns when a majority of the group holds position in the
+// primary's own term. A record of an earlier term counts as held only with the
+// first entry of the current term: before that, a promotion may still choose a
+// log with a later term that lacks the record.
+func (e *Executor) acknowledge(ctx context.Context, view rattanmodel.GroupView, position rattanmodel.Position, primary *rattanv1.EndpointStatus) error {
+	needed := view.Majority() - 1
+	held := rattanmodel.Position{Term: view.Term, Index: position.Index}
+	if position.Term < view.Term {
+		held.Index = max(held.Index, termStart(primary, view.Term))
+	}
+	replicas := make([]rattanadapter.PositionWaiter, 0, len(view.Endpoints))
+	for _, other := range view.Endpoints {
+		if other.Name == view.Primary {
+			continue
+		}
+		if endpoint, ok := e.endpoints.Endpoint(other.Name); ok {
+			replicas = append(replicas, endpoint)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.limits.AcknowledgeWait)
+	defer cancel()
+	return rattanadapter.Acknowledge(ctx, held, needed, replicas)
+}
+
+func termStart(status *rattanv1.EndpointStatus, term uint64) uint64 {
+	for _, start := range status.GetLineage() {
+		if start.GetTerm() == term {
+			return start.GetStartIndex()
+		}
+	}
+	return 0
+}
+
+// FindOutcome finds what became of a request identifier. When the primary has
+// no record it cancels the identifier, so that "not run" stays true. Both
+// answers are given only once a majority holds them. The error is a
+// *rattanerr.Refusal with the run state unknown.
+func (e *Executor) FindOutcome(ctx context.Context, group, clientAccount, requestID string) (rattanservice.Outcome, error) {
+	for {
+		changed := e.views.Changed(group)
+		view, err := e.awaitPrimary(ctx, group)
+		if err != nil {
+			return rattanservice.Outcome{}, refuse(ctx, err, true)
+		}
+		outcome, err := e.findOnce(ctx, view, clientAccount, requestID)
+		if err == nil {
+			return outcome, nil
+		}
+		e.views.Refresh(group)
+		if ctx.Err() != nil || !e.pause(ctx, changed, writePause) {
+			return rattanservice.Outcome{}, refuse(ctx, err, true)
+		}
+	}
+}
+
+func (e *Executor) findOnce(ctx context.Context, view rattanmodel.GroupView, clientAccount, requestID string) (rattanservice.Outcome, error) {
+	endpoint, ok := e.endpoints.Endpoint(view.Primary)
+	if !ok {
+		return rattanservice.Outcome{}, errNoPrimary(view.Group)
+	}
+	request := &rattanv1.FindOutcomeRequest{ClientAccount: clientAccount, RequestId: requestID, Term: view.Term}
+	attempt, cancel := context.WithTimeout(ctx, e.limits.AcknowledgeWait)
+	defer cancel()
+	response, err := endpoint.FindOutcome(attempt, request)
+	if err != nil {
+		e.observeError(view.Primary, err)
+		return rattanservice.Outcome{}, err
+	}
+	position := rattanmodel.PositionFromWire(response.GetPosition())
+	status := &rattanv1.EndpointStatus{Lineage: view.Lineage.Wire()}
+	if err := e.acknowledge(ctx, view, position, status); err != nil {
+		return rattanservice.Outcome{}, err
+	}
+	return rattanservice.Outcome{State: response.GetRunState(), Results: response.GetResults(), Position: position}, nil
+}
+
+// outcomeRefusal returns the refusal of a commit whose outcome is known not to have run.
+func outcomeRefusal(requestID string, cause error) error {
+	return &rattanerr.Refusal{
+		RunState:  rattanerr.NotRun,
+		Reason:    rattanv1.Reason_REASON_TRANSACTION_LOST,
+		RequestID: requestID,
+		Message:   "transaction was rolled back: " + cause.Error(),
+	}
+}
