Add the endpoint client rattanadapter

The pool, the failover coordinator and the write path need one client of a database instance.

Answers are matched by a call number that is unique over all connections of the client.

--- /dev/null
+++ b/internal/endpoint/rattanadapter/conn.go
@@ -0,0 +1,122 @@
+package rattanadapter
+
+import (
+	"context"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// A Conn is one database connection. It runs one call at a time.
+type Conn struct {
+	client *Client
+	name   string
+
+	busy          atomic.Bool
+	broken        atomic.Bool
+	inTransaction atomic.Bool
+}
+
+func newConn(client *Client, name string) *Conn {
+	return &Conn{client: client, name: name}
+}
+
+// Name returns the endpoint's identifier of the connection.
+func (c *Conn) Name() string {
+	return c.name
+}
+
+// Reusable reports whether the connection's state is known and no transaction
+// is open on it. A connection that is not reusable must be closed.
+func (c *Conn) Reusable() bool {
+	return !c.broken.Load() && !c.inTransaction.Load() && !c.busy.Load()
+}
+
+// Run runs the statements of request. It sets the request's connection and call
+// number, so one request must not be used by two calls at once. After an error
+// that is neither a *Fault nor known not to have run, and after an answer to
+// another call, the connection is not reusable and Run returns ErrClosed.
+func (c *Conn) Run(ctx context.Context, request *rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) {
+	if !c.busy.CompareAndSwap(false, true) {
+		return nil, ErrBusy
+	}
+	defer c.busy.Store(false)
+	if c.broken.Load() {
+		return nil, ErrClosed
+	}
+	request.Connection = c.name
+	request.Call = c.client.calls.Add(1)
+	c.beforeStep(request.GetStep())
+	response, err := invoke(ctx, c.client.wire.RunStatements, connect.NewRequest(request))
+	if err == nil {
+		err = c.check(request, response)
+	}
+	c.afterStep(request.GetStep(), err)
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// Close closes the connection at the endpoint, which rolls an open transaction
+// back. A connection that the endpoint does not know counts as closed.
+func (c *Conn) Close(ctx context.Context) error {
+	c.broken.Store(true)
+	request := connect.NewRequest(&rattanv1.CloseConnectionRequest{Connection: c.name})
+	if _, err := invoke(ctx, c.client.wire.CloseConnection, request); err != nil && !IsNotFound(err) {
+		return err
+	}
+	return nil
+}
+
+// IsNotFound reports whether the endpoint does not know the connection, as
+// after its restart.
+func IsNotFound(err error) bool {
+	return connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeNotFound
+}
+
+func (c *Conn) check(request *rattanv1.RunStatementsRequest, response *rattanv1.RunStatementsResponse) error {
+	if response.GetCall() != request.GetCall() {
+		return &CrossedAnswerError{Connection: c.name, Want: request.GetCall(), Got: response.GetCall()}
+	}
+	want, got := len(request.GetStatements()), len(response.GetResults())
+	if request.GetStep() == rattanv1.TransactionStep_TRANSACTION_STEP_ROLLBACK {
+		want = 0
+	}
+	if want != got {
+		return &PartialAnswerError{Connection: c.name, Want: want, Got: got}
+	}
+	return nil
+}
+
+func (c *Conn) beforeStep(step rattanv1.TransactionStep) {
+	if step == rattanv1.TransactionStep_TRANSACTION_STEP_BEGIN {
+		c.inTransaction.Store(true)
+	}
+}
+
+func (c *Conn) afterStep(step rattanv1.TransactionStep, err error) {
+	if err != nil {
+		c.afterError(err)
+		return
+	}
+	switch step {
+	case rattanv1.TransactionStep_TRANSACTION_STEP_COMMIT, rattanv1.TransactionStep_TRANSACTION_STEP_ROLLBACK:
+		c.inTransaction.Store(false)
+	default:
+	}
+}
+
+func (c *Conn) afterError(err error) {
+	if RunState(err) != rattanerr.NotRun || IsNotFound(err) {
+		c.broken.Store(true)
+		return
+	}
+	fault, ok := AsFault(err)
+	if ok && fault.Kind == rattanv1.EndpointFaultKind_ENDPOINT_FAULT_KIND_TRANSACTION {
+		c.inTransaction.Store(false)
+	}
+}
