Add the settings model, its whole-document check and edits of single keys

A reference to another team's document that does not hold is left out, but the endpoint stays in its group: a smaller group would have majorities that need not intersect earlier ones.

--- /dev/null
+++ b/internal/config/rattansettings/endpoint.go
@@ -0,0 +1,56 @@
+package rattansettings
+
+const (
+	maxConnections = 10_000
+	maxSlots       = 1_000
+)
+
+// An Endpoint is one database instance of a group.
+type Endpoint struct {
+	name          string
+	group         string
+	address       string
+	failureDomain string
+	connections   int
+	slots         int
+	drained       bool
+}
+
+func readEndpoint(r *sectionReader, team, name string) Endpoint {
+	endpoint := Endpoint{
+		name:          fullName(team, name),
+		address:       r.remoteAddress("address", true),
+		failureDomain: r.nameValue("failure_domain", true),
+		connections:   r.integer("connections", " connections", 1, maxConnections, 0),
+		slots:         r.integer("slots", " slots", 1, maxSlots, 0),
+		drained:       r.boolean("drained", false),
+	}
+	if endpoint.connections > 0 && endpoint.slots > endpoint.connections {
+		r.fault("slots", "more slots than connections", "at most the number of connections")
+	}
+	return endpoint
+}
+
+// Name returns the endpoint's full name.
+func (e Endpoint) Name() string { return e.name }
+
+// Group returns the full name of the endpoint's group, empty when it is in none.
+func (e Endpoint) Group() string { return e.group }
+
+// Address returns the IP address and port. It is empty when an endpoint of
+// another team has the same address: the endpoint then counts as a member of its
+// group that cannot be reached.
+func (e Endpoint) Address() string { return e.address }
+
+// FailureDomain returns the name of the endpoint's failure domain. It is empty
+// when team root's document has no such failure domain.
+func (e Endpoint) FailureDomain() string { return e.failureDomain }
+
+// Connections returns how many connections the fleet may have to the endpoint.
+func (e Endpoint) Connections() int { return e.connections }
+
+// Slots returns how many statements the endpoint runs at a time.
+func (e Endpoint) Slots() int { return e.slots }
+
+// Drained reports whether operators have taken out the endpoint or its failure domain.
+func (e Endpoint) Drained() bool { return e.drained }
--- /dev/null
+++ b/internal/config/rattansettings/failuredomain.go
@@ -0,0 +1,25 @@
+package rattansettings
+
+// A FailureDomain is a zone that can fail or be taken out as a whole.
+type FailureDomain struct {
+	name    string
+	region  string
+	drained bool
+}
+
+func readFailureDomain(r *sectionReader, name string) FailureDomain {
+	return FailureDomain{
+		name:    name,
+		region:  r.nameValue("region", true),
+		drained: r.boolean("drained", false),
+	}
+}
+
+// Name returns the failure domain's name, which has no team in front.
+func (d FailureDomain) Name() string { return d.name }
+
+// Region returns the region that the failure domain is in.
+func (d FailureDomain) Region() string { return d.region }
+
+// Drained reports whether operators have taken the failure domain out.
+func (d FailureDomain) Drained() bool { return d.drained }
--- /dev/null
+++ b/internal/config/rattansettings/route.go
@@ -0,0 +1,53 @@
+package rattansettings
+
+import "time"
+
+// DefaultRoute is the name of the route of requests that name none.
+const DefaultRoute = "default"
+
+// maxRouteAge limits the age of stale reads; the wire has it as milliseconds in 32 bits.
+const maxRouteAge = time.Hour
+
+// A Route is a named kind of request within a service.
+type Route struct {
+	name          string
+	service       string
+	open          bool
+	maxAge        time.Duration
+	clientAccount string
+}
+
+func readRoute(r *sectionReader, team, service, name string) Route {
+	route := Route{
+		name:          name,
+		service:       fullName(team, service),
+		open:          r.boolean("open", false),
+		maxAge:        r.duration("max_age", 0, maxRouteAge, 0),
+		clientAccount: fullName(team, r.nameValue("client_account", false)),
+	}
+	if _, found := r.values["client_account"]; found != route.open {
+		r.fault("client_account", "the key goes together with open = true",
+			"the client account of an open route, and none on other routes")
+	}
+	if route.maxAge%time.Millisecond != 0 {
+		r.fault("max_age", "finer than a millisecond", "whole milliseconds")
+	}
+	return route
+}
+
+// Name returns the route's name within its service.
+func (r Route) Name() string { return r.name }
+
+// Service returns the full name of the route's service.
+func (r Route) Service() string { return r.service }
+
+// Open reports whether the route's requests run without a key.
+func (r Route) Open() bool { return r.open }
+
+// MaxAge returns the largest accepted age of the data of reads, in whole
+// milliseconds. 0 means that age does not matter and the session's position does.
+func (r Route) MaxAge() time.Duration { return r.maxAge }
+
+// ClientAccount returns the full name of the client account for which requests
+// without a key run. It is empty unless the route is open.
+func (r Route) ClientAccount() string { return r.clientAccount }
--- /dev/null
+++ b/internal/config/rattansettings/sectionreader.go
@@ -0,0 +1,293 @@
+package rattansettings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// namePattern is the form of every name in the settings. Without "." and "/" a
+// name is one part of a section name and of a full name, and without "_" it can
+// be part of a key or credential.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+const acceptedName = `1 to 63 characters of "a" to "z", "0" to "9" and "-", not first "-"`
+
+// IsName reports whether text has the form of a name.
+func IsName(text string) bool { return namePattern.MatchString(text) }
+
+// A sectionReader reads the typed values of one section and collects faults.
+// The keys asked for are the accepted keys.
+type sectionReader struct {
+	path   string
+	name   string
+	values map[string]string
+	asked  []string
+	faults *[]Fault
+}
+
+func newSectionReader(path string, raw rawSection, faults *[]Fault) *sectionReader {
+	values := make(map[string]string, len(raw.keys))
+	for _, key := range raw.keys {
+		values[key.name] = key.value
+	}
+	return &sectionReader{path: path, name: raw.name, values: values, faults: faults}
+}
+
+// fault reports a key of the section. It shows the value unless it is a secret.
+func (r *sectionReader) fault(key, problem, accepted string) {
+	value, found := r.values[key]
+	isSecret := strings.HasSuffix(key, "_sha256") || strings.HasSuffix(key, "seal_key")
+	fault := Fault{path: r.path, section: shown(r.name), key: shown(key), problem: problem, accepted: accepted}
+	if found && !isSecret {
+		fault.value, fault.hasValue = shown(value), true
+	}
+	*r.faults = append(*r.faults, fault)
+}
+
+// sectionFault reports the section itself.
+func (r *sectionReader) sectionFault(problem, accepted string) {
+	*r.faults = append(*r.faults, Fault{path: r.path, section: shown(r.name), problem: problem, accepted: accepted})
+}
+
+// finish reports the keys that nobody asked for, without their values, which
+// may be secrets under a mistyped name.
+func (r *sectionReader) finish() {
+	accepted := "the keys " + strings.Join(r.asked, ", ")
+	names := make([]string, 0, len(r.values))
+	for name := range r.values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if !slices.Contains(r.asked, name) {
+			*r.faults = append(*r.faults, Fault{
+				path: r.path, section: shown(r.name), key: shown(name),
+				problem: "unknown key", accepted: accepted,
+			})
+		}
+	}
+}
+
+// text returns the value, and false when the key is missing. A missing
+// required key is a fault.
+func (r *sectionReader) text(key string, required bool, accepted string) (string, bool) {
+	r.asked = append(r.asked, key)
+	value, found := r.values[key]
+	if found && value != "" {
+		return value, true
+	}
+	if required {
+		r.fault(key, "a value is missing", accepted)
+	}
+	return "", false
+}
+
+func (r *sectionReader) nameValue(key string, required bool) string {
+	value, found := r.text(key, required, acceptedName)
+	if found && !IsName(value) {
+		r.fault(key, "not a name", acceptedName)
+		return ""
+	}
+	return value
+}
+
+// names reads a list separated by commas.
+func (r *sectionReader) names(key string, limit int) []string {
+	accepted := fmt.Sprintf("1 to %d different names, separated by commas; a name has %s", limit, acceptedName)
+	value, found := r.text(key, true, accepted)
+	if !found {
+		return nil
+	}
+	names := splitList(value)
+	if len(names) > limit {
+		r.fault(key, "too many names", accepted)
+		return nil
+	}
+	for i, name := range names {
+		switch {
+		case !IsName(name):
+			r.fault(key, fmt.Sprintf("%q is not a name", shown(name)), accepted)
+			return nil
+		case slices.Contains(names[:i], name):
+			r.fault(key, fmt.Sprintf("%q occurs twice", shown(name)), accepted)
+			return nil
+		}
+	}
+	return names
+}
+
+func splitList(value string) []string {
+	parts := strings.Split(value, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
+
+func (r *sectionReader) boolean(key string, fallback bool) bool {
+	switch value, found := r.text(key, false, ""); {
+	case !found:
+		r.rejectEmpty(key, "true or false")
+		return fallback
+	case value == "true":
+		return true
+	case value == "false":
+		return false
+	default:
+		r.fault(key, "not a boolean", "true or false")
+		return fallback
+	}
+}
+
+// rejectEmpty reports a key that is present without a value, which would
+// otherwise silently mean the default.
+func (r *sectionReader) rejectEmpty(key, accepted string) {
+	if _, found := r.values[key]; found {
+		r.fault(key, "a value is missing", accepted)
+	}
+}
+
+func (r *sectionReader) choice(key, fallback string, choices ...string) string {
+	accepted := strings.Join(choices, " or ")
+	value, found := r.text(key, false, "")
+	if !found {
+		r.rejectEmpty(key, accepted)
+		return fallback
+	}
+	if !slices.Contains(choices, value) {
+		r.fault(key, "not one of the choices", accepted)
+		return fallback
+	}
+	return value
+}
+
+// integer reads a whole number; a fallback below low makes the key required.
+func (r *sectionReader) integer(key, unit string, low, high, fallback int) int {
+	accepted := fmt.Sprintf("a whole number from %d to %d%s", low, high, unit)
+	value, found := r.text(key, fallback < low, accepted)
+	if !found {
+		if fallback >= low {
+			r.rejectEmpty(key, accepted)
+		}
+		return fallback
+	}
+	number, err := strconv.Atoi(value)
+	switch {
+	case err != nil:
+		r.fault(key, "not a whole number", accepted)
+		return fallback
+	case number < low || number > high:
+		r.fault(key, "out of range", accepted)
+		return fallback
+	}
+	return number
+}
+
+// ratePattern leaves out exponents, signs, NaN and infinities.
+var ratePattern = regexp.MustCompile(`^[0-9]{1,7}(\.[0-9]{1,3})?$`)
+
+// rate reads requests per second with up to three decimals and returns
+// thousandths of a request per second.
+func (r *sectionReader) rate(key string) int64 {
+	const accepted = "a number from 0.001 to 1000000 requests/s with at most 3 decimals"
+	value, found := r.text(key, true, accepted)
+	if !found {
+		return 0
+	}
+	if !ratePattern.MatchString(value) {
+		r.fault(key, "not a rate", accepted)
+		return 0
+	}
+	whole, decimals, _ := strings.Cut(value, ".")
+	milli, err := strconv.ParseInt(whole+(decimals + "000")[:3], 10, 64)
+	if err != nil || milli < 1 || milli > 1_000_000_000 {
+		r.fault(key, "out of range", accepted)
+		return 0
+	}
+	return milli
+}
+
+func (r *sectionReader) duration(key string, low, high, fallback time.Duration) time.Duration {
+	accepted := fmt.Sprintf("a duration from %s to %s, such as 500ms or 2s", low, high)
+	value, found := r.text(key, false, "")
+	if !found {
+		r.rejectEmpty(key, accepted)
+		return fallback
+	}
+	d, err := time.ParseDuration(value)
+	switch {
+	case err != nil:
+		r.fault(key, "not a duration", accepted)
+		return fallback
+	case d < low || d > high:
+		r.fault(key, "out of range", accepted)
+		return fallback
+	}
+	return d
+}
+
+const acceptedAddress = "an IP address and a port from 1 to 65535, such as 127.0.0.1:7001 or [::1]:7001"
+
+func (r *sectionReader) address(key string, required bool) string {
+	value, found := r.text(key, required, acceptedAddress)
+	if !found {
+		return ""
+	}
+	if !isAddress(value) {
+		r.fault(key, "not an address", acceptedAddress)
+		return ""
+	}
+	return value
+}
+
+// remoteAddress reads an address that other processes connect to.
+func (r *sectionReader) remoteAddress(key string, required bool) string {
+	value := r.address(key, required)
+	if value == "" {
+		return ""
+	}
+	if netip.MustParseAddrPort(value).Addr().IsUnspecified() {
+		r.fault(key, "no process can connect to an unspecified address", acceptedAddress)
+		return ""
+	}
+	return value
+}
+
+func (r *sectionReader) addresses(key string) []string {
+	const accepted = "addresses separated by commas; each is " + acceptedAddress
+	value, found := r.text(key, false, "")
+	if !found {
+		return nil
+	}
+	addresses := splitList(value)
+	for _, address := range addresses {
+		if !isAddress(address) {
+			r.fault(key, fmt.Sprintf("%q is not an address", shown(address)), accepted)
+			return nil
+		}
+	}
+	return addresses
+}
+
+func isAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0
+}
+
+func (r *sectionReader) hash(key string, required bool) Hash {
+	const accepted = "64 hexadecimal digits"
+	value, found := r.text(key, required, accepted)
+	if !found {
+		return Hash{}
+	}
+	hash, ok := parseHash(value)
+	if !ok {
+		r.fault(key, "not 64 hexadecimal digits", accepted)
+	}
+	return hash
+}
