Add rattanlink: peer frames over yamux

Daemons exchange gossip, loans and forwarded transaction calls, and need one transport for them with bounded frames, streams and sessions.

The Server accepts sessions, optionally with mutual TLS, and runs one handler per frame kind; the Client keeps one session per address, reconnects with backoff and jitter, and closes only the stream of a slow or failed call. Both count bytes on the TCP connections.

--- /dev/null
+++ b/internal/peer/rattanlink/client.go
@@ -0,0 +1,186 @@
+package rattanlink
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// A Client calls other daemons over one session per address.
+type Client struct {
+	options  options
+	counters counters
+	next     atomic.Uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	mutex  sync.Mutex
+	closed bool
+	peers  map[string]*peer
+}
+
+// NewClient returns a Client that connects on demand.
+func NewClient(opts ...Option) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{
+		options: newOptions(opts),
+		ctx:     ctx,
+		cancel:  cancel,
+		peers:   make(map[string]*peer),
+	}
+	c.running.Go(c.closeIdle)
+	return c
+}
+
+// Counters returns the totals since the start.
+func (c *Client) Counters() Counters {
+	return c.counters.read()
+}
+
+// Close closes all sessions and waits until everything has stopped. Running
+// calls fail.
+func (c *Client) Close() error {
+	c.mutex.Lock()
+	c.closed = true
+	c.mutex.Unlock()
+	c.cancel()
+	c.running.Wait()
+	return nil
+}
+
+// Call sends frame to the daemon at address (host:port) and returns its
+// response. frame's number is set. A failed or slow call closes only its own
+// stream. Errors: ErrClosed, ErrBackoff, a *RemoteError when the peer could not
+// handle the frame, a *FrameSizeError, ctx's error, or a network error.
+func (c *Client) Call(ctx context.Context, address string, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	c.counters.calls.Add(1)
+	response, err := c.call(ctx, address, frame)
+	if err != nil {
+		c.counters.failed.Add(1)
+		return nil, err
+	}
+	return response, nil
+}
+
+func (c *Client) call(ctx context.Context, address string, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.callTimeout)
+	defer cancel()
+	p, err := c.peer(address)
+	if err != nil {
+		return nil, err
+	}
+	defer p.release()
+	if err := p.acquireStream(ctx); err != nil {
+		return nil, err
+	}
+	defer p.releaseStream()
+	session, err := p.session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, errors.Wrapf(err, "open stream to %s", address)
+	}
+	defer stream.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = stream.SetDeadline(deadline)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	frame.Id = c.next.Add(1)
+	response, err := c.exchange(stream, frame)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		if errors.Is(err, yamux.ErrTimeout) {
+			return nil, context.DeadlineExceeded
+		}
+		return nil, errors.Wrapf(err, "call %s", address)
+	}
+	if fault := response.GetError(); fault != nil {
+		return nil, &RemoteError{Address: address, Message: fault.GetMessage()}
+	}
+	return response, nil
+}
+
+func (c *Client) exchange(stream *yamux.Stream, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	if err := WriteFrame(stream, frame, c.options.frameBytes); err != nil {
+		return nil, err
+	}
+	response, err := ReadFrame(stream, c.options.frameBytes)
+	if err != nil {
+		return nil, err
+	}
+	if response.GetId() != frame.GetId() {
+		return nil, ErrMismatchedFrame
+	}
+	return response, nil
+}
+
+// peer returns the peer of an address; the caller releases it, and Close waits
+// for that.
+func (c *Client) peer(address string) (*peer, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	p, ok := c.peers[address]
+	if !ok {
+		p = newPeer(c, address)
+		c.peers[address] = p
+	}
+	c.running.Add(1)
+	p.users++
+	p.lastUsed = c.options.clock.Now()
+	return p, nil
+}
+
+// closeIdle removes peers that nobody has used for the idle time, and all of
+// them when the client closes.
+func (c *Client) closeIdle() {
+	for {
+		select {
+		case <-c.ctx.Done():
+			c.closeAll()
+			return
+		case <-c.options.clock.After(c.options.idleTimeout / 2):
+		}
+		for _, p := range c.takeIdle() {
+			p.close()
+		}
+	}
+}
+
+func (c *Client) takeIdle() []*peer {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var idle []*peer
+	now := c.options.clock.Now()
+	for address, p := range c.peers {
+		if p.users == 0 && now.Sub(p.lastUsed) >= c.options.idleTimeout {
+			idle = append(idle, p)
+			delete(c.peers, address)
+		}
+	}
+	return idle
+}
+
+func (c *Client) closeAll() {
+	c.mutex.Lock()
+	peers := c.peers
+	c.peers = make(map[string]*peer)
+	c.mutex.Unlock()
+	for _, p := range peers {
+		p.close()
+	}
+}
--- /dev/null
+++ b/internal/peer/rattanlink/client_test.go
@@ -0,0 +1,269 @@
+package rattanlink
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// serve runs server until the returned function is called or the test ends.
+func serve(t *testing.T, server *Server, listener net.Listener) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, listener)
+	}()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
+func newTestClient(t *testing.T, opts ...Option) *Client {
+	t.Helper()
+	client := NewClient(opts...)
+	t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+// answerBorrow answers with the loan's number; loan 99 waits for the context.
+func answerBorrow(ctx context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	loan := frame.GetBorrowRequest().GetLoan()
+	if loan == 99 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	response := &rattanv1.BorrowResponse{Loan: loan}
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_BorrowResponse{BorrowResponse: response}}, nil
+}
+
+func borrowServer(opts ...Option) *Server {
+	server := NewServer(opts...)
+	server.Handle(KindBorrow, answerBorrow)
+	return server
+}
+
+func assertBorrow(t *testing.T, client *Client, address string, loan uint64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	response, err := client.Call(ctx, address, borrowFrame(loan))
+	if err != nil || response.GetBorrowResponse().GetLoan() != loan {
+		t.Errorf("Call(loan %d) = %v, %v, want the same loan", loan, response, err)
+	}
+}
+
+// TestCall guards against responses that reach the wrong call, and against
+// sessions that are not shared.
+func TestCall(t *testing.T) {
+	server := borrowServer()
+	listener := listen(t, "127.0.0.1:0")
+	serve(t, server, listener)
+	client := newTestClient(t)
+	var running sync.WaitGroup
+	for loan := range uint64(50) {
+		running.Go(func() { assertBorrow(t, client, listener.Addr().String(), loan) })
+	}
+	running.Wait()
+	if got := client.Counters(); got.Sessions != 1 || got.Calls != 50 || got.Failed != 0 || got.BytesSent == 0 || got.BytesReceived == 0 {
+		t.Errorf("Counters = %+v, want 1 session and 50 calls with bytes both ways", got)
+	}
+}
+
+// TestCallRefused guards against a fault of one call that breaks the others.
+func TestCallRefused(t *testing.T) {
+	listener := listen(t, "127.0.0.1:0")
+	serve(t, borrowServer(WithFrameBytes(1000)), listener)
+	client := newTestClient(t)
+	address := listener.Addr().String()
+	assertBorrow(t, client, address, 1)
+
+	forward := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_ForwardRequest{ForwardRequest: &rattanv1.ForwardRequest{}}}
+	var remote *RemoteError
+	if _, err := client.Call(context.Background(), address, forward); !errors.As(err, &remote) {
+		t.Errorf("no handler: got %v, want a *RemoteError", err)
+	}
+	large := borrowFrame(2)
+	large.GetBorrowRequest().Share = strings.Repeat("x", 2000)
+	if _, err := client.Call(context.Background(), address, large); err == nil {
+		t.Error("request above the server's limit was answered")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := client.Call(ctx, address, borrowFrame(99)); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("slow call: got %v, want %v", err, context.DeadlineExceeded)
+	}
+	assertBorrow(t, client, address, 3)
+	if got := client.Counters().Sessions; got != 1 {
+		t.Errorf("%d sessions, want the first one still in use", got)
+	}
+}
+
+// TestReconnect guards against a client that stays with a dead session, and
+// against attempts without a pause while the peer is away.
+func TestReconnect(t *testing.T) {
+	listener := listen(t, "127.0.0.1:0")
+	address := listener.Addr().String()
+	stop := serve(t, borrowServer(), listener)
+	var dials atomic.Int64
+	client := newTestClient(t, WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		dials.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}))
+	assertBorrow(t, client, address, 1)
+	stop()
+	sawBackoff := false
+	for range 100 {
+		_, err := client.Call(context.Background(), address, borrowFrame(2))
+		if err == nil {
+			t.Fatal("a stopped server answered")
+		}
+		sawBackoff = sawBackoff || errors.Is(err, ErrBackoff)
+	}
+	if !sawBackoff {
+		t.Errorf("%d attempts in 100 calls, want a pause between them", dials.Load())
+	}
+	serve(t, borrowServer(), listen(t, address))
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		_, err := client.Call(context.Background(), address, borrowFrame(3))
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("no call succeeded after the server's return: %v", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestLimits guards against a peer that takes all streams or sessions.
+func TestLimits(t *testing.T) {
+	listener := listen(t, "127.0.0.1:0")
+	serve(t, borrowServer(WithStreams(1), WithSessions(1)), listener)
+	address := listener.Addr().String()
+	client := newTestClient(t)
+	assertBorrow(t, client, address, 1)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	slow := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := client.Call(ctx, address, borrowFrame(99))
+			slow <- err
+		}()
+	}
+	if err := <-slow; err == nil || errors.Is(err, context.Canceled) {
+		t.Errorf("second stream: got %v, want it closed by the server", err)
+	}
+	second := newTestClient(t)
+	if _, err := second.Call(context.Background(), address, borrowFrame(2)); err == nil {
+		t.Error("second session was served")
+	}
+	cancel()
+	if err := <-slow; !errors.Is(err, context.Canceled) {
+		t.Errorf("cancelled call: got %v, want %v", err, context.Canceled)
+	}
+}
+
+// TestClose guards against calls that outlive their client.
+func TestClose(t *testing.T) {
+	listener := listen(t, "127.0.0.1:0")
+	serve(t, borrowServer(), listener)
+	client := NewClient()
+	assertBorrow(t, client, listener.Addr().String(), 1)
+	slow := make(chan error, 1)
+	go func() {
+		_, err := client.Call(context.Background(), listener.Addr().String(), borrowFrame(99))
+		slow <- err
+	}()
+	if err := client.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-slow; err == nil {
+		t.Error("a call succeeded on a closed client")
+	}
+	if _, err := client.Call(context.Background(), listener.Addr().String(), borrowFrame(1)); !errors.Is(err, ErrClosed) {
+		t.Errorf("call after Close: got %v, want %v", err, ErrClosed)
+	}
+}
+
+// testCertificate returns a self-signed certificate for 127.0.0.1 and the pool
+// that trusts it.
+func testCertificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:         true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, pool
+}
+
+// TestMutualTLS guards against sessions with peers that have no certificate.
+func TestMutualTLS(t *testing.T) {
+	certificate, pool := testCertificate(t)
+	listener := listen(t, "127.0.0.1:0")
+	address := listener.Addr().String()
+	serve(t, borrowServer(WithTLS(&tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+	})), listener)
+	client := newTestClient(t, WithTLS(&tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool}))
+	assertBorrow(t, client, address, 1)
+	for name, config := range map[string]*tls.Config{
+		"no certificate":   {RootCAs: pool},
+		"unknown server":   {Certificates: []tls.Certificate{certificate}},
+		"no TLS on a port": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			stranger := newTestClient(t, WithTLS(config), WithCallTimeout(5*time.Second))
+			if _, err := stranger.Call(context.Background(), address, borrowFrame(1)); err == nil {
+				t.Error("stranger was served")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/rattanlink/kind.go
@@ -0,0 +1,48 @@
+package rattanlink
+
+import "github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+
+// A Kind is the kind of a request frame.
+type Kind int
+
+// The kinds of request frames. KindUnknown stands for responses and for frames
+// without a body; no handler can be registered for it.
+const (
+	KindUnknown Kind = iota
+	KindSync
+	KindBorrow
+	KindReturnLoan
+	KindForward
+)
+
+// String returns the snake case name of k.
+func (k Kind) String() string {
+	switch k {
+	case KindSync:
+		return "sync"
+	case KindBorrow:
+		return "borrow"
+	case KindReturnLoan:
+		return "return_loan"
+	case KindForward:
+		return "forward"
+	default:
+		return "unknown"
+	}
+}
+
+// KindOf returns the kind of a request frame.
+func KindOf(frame *rattanv1.PeerFrame) Kind {
+	switch frame.GetBody().(type) {
+	case *rattanv1.PeerFrame_SyncRequest:
+		return KindSync
+	case *rattanv1.PeerFrame_BorrowRequest:
+		return KindBorrow
+	case *rattanv1.PeerFrame_ReturnLoanRequest:
+		return KindReturnLoan
+	case *rattanv1.PeerFrame_ForwardRequest:
+		return KindForward
+	default:
+		return KindUnknown
+	}
+}
--- /dev/null
+++ b/internal/peer/rattanlink/server.go
@@ -0,0 +1,197 @@
+package rattanlink
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// acceptPause is the wait after a failed accept, for example when the process
+// is out of file descriptors.
+const acceptPause = 50 * time.Millisecond
+
+// A Handler answers one request frame. The context ends with the session, with
+// the call timeout, and with the server. An error becomes a PeerError.
+type Handler func(ctx context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error)
+
+// A Server accepts sessions of other daemons.
+type Server struct {
+	options  options
+	counters counters
+	sessions chan struct{}
+
+	mutex    sync.RWMutex
+	handlers map[Kind]Handler
+}
+
+// NewServer returns a Server without handlers.
+func NewServer(opts ...Option) *Server {
+	o := newOptions(opts)
+	return &Server{
+		options:  o,
+		sessions: make(chan struct{}, o.sessions),
+		handlers: make(map[Kind]Handler),
+	}
+}
+
+// Handle registers the handler of a kind. The last registration counts.
+func (s *Server) Handle(kind Kind, handler Handler) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.handlers[kind] = handler
+}
+
+// Counters returns the totals since the start.
+func (s *Server) Counters() Counters {
+	return s.counters.read()
+}
+
+// Serve accepts sessions until ctx ends or the listener fails, closes the
+// listener, and returns after every handler has returned. It returns ctx's
+// error when ctx has ended.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "accept peer session")
+			}
+			if !sleep(ctx, acceptPause) {
+				return ctx.Err()
+			}
+			continue
+		}
+		select {
+		case s.sessions <- struct{}{}:
+		default:
+			_ = conn.Close()
+			continue
+		}
+		running.Go(func() {
+			defer func() { <-s.sessions }()
+			s.serveConn(ctx, &countingConn{Conn: conn, counters: &s.counters})
+		})
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer conn.Close()
+	if s.options.tls != nil {
+		secured := tls.Server(conn, s.options.tls)
+		handshake, cancelHandshake := context.WithTimeout(ctx, s.options.dialTimeout)
+		err := secured.HandshakeContext(handshake)
+		cancelHandshake()
+		if err != nil {
+			return
+		}
+		conn = secured
+	}
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		return
+	}
+	s.counters.sessions.Add(1)
+	defer s.counters.sessions.Add(-1)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	streams := make(chan struct{}, s.options.streams)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		select {
+		case streams <- struct{}{}:
+		default:
+			_ = stream.Close()
+			continue
+		}
+		running.Go(func() {
+			defer func() { <-streams }()
+			s.serveStream(ctx, stream)
+		})
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(requestReadTimeout))
+	request, err := ReadFrame(stream, s.options.frameBytes)
+	if err != nil {
+		s.counters.failed.Add(1)
+		return
+	}
+	s.counters.calls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, s.options.callTimeout)
+	defer cancel()
+	response, err := s.handle(ctx, request)
+	if err != nil {
+		s.counters.failed.Add(1)
+		response = errorFrame(err)
+	}
+	response.Id = request.GetId()
+	_ = stream.SetDeadline(time.Now().Add(requestReadTimeout))
+	err = WriteFrame(stream, response, s.options.frameBytes)
+	var tooLarge *FrameSizeError
+	if errors.As(err, &tooLarge) {
+		s.counters.failed.Add(1)
+		response = errorFrame(err)
+		response.Id = request.GetId()
+		_ = WriteFrame(stream, response, s.options.frameBytes)
+	}
+}
+
+func (s *Server) handle(ctx context.Context, request *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	kind := KindOf(request)
+	s.mutex.RLock()
+	handler := s.handlers[kind]
+	s.mutex.RUnlock()
+	if handler == nil {
+		return nil, errors.Errorf("no handler for frames of kind %s", kind)
+	}
+	response, err := handler(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if response == nil {
+		return nil, errors.Errorf("handler for frames of kind %s gave no response", kind)
+	}
+	return response, nil
+}
+
+func errorFrame(err error) *rattanv1.PeerFrame {
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_Error{Error: &rattanv1.PeerError{Message: err.Error()}}}
+}
