--- a/internal/caller/rattanservice/transactions.go
+++ b/internal/caller/rattanservice/transactions.go
@@ -33,6 +33,10 @@
 
 // begin opens a transaction that outlives the call and ends with its key.
 func (s *Service) begin(c *call) (rattantransaction.ID, error) {
+	if c.identity.KeyID == "" {
+		return rattantransaction.ID{}, rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAUTHENTICATED, 0,
+			"transactions need a key, also on open routes")
+	}
 	lifetime, cancel := s.keyring.Track(context.Background(), c.identity.KeyID)
 	owner := rattantransaction.Owner{ClientAccount: c.identity.ClientAccount, KeyID: c.identity.KeyID}
 	id, err := s.transactions.Begin(lifetime, owner, c.route.Group, func() (rattantransaction.Connection, error) {
--- a/internal/daemon/rattanlisten/server.go
+++ b/internal/daemon/rattanlisten/server.go
@@ -15,9 +15,9 @@
 // headerTimeout bounds the time in which a client sends its headers.
 const headerTimeout = 10 * time.Second
 
-// maxHeaderBytes bounds the headers of a request. A session token of 100 groups
-// takes about 8 KiB.
-const maxHeaderBytes = 64 << 10
+// maxHeaderBytes bounds the headers of a request: the longest session token (64 KiB)
+// and as much for everything else.
+const maxHeaderBytes = 128 << 10
 
 // A Server is one HTTP server on one address.
 type Server struct {
