--- /dev/null
+++ b/internal/endpoint/rattanpool/fake_test.go
@@ -0,0 +1,144 @@
+package rattanpool
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// fakeEndpoint is an endpoint with a number of slots and a service time.
+type fakeEndpoint struct {
+	rattanv1connect.EndpointServiceClient
+	service time.Duration
+	slots   chan struct{}
+
+	mu       sync.Mutex
+	opened   int
+	open     map[string]bool
+	waiting  int
+	down     error
+	silent   bool
+	crossed  bool
+	statuses int
+}
+
+func newFakeEndpoint(slots int, service time.Duration) *fakeEndpoint {
+	return &fakeEndpoint{service: service, slots: make(chan struct{}, slots), open: make(map[string]bool)}
+}
+
+func (f *fakeEndpoint) set(change func(f *fakeEndpoint)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// fault returns what the endpoint does instead of answering.
+func (f *fakeEndpoint) fault(ctx context.Context) error {
+	f.mu.Lock()
+	down, silent := f.down, f.silent
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return down
+}
+
+func (f *fakeEndpoint) OpenConnection(ctx context.Context, _ *connect.Request[rattanv1.OpenConnectionRequest]) (*connect.Response[rattanv1.OpenConnectionResponse], error) {
+	time.Sleep(10 * time.Millisecond)
+	if err := f.fault(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.opened++
+	name := fmt.Sprintf("c%d", f.opened)
+	f.open[name] = true
+	return connect.NewResponse(&rattanv1.OpenConnectionResponse{Connection: name}), nil
+}
+
+func (f *fakeEndpoint) CloseConnection(ctx context.Context, request *connect.Request[rattanv1.CloseConnectionRequest]) (*connect.Response[rattanv1.CloseConnectionResponse], error) {
+	if err := f.fault(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, request.Msg.GetConnection())
+	return connect.NewResponse(&rattanv1.CloseConnectionResponse{}), nil
+}
+
+func (f *fakeEndpoint) GetStatus(ctx context.Context, _ *connect.Request[rattanv1.GetStatusRequest]) (*connect.Response[rattanv1.GetStatusResponse], error) {
+	f.set(func(f *fakeEndpoint) { f.statuses++ })
+	if err := f.fault(ctx); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&rattanv1.GetStatusResponse{Status: &rattanv1.EndpointStatus{}}), nil
+}
+
+func (f *fakeEndpoint) RunStatements(ctx context.Context, request *connect.Request[rattanv1.RunStatementsRequest]) (*connect.Response[rattanv1.RunStatementsResponse], error) {
+	if err := f.fault(ctx); err != nil {
+		return nil, err
+	}
+	f.set(func(f *fakeEndpoint) { f.waiting++ })
+	f.slots <- struct{}{}
+	f.set(func(f *fakeEndpoint) { f.waiting-- })
+	time.Sleep(f.service)
+	<-f.slots
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	call := request.Msg.GetCall()
+	if f.crossed {
+		call--
+	}
+	return connect.NewResponse(&rattanv1.RunStatementsResponse{
+		Call:      call,
+		ServiceUs: uint64(f.service.Microseconds()),
+		Status:    &rattanv1.EndpointStatus{Queued: uint32(f.waiting)},
+	}), nil
+}
+
+// inPool runs test with a pool of endpoint in simulated time.
+func inPool(t *testing.T, endpoint *fakeEndpoint, limits Limits, test func(t *testing.T, p *Pool), options ...Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := New(rattanclock.System(), rattanadapter.New(endpoint, "vm-1"), limits, options...)
+		test(t, p)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := p.Close(ctx); err != nil {
+			t.Errorf("Close: %v", err)
+		}
+	})
+}
+
+// runOnce runs one empty request as a transaction step.
+func runOnce(step rattanv1.TransactionStep) func(context.Context, *Conn) error {
+	return func(ctx context.Context, conn *Conn) error {
+		_, err := conn.Run(ctx, &rattanv1.RunStatementsRequest{Step: step})
+		return err
+	}
+}
+
+var single = runOnce(rattanv1.TransactionStep_TRANSACTION_STEP_UNSPECIFIED)
+
+func assertEqual[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
