--- a/internal/config/rattansettings/edit.go
+++ b/internal/config/rattansettings/edit.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"unicode/utf8"
 )
 
 // An Edit sets one key of a section, removes one key, or, with Remove and no
@@ -119,6 +120,9 @@
 	if kind, problem := line.classify(); kind != lineKey || problem != "" || line.keyName() != edit.Key {
 		return newEditError(edit, "not a key and value", "a lower case key and a value on one line")
 	}
+	if !utf8.ValidString(edit.Value) {
+		return newEditError(edit, "the value is not UTF-8", "UTF-8 text")
+	}
 	if strings.TrimSpace(edit.Value) != edit.Value || inlineComment(edit.Value) >= 0 {
 		return newEditError(edit, "the value has a comment, or spaces around it", "a plain value")
 	}
