Add the endpoint stand-in

Daemon, failover and load tests need database instances with terms, replication and faults, and no real database may be started.

An instance serves EndpointService over HTTP or in memory.

--- /dev/null
+++ b/internal/standin/rattanendpoint/instance.go
@@ -0,0 +1,147 @@
+package rattanendpoint
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/standin/rattansql"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+// An Instance is one database instance. It implements
+// rattanv1connect.EndpointServiceHandler and is safe for concurrent use.
+type Instance struct {
+	config  Config
+	clock   rattanclock.Clock
+	handler http.Handler
+
+	mu    sync.Mutex
+	state State
+	// changed is closed and replaced whenever something that a call may wait
+	// for has changed: the log, the term, the promise or the controls.
+	changed     chan struct{}
+	database    *rattansql.Database
+	records     map[recordKey]record
+	connections map[string]*connection
+	opened      uint64
+	slots       slots
+	age         age
+	arrivals    map[uint64]time.Time
+	controls    Controls
+	recording   [][]byte
+	answer      *rattanv1.RunStatementsResponse
+	stopped     bool
+	// life ends when the instance is killed or stopped.
+	life    context.Context
+	endLife context.CancelFunc
+}
+
+// New returns an instance. It answers calls at once; replication and the
+// measurement of its age need Run.
+func New(config Config, clock rattanclock.Clock) *Instance {
+	config = config.withDefaults()
+	i := &Instance{
+		config:   config,
+		clock:    clock,
+		state:    newState(config),
+		changed:  make(chan struct{}),
+		arrivals: map[uint64]time.Time{},
+		controls: Controls{ServiceTime: config.ServiceTime},
+		slots:    slots{free: config.Slots},
+	}
+	if config.State != nil {
+		i.state = *config.State.clone()
+	}
+	i.connections = map[string]*connection{}
+	i.life, i.endLife = context.WithCancel(context.Background())
+	i.rebuild()
+	i.handler = i.newHandler()
+	return i
+}
+
+// Handler serves EndpointService and, under /control, the controls.
+func (i *Instance) Handler() http.Handler { return i.handler }
+
+func (i *Instance) newHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(rattanv1connect.NewEndpointServiceHandler(i, connect.WithInterceptors(connect.UnaryInterceptorFunc(i.intercept))))
+	mux.HandleFunc("/control", i.serveControl)
+	return i.record(mux)
+}
+
+// Run replicates and measures the age until ctx ends.
+func (i *Instance) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	for _, peer := range i.config.Peers {
+		loops.Go(func() { i.pushLoop(ctx, peer) })
+	}
+	loops.Go(func() { i.ageLoop(ctx) })
+	loops.Go(func() { i.idleLoop(ctx) })
+	loops.Wait()
+}
+
+// Stop ends all calls and connections for good and returns the durable state,
+// which a later instance may start from.
+func (i *Instance) Stop() *State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopped = true
+	i.dropAll()
+	return i.state.clone()
+}
+
+// dropAll ends every call in progress and every connection.
+func (i *Instance) dropAll() {
+	i.endLife()
+	i.life, i.endLife = context.WithCancel(context.Background())
+	for name := range i.connections {
+		i.closeConnection(name)
+	}
+	i.notify()
+}
+
+// notify wakes all calls that wait for a change. The caller holds mu.
+func (i *Instance) notify() {
+	close(i.changed)
+	i.changed = make(chan struct{})
+}
+
+// wait returns when check is true, with its error, or when ctx or the timeout
+// ends; then the error is errTimeout or ctx's. check runs with mu held.
+func (i *Instance) wait(ctx context.Context, timeout <-chan time.Time, check func() (bool, error)) error {
+	for {
+		i.mu.Lock()
+		done, err := check()
+		changed := i.changed
+		i.mu.Unlock()
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return errTimeout
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func (i *Instance) sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-i.clock.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
