--- /dev/null
+++ b/internal/limit/rattanbucket/bucket_test.go
@@ -0,0 +1,95 @@
+package rattanbucket
+
+import (
+	"flag"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	// A fixed seed makes each run of the property tests the same.
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+// TestAdmittedIsBounded guards against a bucket that admits more than its depth
+// plus its rate times the elapsed time, for example by rounding up, and against
+// one that loses refill by rounding down at each call.
+func TestAdmittedIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Int64Range(0, 1_000_000).Draw(t, "rate")
+		depth := rapid.Int64Range(0, 1_000_000).Draw(t, "depth")
+		start := time.Unix(0, 0)
+		now := start
+		b := New(rate, depth, now)
+		var taken int64
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(-1000, 3_000_000).Draw(t, "elapsed")))
+			b.Refill(now)
+			if units := rapid.Int64Range(0, 2000).Draw(t, "units"); b.Take(units) {
+				taken += units
+			}
+		}
+		elapsed := b.refilled.Sub(start).Nanoseconds()
+		if taken*int64(time.Second) > rate*elapsed {
+			t.Fatalf("took %d thousandths in %d ns at rate %d", taken, elapsed, rate)
+		}
+		if exact := rate * elapsed / int64(time.Second); exact < depth && taken+b.Tokens() != exact {
+			t.Fatalf("took %d and holds %d thousandths, refilled %d", taken, b.Tokens(), exact)
+		}
+	})
+}
+
+// TestWait guards against a retry-after that is too early or needlessly late.
+func TestWait(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Int64Range(1, 1_000_000).Draw(t, "rate")
+		units := rapid.Int64Range(1, 100_000).Draw(t, "units")
+		now := time.Unix(0, 0)
+		b := New(rate, 100_000, now)
+		b.Refill(now.Add(time.Duration(rapid.Int64Range(0, 1_000_000).Draw(t, "before"))))
+		wait, ok := b.Wait(units)
+		if !ok {
+			t.Fatal("the bucket can hold the units but Wait says that it never will")
+		}
+		early := *b
+		early.Refill(b.refilled.Add(wait - 1))
+		if wait > 0 && early.Take(units) {
+			t.Fatalf("units are there before the wait of %s", wait)
+		}
+		b.Refill(b.refilled.Add(wait))
+		if !b.Take(units) {
+			t.Fatalf("units are not there after the wait of %s", wait)
+		}
+	})
+}
+
+// TestLimits guards against overflow after a long pause, tokens above the
+// depth, and units that are negative.
+func TestLimits(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(math.MaxInt64, 10*Unit, now)
+	b.Refill(now.Add(math.MaxInt64))
+	if b.Tokens() != 10*Unit {
+		t.Errorf("after a long pause: %d thousandths, want the depth", b.Tokens())
+	}
+	b.Add(math.MaxInt64)
+	b.SetLimits(0, 4*Unit)
+	if b.Tokens() != 4*Unit {
+		t.Errorf("after a cut: %d thousandths, want the new depth", b.Tokens())
+	}
+	if b.Take(-1) || b.Take(5*Unit) {
+		t.Error("took a negative amount or more than there is")
+	}
+	if _, ok := b.Wait(5 * Unit); ok {
+		t.Error("Wait promises more than the depth")
+	}
+	slow := New(1, math.MaxInt64, now)
+	if wait, ok := slow.Wait(math.MaxInt64); !ok || wait <= 0 {
+		t.Errorf("Wait for a huge amount: %s, %t", wait, ok)
+	}
+}
