Add conserved shares with loans between daemons

Cause: equal fixed parts refuse callers within their rate, and unbounded parts break the promise that the sum over all daemons stays within rate and burst. Change: rattanshare with Ledger (home shares, take, lend, borrow, return), Roster, Departures, home daemons by rendezvous hash, and Manager, which admits, borrows ahead and on demand, and puts increases in force only when all members have confirmed. A lender reclaims by the monotonic clock alone: with the larger of both clocks it would reclaim early after its wall clock is set forward.

--- /dev/null
+++ b/internal/limit/rattanshare/borrow.go
@@ -0,0 +1,208 @@
+package rattanshare
+
+import "github.com/rattanstream/rattanstream/internal/base/rattanclock"
+
+// An Ask is a wish for a loan: how much to have from a lender in all, and how
+// many tokens in addition. All are in thousandths.
+type Ask struct {
+	Lender string
+	Amount
+	Tokens int64
+}
+
+// Borrow makes the request for ask and notes the time, from which the loan's
+// time counts. The second result is false when the share is unknown or a request
+// to the lender is already pending. Each request ends with Accept or Fail.
+func (l *Ledger) Borrow(name string, ask Ask) (Request, bool) {
+	s, ok := l.find(name)
+	if !ok {
+		return Request{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.borrow(s, ask)
+}
+
+// borrow is Borrow for a share whose lock is held.
+func (l *Ledger) borrow(s *share, ask Ask) (Request, bool) {
+	if _, ok := s.pending[ask.Lender]; ok {
+		return Request{}, false
+	}
+	now := l.clock.Now()
+	s.settle(now)
+	request := Request{
+		VM:          l.vm,
+		Incarnation: l.incarnation,
+		Share:       s.name,
+		Lender:      ask.Lender,
+		Amount:      ask.Amount.clamp(),
+		Tokens:      ask.Tokens,
+		sent:        now,
+	}
+	if loan, ok := s.borrowed[ask.Lender]; ok {
+		request.Loan = loan.loan
+	} else {
+		request.Loan = l.lastLoan.Add(1)
+	}
+	s.pending[ask.Lender] = request
+	l.activate(s)
+	return request, true
+}
+
+// Accept handles the response to request and reports whether the loan is used.
+// A response that arrives after the loan's end, a second time, or for a request
+// that has failed is not used.
+func (l *Ledger) Accept(request Request, loan Loan) bool {
+	s, ok := l.find(request.Share)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.finish(request) {
+		return false
+	}
+	now := l.clock.Now()
+	s.settle(now)
+	ttl := min(loan.TTL, LoanTime)
+	if loan.Loan != request.Loan || rattanclock.Elapsed(request.sent, now) >= ttl {
+		return false
+	}
+	amount := loan.Amount.clamp().min(request.Amount)
+	tokens := min(max(loan.Tokens, 0), request.Tokens)
+	s.noteAnswer(request, amount, tokens, now)
+	if amount != (Amount{}) {
+		s.borrowed[request.Lender] = &borrowedLoan{
+			loan:    request.Loan,
+			Amount:  amount,
+			end:     request.sent.Add(ttl),
+			renewed: request.sent,
+		}
+		s.sumBorrowed()
+	}
+	s.bucket.Add(tokens)
+	return amount != (Amount{}) || tokens > 0
+}
+
+// Fail ends a request that got no response. The lender may have lent all the
+// same; it reclaims the loan by itself.
+func (l *Ledger) Fail(request Request) {
+	s, ok := l.find(request.Share)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.finish(request) {
+		s.noteDry(request.Lender, true, l.clock.Now())
+	}
+}
+
+// finish removes request from the pending ones and reports whether it was there.
+func (s *share) finish(request Request) bool {
+	pending, ok := s.pending[request.Lender]
+	if !ok || pending != request {
+		return false
+	}
+	delete(s.pending, request.Lender)
+	return true
+}
+
+// Return stops the use of the loan from lender and makes the message that
+// returns it. The second result is false when there is no such loan, or when
+// connections are in use on it.
+func (l *Ledger) Return(name, lender string) (Return, bool) {
+	s, ok := l.find(name)
+	if !ok {
+		return Return{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(l.clock.Now())
+	return l.giveBack(s, lender)
+}
+
+// giveBack is Return for a settled share whose lock is held.
+func (l *Ledger) giveBack(s *share, lender string) (Return, bool) {
+	loan, ok := s.borrowed[lender]
+	if !ok || s.whole && s.free() < loan.Burst {
+		return Return{}, false
+	}
+	delete(s.borrowed, lender)
+	delete(s.pending, lender)
+	before := s.bucket.Tokens()
+	s.sumBorrowed()
+	return Return{
+		VM:          l.vm,
+		Incarnation: l.incarnation,
+		Share:       s.name,
+		Loan:        loan.loan,
+		Lender:      lender,
+		Tokens:      min(before-s.bucket.Tokens(), loan.Burst),
+	}, true
+}
+
+// Plan returns the requests to send and the loans to return now for a share of
+// which the whole fleet has ceiling. lenders are the peers that hold home shares
+// of it, in the order in which to ask. missing is the number of units, in
+// thousandths, that waiting requests lack; while there are any, nothing is returned.
+func (l *Ledger) Plan(name string, lenders []string, ceiling Amount, missing int64) ([]Request, []Return) {
+	s, ok := l.find(name)
+	if !ok {
+		return nil, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := l.clock.Now()
+	s.settle(now)
+	target := s.target(ceiling, missing, now)
+	var returns []Return
+	if missing == 0 {
+		for _, lender := range s.surplus(target) {
+			if back, ok := l.giveBack(s, lender); ok {
+				returns = append(returns, back)
+			}
+		}
+	}
+	var requests []Request
+	for _, ask := range s.plan(lenders, target, missing, now) {
+		if request, ok := l.borrow(s, ask); ok {
+			requests = append(requests, request)
+		}
+	}
+	return requests, returns
+}
+
+// Recall returns the loan that this daemon has from borrower when it can serve
+// its own demand without. borrower has just asked for a loan itself, so it needs
+// its own share back.
+func (l *Ledger) Recall(name, borrower string) (Return, bool) {
+	s, ok := l.find(name)
+	if !ok {
+		return Return{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := l.clock.Now()
+	s.settle(now)
+	loan, ok := s.borrowed[borrower]
+	if !ok {
+		return Return{}, false
+	}
+	rest := s.limit().sub(loan.Amount)
+	if !s.whole && rest.Rate < s.demand.rate(now) || s.whole && rest.Burst < s.inUse {
+		return Return{}, false
+	}
+	return l.giveBack(s, borrower)
+}
+
+// Borrowing reports whether a request for a loan of the share is under way.
+func (l *Ledger) Borrowing(name string) bool {
+	s, ok := l.find(name)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending) > 0
+}
--- /dev/null
+++ b/internal/limit/rattanshare/departures.go
@@ -0,0 +1,52 @@
+package rattanshare
+
+import "time"
+
+// AbsentTime is how long a VM that was never seen in the platform's VM list must
+// be absent from it before it counts as gone. The list lags, so a VM that has
+// just started may not be in it yet.
+const AbsentTime = 10 * time.Minute
+
+// Departures finds the VMs that have certainly terminated, from the platform's
+// VM list. It is not safe for concurrent use.
+type Departures struct {
+	listed map[string]bool
+	// absent is when a VM that was never listed was first found absent.
+	absent map[string]time.Time
+	now    time.Time
+}
+
+// Observe takes in one reading of the platform's VM list at now, and the VMs of
+// the roster. A failed reading must not be observed.
+func (d *Departures) Observe(now time.Time, listed, roster []string) {
+	if d.listed == nil {
+		d.listed = make(map[string]bool)
+		d.absent = make(map[string]time.Time)
+	}
+	d.now = now
+	for vm := range d.listed {
+		d.listed[vm] = false
+	}
+	for _, vm := range listed {
+		d.listed[vm] = true
+		delete(d.absent, vm)
+	}
+	for _, vm := range roster {
+		if _, seen := d.listed[vm]; seen {
+			continue
+		}
+		if _, ok := d.absent[vm]; !ok {
+			d.absent[vm] = now
+		}
+	}
+}
+
+// Gone reports whether vm has certainly terminated as of the last Observe: it was
+// in the list and no longer is, or it has been absent for AbsentTime.
+func (d *Departures) Gone(vm string) bool {
+	if listed, seen := d.listed[vm]; seen {
+		return !listed
+	}
+	since, ok := d.absent[vm]
+	return ok && d.now.Sub(since) >= AbsentTime
+}
--- /dev/null
+++ b/internal/limit/rattanshare/exchange.go
@@ -0,0 +1,70 @@
+package rattanshare
+
+import "context"
+
+// HandleBorrow answers a peer's request for a loan.
+func (m *Manager) HandleBorrow(request Request) Loan {
+	if m.fixed {
+		return Loan{Loan: request.Loan}
+	}
+	loan := m.ledger.Lend(request)
+	if back, ok := m.ledger.Recall(request.Share, request.VM); ok {
+		m.sendReturn(back)
+	}
+	return loan
+}
+
+// HandleReturn handles the early end of a loan that this daemon has given.
+func (m *Manager) HandleReturn(back Return) {
+	m.ledger.Returned(back)
+	m.notify(back.Share)
+}
+
+func (m *Manager) sendBorrow(request Request) {
+	message := request
+	message.Settings, message.Roster = m.revisions()
+	sent := m.call(func(ctx context.Context) {
+		loan, err := m.peers.Borrow(ctx, message)
+		if err != nil {
+			m.ledger.Fail(request)
+		} else {
+			m.ledger.Accept(request, loan)
+		}
+		m.notify(request.Share)
+	})
+	if !sent {
+		m.ledger.Fail(request)
+	}
+}
+
+// sendReturn returns a loan. When the message is lost, the lender reclaims the
+// loan by itself.
+func (m *Manager) sendReturn(back Return) {
+	m.call(func(ctx context.Context) {
+		_ = m.peers.Return(ctx, back)
+	})
+}
+
+// call runs f beside the caller with a bounded time. It returns false after Run
+// has ended.
+func (m *Manager) call(f func(context.Context)) bool {
+	m.callsMu.Lock()
+	defer m.callsMu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.calls.Add(1)
+	go func() {
+		defer m.calls.Done()
+		ctx, cancel := context.WithTimeout(m.ctx, callTime)
+		defer cancel()
+		f(ctx)
+	}()
+	return true
+}
+
+func (m *Manager) revisions() (settings, roster uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version.digest, m.version.rosters[m.version.domain].Revision
+}
--- /dev/null
+++ b/internal/limit/rattanshare/fleet_test.go
@@ -0,0 +1,91 @@
+package rattanshare
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+var errLost = errors.New("message lost")
+
+// A fleet is a set of managers that reach each other with a fixed delay. It runs
+// under the simulated time of testing/synctest.
+type fleet struct {
+	managers map[string]*Manager
+	down     map[string]bool
+	cancel   context.CancelFunc
+}
+
+type fleetPeers struct{ f *fleet }
+
+const fleetDelay = time.Millisecond
+
+func (p fleetPeers) Borrow(ctx context.Context, request Request) (Loan, error) {
+	time.Sleep(fleetDelay)
+	if p.f.down[request.Lender] {
+		<-ctx.Done()
+		return Loan{}, errLost
+	}
+	loan := p.f.managers[request.Lender].HandleBorrow(request)
+	time.Sleep(fleetDelay)
+	return loan, nil
+}
+
+func (p fleetPeers) Return(_ context.Context, back Return) error {
+	time.Sleep(fleetDelay)
+	p.f.managers[back.Lender].HandleReturn(back)
+	return nil
+}
+
+// newFleet returns a fleet of the given number of daemons in each of three failure
+// domains, all of which have confirmed the settings.
+func newFleet(t *testing.T, perDomain int, shares map[string]Amount, options ...Option) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &fleet{managers: make(map[string]*Manager), down: make(map[string]bool), cancel: cancel}
+	domains := []string{"a", "b", "c"}
+	rosters := make(map[string]Roster)
+	for _, domain := range domains {
+		roster := Roster{Revision: 1}
+		for i := range perDomain {
+			member := Member{VM: fmt.Sprintf("vm-%s%d", domain, i+1), Incarnation: 1}
+			roster, _ = roster.Join(member)
+			f.managers[member.VM] = New(rattanclock.System(), member.VM, 1, domain, fleetPeers{f}, options...)
+		}
+		rosters[domain] = roster
+	}
+	for _, m := range f.managers {
+		m.SetSettings(Settings{Revisions: map[string]uint64{"shop": 1}, Domains: domains, Shares: shares})
+		for domain, roster := range rosters {
+			m.SetRoster(domain, roster)
+		}
+		go func() { _ = m.Run(ctx) }()
+	}
+	f.confirm()
+	time.Sleep(reclaimTime + time.Second)
+	return f
+}
+
+// confirm delivers every manager's confirmation to all.
+func (f *fleet) confirm() {
+	for vm, from := range f.managers {
+		for _, to := range f.managers {
+			to.SetConfirmation(Member{VM: vm, Incarnation: 1}, from.Confirmation())
+		}
+	}
+}
+
+// assertOverRate checks that err is a refusal with not run, over_rate and a retry-after.
+func assertOverRate(t *testing.T, err error) {
+	t.Helper()
+	refusal, ok := rattanerr.AsRefusal(err)
+	if !ok || refusal.RunState != rattanerr.NotRun || refusal.Reason != rattanv1.Reason_REASON_OVER_RATE || refusal.RetryAfter <= 0 {
+		t.Errorf("got %v, want a refusal with not run, over_rate and a retry-after", err)
+	}
+}
--- /dev/null
+++ b/internal/limit/rattanshare/ledger.go
@@ -0,0 +1,218 @@
+package rattanshare
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+)
+
+// A Ledger holds one daemon's parts of all shares. It is safe for concurrent
+// use. It sends no messages; Manager does.
+type Ledger struct {
+	clock       rattanclock.Clock
+	vm          string
+	incarnation uint64
+	lastLoan    atomic.Uint64
+
+	mu     sync.RWMutex
+	shares map[string]*share
+
+	activeMu sync.Mutex
+	active   map[*share]struct{}
+}
+
+// NewLedger returns a Ledger without any share for the daemon on vm.
+func NewLedger(clock rattanclock.Clock, vm string, incarnation uint64) *Ledger {
+	return &Ledger{
+		clock:       clock,
+		vm:          vm,
+		incarnation: incarnation,
+		shares:      make(map[string]*share),
+		active:      make(map[*share]struct{}),
+	}
+}
+
+// SetHome sets the home share. A reduction takes effect at once. An increase
+// takes effect only when confirmed is true, which says that all other members
+// have given up the difference. The new part of a rate share begins without
+// tokens.
+func (l *Ledger) SetHome(name string, home Amount, confirmed bool) {
+	home = home.clamp()
+	s := l.create(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(l.clock.Now())
+	if !confirmed {
+		home = home.min(s.home)
+	}
+	s.home = home
+	s.applyLimit()
+	if !s.settled() {
+		l.activate(s)
+	}
+}
+
+// Home returns the home share in force.
+func (l *Ledger) Home(name string) Amount {
+	s, ok := l.find(name)
+	if !ok {
+		return Amount{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.home
+}
+
+// Take takes units thousandths from the share and counts them as demand. When
+// the share has too few, it takes nothing and returns the time after which its
+// own refill suffices, or 0 when it never does. A share without SetHome has nothing.
+func (l *Ledger) Take(name string, units int64) (ok bool, retryAfter time.Duration) {
+	return l.take(name, units, true)
+}
+
+// take is Take; counted is false when a waiting request tries again.
+func (l *Ledger) take(name string, units int64, counted bool) (ok bool, retryAfter time.Duration) {
+	s, ok := l.find(name)
+	if !ok {
+		return false, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := l.clock.Now()
+	s.settle(now)
+	if counted {
+		s.demand.add(now, units)
+		l.activate(s)
+	}
+	if s.take(units) {
+		return true, 0
+	}
+	if s.whole {
+		return false, 0
+	}
+	wait, _ := s.bucket.Wait(units)
+	return false, wait
+}
+
+// Release gives back units of a whole share that Take took. It does nothing for
+// a rate share.
+func (l *Ledger) Release(name string, units int64) {
+	s, ok := l.find(name)
+	if !ok || !s.whole {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inUse -= min(max(units, 0), s.inUse)
+}
+
+// Excess returns the units of a whole share, in thousandths, that are in use
+// beyond the limit, because a loan has ended or the home share was reduced. The
+// holder must close that many connections and release them.
+func (l *Ledger) Excess(name string) int64 {
+	s, ok := l.find(name)
+	if !ok {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(l.clock.Now())
+	return max(s.inUse-s.limit().Burst, 0)
+}
+
+// Settled reports whether each reduction of a home share is complete: nothing is
+// lent, and no connection is in use, beyond what is left. A daemon confirms a
+// roster or settings only then.
+func (l *Ledger) Settled() bool {
+	now := l.clock.Now()
+	for _, s := range l.activeShares() {
+		s.mu.Lock()
+		s.settle(now)
+		settled := s.settled()
+		s.mu.Unlock()
+		if !settled {
+			return false
+		}
+	}
+	return true
+}
+
+// Forget removes a share that the settings no longer have. It returns false
+// while the share is still lent, borrowed or in use; then call it again later.
+func (l *Ledger) Forget(name string) bool {
+	s, ok := l.find(name)
+	if !ok {
+		return true
+	}
+	l.SetHome(name, Amount{}, false)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.lent) > 0 || len(s.borrowed) > 0 || len(s.pending) > 0 || s.inUse > 0 {
+		return false
+	}
+	delete(l.shares, name)
+	l.activeMu.Lock()
+	defer l.activeMu.Unlock()
+	delete(l.active, s)
+	return true
+}
+
+func (l *Ledger) find(name string) (*share, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	s, ok := l.shares[name]
+	return s, ok
+}
+
+func (l *Ledger) create(name string) *share {
+	if s, ok := l.find(name); ok {
+		return s
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.shares[name]
+	if !ok {
+		s = newShare(name, l.clock.Now())
+		l.shares[name] = s
+	}
+	return s
+}
+
+// activate marks s, whose lock is held, for periodic work.
+func (l *Ledger) activate(s *share) {
+	if s.active {
+		return
+	}
+	s.active = true
+	l.activeMu.Lock()
+	defer l.activeMu.Unlock()
+	l.active[s] = struct{}{}
+}
+
+// activeShares returns the shares that need periodic work.
+func (l *Ledger) activeShares() []*share {
+	l.activeMu.Lock()
+	defer l.activeMu.Unlock()
+	shares := make([]*share, 0, len(l.active))
+	for s := range l.active {
+		shares = append(shares, s)
+	}
+	return shares
+}
+
+// deactivateIdle takes s off the periodic work when it has none.
+func (l *Ledger) deactivateIdle(s *share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.idle(l.clock.Now()) || !s.settled() {
+		return
+	}
+	s.active = false
+	l.activeMu.Lock()
+	defer l.activeMu.Unlock()
+	delete(l.active, s)
+}
--- /dev/null
+++ b/internal/limit/rattanshare/loan.go
@@ -0,0 +1,132 @@
+package rattanshare
+
+import (
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+)
+
+const (
+	// LoanTime is how long a borrower may use a loan, counted from when it sent
+	// its request.
+	LoanTime = 2 * time.Second
+	// reclaimTime is how long a lender waits after its response before it uses
+	// a loan again: LoanTime, 1% for the drift between two clocks, and a margin
+	// of 50 ms.
+	reclaimTime = LoanTime + LoanTime/100 + 50*time.Millisecond
+)
+
+// A Request asks a lender for a loan, or to renew the loan with the same Loan.
+// Rate and Burst are what the borrower wants to have from this lender in all.
+type Request struct {
+	// VM and Incarnation name the borrower.
+	VM          string
+	Incarnation uint64
+	Share       string
+	// Loan identifies the loan; it is unique for the borrower's incarnation.
+	Loan uint64
+	Amount
+	// Tokens is the number of tokens wanted in addition, in thousandths.
+	Tokens int64
+	// Settings and Roster are the revisions that the borrower uses.
+	Settings uint64
+	Roster   uint64
+
+	// Lender is the VM to ask. It is not part of the message.
+	Lender string
+	// sent is when the borrower made the request, by its own clock.
+	sent time.Time
+}
+
+// A Loan is the response to a Request. A Loan without rate and burst grants
+// nothing and leaves an earlier loan to its end.
+type Loan struct {
+	Loan uint64
+	Amount
+	// Tokens is the number of tokens granted, in thousandths.
+	Tokens int64
+	// TTL is how long the loan lasts, counted from when the request was sent.
+	TTL time.Duration
+}
+
+// A Return ends a loan early. The borrower has already stopped using it.
+type Return struct {
+	VM          string
+	Incarnation uint64
+	Share       string
+	Loan        uint64
+	// Tokens is the number of tokens given back, in thousandths.
+	Tokens int64
+
+	// Lender is the VM to return the loan to. It is not part of the message.
+	Lender string
+}
+
+// A borrowedLoan is a loan as its borrower sees it.
+type borrowedLoan struct {
+	loan uint64
+	Amount
+	end     time.Time
+	renewed time.Time
+}
+
+// isOver reports whether the loan has ended by the monotonic or the wall clock.
+func (b *borrowedLoan) isOver(now time.Time) bool {
+	return rattanclock.Elapsed(b.end, now) >= 0
+}
+
+type loanKey struct {
+	vm          string
+	incarnation uint64
+	loan        uint64
+}
+
+// A lentLoan is a loan as its lender sees it. The borrower may hold the amount
+// of any response that has not expired, because responses can be lost. The
+// lender therefore goes without the largest of them.
+type lentLoan struct {
+	responses []lentResponse
+	debit     Amount
+	// granted is the number of tokens granted, in thousandths. A return gives
+	// back at most this much, so that a repeated return makes no tokens.
+	granted int64
+}
+
+type lentResponse struct {
+	Amount
+	at time.Time
+}
+
+// add records a response. Earlier responses that it covers are dropped because
+// it expires last.
+func (l *lentLoan) add(amount Amount, now time.Time) {
+	kept := l.responses[:0]
+	for _, response := range l.responses {
+		if !amount.covers(response.Amount) {
+			kept = append(kept, response)
+		}
+	}
+	l.responses = append(kept, lentResponse{Amount: amount, at: now})
+	l.update()
+}
+
+// reclaim drops the responses that no borrower can use any more. It counts the
+// monotonic clock only: a wall clock that is set forward must not end a loan
+// that the borrower still uses.
+func (l *lentLoan) reclaim(now time.Time) {
+	kept := l.responses[:0]
+	for _, response := range l.responses {
+		if now.Sub(response.at) < reclaimTime {
+			kept = append(kept, response)
+		}
+	}
+	l.responses = kept
+	l.update()
+}
+
+func (l *lentLoan) update() {
+	l.debit = Amount{}
+	for _, response := range l.responses {
+		l.debit = l.debit.max(response.Amount)
+	}
+}
--- /dev/null
+++ b/internal/limit/rattanshare/plan.go
@@ -0,0 +1,166 @@
+package rattanshare
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// A daemon borrows ahead when its demand is above 70% of what it has.
+	aheadNumerator   = 7
+	aheadDenominator = 10
+	// A loan is renewed when this much time has passed since it was asked for,
+	// which leaves as much again for attempts.
+	renewTime = LoanTime / 2
+	// maxAsks is the largest number of lenders asked at a time.
+	maxAsks = 8
+	// A lender that could not give all that was asked is not asked for more
+	// during dryTime. The time doubles up to maxDryTime while it gives nothing,
+	// so that the peers of an overloaded client account are not asked all the time.
+	dryTime    = 50 * time.Millisecond
+	maxDryTime = 800 * time.Millisecond
+)
+
+// A dryness says until when a lender is not asked for more.
+type dryness struct {
+	until time.Time
+	last  time.Duration
+}
+
+// noteDry records that lender gave less than asked, or nothing.
+func (s *share) noteDry(lender string, nothing bool, now time.Time) {
+	last := dryTime
+	if nothing {
+		last = min(max(s.dry[lender].last*2, dryTime), maxDryTime)
+	}
+	s.dry[lender] = dryness{until: now.Add(last), last: last}
+}
+
+// noteAnswer records how much of a request the lender gave.
+func (s *share) noteAnswer(request Request, amount Amount, tokens int64, now time.Time) {
+	if amount.covers(request.Amount) && tokens >= request.Tokens {
+		delete(s.dry, request.Lender)
+		return
+	}
+	s.noteDry(request.Lender, amount == Amount{} && tokens == 0, now)
+}
+
+// target returns what the daemon should have: 1.25 times its demand once the
+// demand is above 70% of what it has, at most ceiling, and enough burst for
+// missing units for requests that wait.
+func (s *share) target(ceiling Amount, missing int64, now time.Time) Amount {
+	have := s.limit()
+	if s.whole {
+		target := s.inUse + missing
+		if s.inUse*aheadDenominator > have.Burst*aheadNumerator {
+			target = max(target, wholeUnits(s.inUse*keepNumerator/keepDenominator+Unit-1))
+		}
+		return Amount{Burst: min(target, ceiling.Burst)}
+	}
+	demand := min(s.demand.rate(now), ceiling.Rate)
+	if demand == 0 || len(s.borrowed) == 0 && missing == 0 && demand*aheadDenominator <= have.Rate*aheadNumerator {
+		return Amount{}
+	}
+	target := Amount{Rate: min(demand*keepNumerator/keepDenominator+1, ceiling.Rate)}
+	target.Burst = scale(ceiling.Burst, target.Rate, ceiling.Rate)
+	target.Burst = min(max(target.Burst, missing, Unit), ceiling.Burst)
+	return target
+}
+
+// plan returns what to ask of which of lenders now: renewals of the loans in use,
+// and more when the daemon has less than target. missing is the number of units
+// that waiting requests lack.
+func (s *share) plan(lenders []string, target Amount, missing int64, now time.Time) []Ask {
+	have := s.limit()
+	deficit := target.sub(have).max(Amount{})
+	asked := s.pendingLenders()
+	if len(asked) > 0 {
+		// The answers under way may already cover the deficit.
+		for _, request := range s.pending {
+			held := Amount{}
+			if loan, ok := s.borrowed[request.Lender]; ok {
+				held = loan.Amount
+			}
+			deficit = deficit.sub(request.Amount.sub(held).max(Amount{})).max(Amount{})
+		}
+	}
+	var asks []Ask
+	if deficit != (Amount{}) || missing > 0 {
+		asks = s.planMore(lenders, deficit, target, missing, now)
+	}
+	for _, ask := range asks {
+		asked[ask.Lender] = true
+	}
+	for lender, loan := range s.borrowed {
+		if !asked[lender] && now.Sub(loan.renewed) >= renewTime {
+			asks = append(asks, Ask{Lender: lender, Amount: loan.Amount})
+		}
+	}
+	slices.SortFunc(asks, func(a, b Ask) int { return cmp.Compare(a.Lender, b.Lender) })
+	return asks
+}
+
+func (s *share) pendingLenders() map[string]bool {
+	lenders := make(map[string]bool, len(s.pending))
+	for lender := range s.pending {
+		lenders[lender] = true
+	}
+	return lenders
+}
+
+// planMore divides deficit among the first lenders that are neither dry nor
+// being asked.
+func (s *share) planMore(lenders []string, deficit, target Amount, missing int64, now time.Time) []Ask {
+	var chosen []string
+	for _, lender := range lenders {
+		_, pending := s.pending[lender]
+		if dry, ok := s.dry[lender]; pending || ok && now.Sub(dry.until) < 0 {
+			continue
+		}
+		chosen = append(chosen, lender)
+		if len(chosen) == maxAsks {
+			break
+		}
+	}
+	asks := make([]Ask, 0, len(chosen))
+	for i, lender := range chosen {
+		n := int64(len(chosen))
+		more := Amount{Rate: (deficit.Rate + n - 1) / n, Burst: (deficit.Burst + n - 1) / n}
+		if s.whole {
+			more = Amount{Burst: deficit.part(i, len(chosen), true).Burst}
+			if more.Burst == 0 {
+				continue
+			}
+		}
+		ask := Ask{Lender: lender, Amount: more}
+		if loan, ok := s.borrowed[lender]; ok {
+			ask.Amount = ask.Amount.add(loan.Amount)
+		}
+		if !s.whole {
+			ask.Tokens = max(target.Burst-s.bucket.Tokens(), missing, 0)/n + 1
+		}
+		asks = append(asks, ask)
+	}
+	return asks
+}
+
+// surplus returns the lenders whose loans the daemon does not need for target,
+// smallest loans first.
+func (s *share) surplus(target Amount) []string {
+	lenders := slices.SortedFunc(maps.Keys(s.borrowed), func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.borrowed[a].Rate, s.borrowed[b].Rate), cmp.Compare(s.borrowed[a].Burst, s.borrowed[b].Burst), cmp.Compare(a, b))
+	})
+	have := s.limit()
+	var spare []string
+	for _, lender := range lenders {
+		rest := have.sub(s.borrowed[lender].Amount)
+		if _, pending := s.pending[lender]; pending || !rest.covers(target) {
+			continue
+		}
+		spare = append(spare, lender)
+		have = rest
+	}
+	return spare
+}
