Check changes against the documents before and beside them

A withdrawn key that a later document drops or revives would work again on a daemon that starts anew, and an endpoint at another team's address would take that team's connections. CheckChange and CheckTogether refuse both when a change is made. DigestHistory tells from another daemon's digest which revisions it has in force.

--- /dev/null
+++ b/internal/config/rattansettings/change.go
@@ -0,0 +1,119 @@
+package rattansettings
+
+import "fmt"
+
+// CheckChange reports what a new document may not change: a withdrawn key stays
+// in the document and stays withdrawn, because a daemon that starts anew learns
+// of withdrawals from the documents alone. isWithdrawn tells of keys, by full
+// name, whose withdrawal is known from elsewhere; it may be nil. before is nil
+// for the first document. The error is a *FaultsError.
+func CheckChange(before, after *Document, isWithdrawn func(keyName string) bool) error {
+	var faults []Fault
+	now := make(map[string]Key, len(after.keys))
+	for _, key := range after.keys {
+		now[key.id] = key
+		if !key.withdrawn && isWithdrawn != nil && isWithdrawn(key.Name()) {
+			faults = append(faults, withdrawalFault(after, key.id))
+		}
+	}
+	if before == nil {
+		return NewFaultsError(faults)
+	}
+	for _, key := range before.keys {
+		if current, found := now[key.id]; key.withdrawn && (!found || !current.withdrawn) {
+			if found && isWithdrawn != nil && isWithdrawn(key.Name()) {
+				continue
+			}
+			faults = append(faults, withdrawalFault(after, key.id))
+		}
+	}
+	return NewFaultsError(faults)
+}
+
+func withdrawalFault(document *Document, id string) Fault {
+	return Fault{
+		path: DocumentPath(document.team), section: "key." + id, key: "withdrawn",
+		problem:  "the key was withdrawn, which cannot be taken back",
+		accepted: "the section with withdrawn = true",
+	}
+}
+
+// CheckTogether reports the references between documents that hold with before
+// but not with after. The error is a *FaultsError.
+func CheckTogether(before, after *Snapshot) error {
+	known := make(map[string]bool, len(before.faults))
+	for _, fault := range before.faults {
+		known[fault.Error()] = true
+	}
+	var faults []Fault
+	for _, fault := range after.faults {
+		if !known[fault.Error()] {
+			faults = append(faults, fault)
+		}
+	}
+	return NewFaultsError(faults)
+}
+
+// A DigestHistory remembers the digests of the last snapshots, so that another
+// daemon's digest tells which revisions it has in force. It is not safe for
+// concurrent use.
+type DigestHistory struct {
+	snapshots []*Snapshot
+}
+
+// maxDigests covers the changes of a busy minute; a daemon that lags further
+// counts as not known.
+const maxDigests = 64
+
+// Add remembers a snapshot that was in force here.
+func (h *DigestHistory) Add(snapshot *Snapshot) {
+	h.snapshots = append(h.snapshots, snapshot)
+	if len(h.snapshots) > maxDigests {
+		h.snapshots = h.snapshots[len(h.snapshots)-maxDigests:]
+	}
+}
+
+// InForce reports whether a daemon with that digest has the revision of the
+// team's document, or a later one, in force. It is false for an unknown digest.
+func (h *DigestHistory) InForce(digest uint64, team string, revision uint64) bool {
+	for _, snapshot := range h.snapshots {
+		if snapshot.Digest() == digest {
+			return snapshot.Revision(team) >= revision
+		}
+	}
+	return false
+}
+
+// SectionText returns the lines of a section, or with a key its section line and
+// the key's line. It returns false when there is no such section or key.
+func SectionText(text, section, key string) (string, bool) {
+	editor := textEditor{lines: splitLines(text)}
+	start, end, found := editor.section(section)
+	if !found || section == "" {
+		return "", false
+	}
+	if key == "" {
+		return joinLines(editor.lines[start:end]), true
+	}
+	for i := start + 1; i < end; i++ {
+		if editor.lines[i].keyName() == key {
+			return joinLines([]textLine{editor.lines[start], editor.lines[i]}), true
+		}
+	}
+	return "", false
+}
+
+// KeyEdits returns the edits that add a key to a document.
+func KeyEdits(id, clientAccount string, hash Hash) []Edit {
+	section := "key." + id
+	return []Edit{
+		{Section: section, Key: "client_account", Value: clientAccount},
+		{Section: section, Key: "secret_sha256", Value: hash.Hex()},
+		{Section: section, Key: "withdrawn", Value: fmt.Sprint(false)},
+	}
+}
+
+// WithdrawalEdit returns the edit that withdraws a key.
+func WithdrawalEdit(id string) Edit {
+	return Edit{Section: "key." + id, Key: "withdrawn", Value: fmt.Sprint(true)}
+}
