--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -25,6 +25,8 @@
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// The second signal has its default effect and ends the process at once.
+	context.AfterFunc(ctx, stop)
 	return run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 }
 
@@ -60,7 +62,9 @@
 		newGroupCmd(c),
 		newKeyCmd(c),
 		newRouteCmd(c),
+		newServeCmd(c),
 		newSettingsCmd(c),
+		newStandinCmd(c),
 		newStatusCmd(c),
 		newVersionCmd(c),
 	)
--- a/internal/cmd/rattancmd/exitcode.go
+++ b/internal/cmd/rattancmd/exitcode.go
@@ -30,6 +30,15 @@
 // Unwrap returns the wrapped error.
 func (e usageError) Unwrap() error { return e.err }
 
+// An invalidError is a fault of the process settings.
+type invalidError struct{ err error }
+
+// Error implements the error interface.
+func (e invalidError) Error() string { return e.err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e invalidError) Unwrap() error { return e.err }
+
 // A pendingError says that a change is stored and not in force everywhere yet.
 type pendingError struct{ message string }
 
@@ -40,11 +49,14 @@
 func exitCode(err error) int {
 	var usage usageError
 	var pending pendingError
+	var invalid invalidError
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
 	case errors.As(err, &pending):
 		return exitPending
+	case errors.As(err, &invalid):
+		return exitInvalid
 	}
 	switch connect.CodeOf(err) {
 	case connect.CodeAborted:
--- /dev/null
+++ b/internal/daemon/rattandaemon/daemon.go
@@ -0,0 +1,261 @@
+// Package rattandaemon assembles the daemon: it connects settings, peers,
+// shares, keys, endpoints and callers, and runs them in a supervisor tree.
+package rattandaemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"connectrpc.com/grpchealth"
+	"github.com/charmbracelet/log"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/caller/rattanservice"
+	"github.com/rattanstream/rattanstream/internal/caller/rattansession"
+	"github.com/rattanstream/rattanstream/internal/caller/rattantransaction"
+	"github.com/rattanstream/rattanstream/internal/config/rattankey"
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/config/rattanstore"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanendpoints"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanlisten"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanexecutor"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpool"
+	"github.com/rattanstream/rattanstream/internal/limit/rattanshare"
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+// batchStatements is the largest number of statements in a batch.
+const batchStatements = 100
+
+// A Daemon is one daemon on an entry VM.
+type Daemon struct {
+	process *rattansettings.Process
+	clock   rattanclock.Clock
+	logger  *log.Logger
+	options options
+
+	self     rattanmember.Identity
+	stopping atomic.Bool
+
+	catalog       *catalog
+	configuration *configuration
+	gossip        *rattangossip.Store
+	gossipRunner  *rattangossip.Runner
+	members       *rattanmember.Registry
+	ring          *rattankey.Ring
+	store         *rattanstore.Store
+	shares        *shares
+	peers         *peerLink
+	endpoints     *rattanendpoints.Set
+	groups        *groups
+	executor      *rattanexecutor.Executor
+	transactions  *rattantransaction.Registry
+	callers       *rattanservice.Service
+	registration  *rattanstore.Registration
+
+	peerServer   *rattanlink.Server
+	peerListener net.Listener
+	servers      []*rattanlisten.Server
+	health       *grpchealth.StaticChecker
+}
+
+// options are the baselines and stand-ins of a Daemon.
+type options struct {
+	pool     []rattanpool.Option
+	executor []rattanexecutor.Option
+	shares   []rattanshare.Option
+}
+
+// An Option changes a Daemon.
+type Option func(*options)
+
+// WithFIFOQueues serves client accounts in the order of arrival, a baseline.
+func WithFIFOQueues() Option {
+	return func(o *options) { o.pool = append(o.pool, rattanpool.WithFIFO()) }
+}
+
+// WithPrimaryReads sends every read to the primary, a baseline.
+func WithPrimaryReads() Option {
+	return func(o *options) { o.executor = append(o.executor, rattanexecutor.WithPrimaryReads()) }
+}
+
+// WithFixedShares gives every daemon a fixed part of each rate, a baseline.
+func WithFixedShares() Option {
+	return func(o *options) { o.shares = append(o.shares, rattanshare.WithFixedParts()) }
+}
+
+// New returns a Daemon that already listens on its addresses. The error names
+// the setting that cannot be used.
+func New(process *rattansettings.Process, clock rattanclock.Clock, logger *log.Logger, opts ...Option) (*Daemon, error) {
+	d := &Daemon{process: process, clock: clock, logger: logger}
+	for _, option := range opts {
+		option(&d.options)
+	}
+	security, err := loadSecurity(process.TLS())
+	if err != nil {
+		return nil, err
+	}
+	sealer, err := newSealer(process.Session())
+	if err != nil {
+		return nil, err
+	}
+	listeners, err := listen(process.Daemon())
+	if err != nil {
+		return nil, err
+	}
+	d.identify(listeners)
+	d.newState(security)
+	d.newShares()
+	d.newEndpoints()
+	d.newCallers(sealer)
+	d.newServers(listeners, security)
+	return d, nil
+}
+
+// identify sets who this daemon is. The incarnation rises with every start, as
+// long as the VM's clock does not go back between two starts.
+func (d *Daemon) identify(listeners *listeners) {
+	settings := d.process.Daemon()
+	d.self = rattanmember.Identity{
+		VM:            settings.VM(),
+		Incarnation:   uint64(d.clock.Now().UnixMilli()),
+		FailureDomain: settings.FailureDomain(),
+		Addresses: rattanmember.Addresses{
+			Caller:   listeners.caller.Addr().String(),
+			Operator: listeners.operator.Addr().String(),
+			Peer:     listeners.peer.Addr().String(),
+		},
+	}
+}
+
+// newState makes settings, keys, membership and gossip.
+func (d *Daemon) newState(security *security) {
+	d.gossip = rattangossip.NewStore(d.clock)
+	d.catalog = newCatalog()
+	d.configuration = newConfiguration(d.logger, d.catalog, d.gossip)
+	d.ring = rattankey.New(d.clock, d.self.FailureDomain, rattankey.WithObserver(d.offerWithdrawal))
+	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_WITHDRAWAL, d.withdrawalsChanged)
+	d.members = rattanmember.New(d.self, d.gossip, d.clock,
+		rattanmember.WithRunning(d.running),
+		rattanmember.WithSeeds(d.process.Daemon().SeedPeers()...))
+	linkOptions := security.linkOptions()
+	d.peers = &peerLink{client: rattanlink.NewClient(linkOptions...), members: d.members}
+	d.peerServer = rattanlink.NewServer(linkOptions...)
+	d.gossipRunner = d.newGossipRunner()
+	platform := rattanv1connect.NewPlatformServiceClient(&http.Client{}, "http://"+d.process.Daemon().PlatformAddress())
+	d.store = rattanstore.New(platform, d.clock)
+	d.registration = d.store.NewRegistration(rattanstore.VM{
+		Name:          d.self.VM,
+		FailureDomain: d.self.FailureDomain,
+		CallerAddress: d.self.Addresses.Caller,
+		PeerAddress:   d.self.Addresses.Peer,
+	}, 0)
+}
+
+func (d *Daemon) newGossipRunner() *rattangossip.Runner {
+	self := rattangossip.Peer{
+		VM:            d.self.VM,
+		Incarnation:   d.self.Incarnation,
+		FailureDomain: d.self.FailureDomain,
+		Address:       d.self.Addresses.Peer,
+	}
+	exchange := rattangossip.NewExchange(self, d.gossip,
+		rattangossip.WithVolatile(d.members),
+		rattangossip.WithFreshness(d.ring.Freshness().Age),
+		rattangossip.WithContact(d.contacted))
+	picker := rattangossip.NewPicker(self.FailureDomain, d.members, d.clock, newRandom())
+	return rattangossip.NewRunner(exchange, picker, d.peers.client, d.clock, newRandom())
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// contacted takes an answered exchange with a peer.
+func (d *Daemon) contacted(contact rattangossip.Contact) {
+	d.members.Contacted(contact)
+	d.ring.Freshness().Peer(contact.FailureDomain, contact.Sent, contact.FreshAge, contact.FreshKnown)
+}
+
+func (d *Daemon) offerWithdrawal(keyID string) {
+	d.gossip.Offer(rattangossip.Record{Kind: rattanv1.RecordKind_RECORD_KIND_WITHDRAWAL, Name: keyID, Version: 1})
+}
+
+func (d *Daemon) withdrawalsChanged(records []rattangossip.Record) {
+	names := make([]string, 0, len(records))
+	for _, record := range records {
+		names = append(names, record.Name)
+	}
+	d.ring.Withdraw(names...)
+}
+
+// running returns the number of callers' requests and transactions that run now.
+func (d *Daemon) running() uint32 {
+	if d.callers == nil {
+		return 0
+	}
+	return uint32(d.callers.Running()) + uint32(d.transactions.Len())
+}
+
+func (d *Daemon) newShares() {
+	d.shares = &shares{
+		clock:   d.clock,
+		logger:  d.logger,
+		self:    d.self,
+		manager: rattanshare.New(d.clock, d.self.VM, d.self.Incarnation, d.self.FailureDomain, d.peers, d.options.shares...),
+		gossip:  d.gossip,
+		store:   d.store,
+		members: d.members,
+		rosters: make(map[string]rattanshare.Roster),
+	}
+	d.shares.register()
+}
+
+func (d *Daemon) newEndpoints() {
+	d.endpoints = rattanendpoints.New(d.clock, rattanendpoints.Config{
+		HTTPClient:   rattanadapter.NewHTTPClient(),
+		Daemon:       d.name(),
+		MessageBytes: d.process.Limits().MessageBytes(),
+		Share:        d.shares.connections,
+		PoolOptions:  d.options.pool,
+	})
+	d.groups = newGroups(d)
+	d.executor = rattanexecutor.New(d.clock, d.groups, d.endpoints, d.self.FailureDomain, d.options.executor...)
+	d.configuration.listen(func(snapshot *rattansettings.Snapshot) {
+		d.ring.Update(snapshot)
+		d.shares.apply(snapshot)
+		d.endpoints.Apply(snapshot)
+		d.groups.apply(snapshot)
+	})
+}
+
+// name returns the daemon's name in endpoints' logs and as coordinator.
+func (d *Daemon) name() string { return fmt.Sprintf("%s/%d", d.self.VM, d.self.Incarnation) }
+
+func (d *Daemon) newCallers(sealer *rattansession.Sealer) {
+	limits := d.process.Limits()
+	d.transactions = rattantransaction.New(d.clock, d.self.VM, d.self.Incarnation, rattantransaction.Limits{
+		Open: limits.OpenTransactions(),
+		Idle: limits.TransactionIdle(),
+	})
+	d.callers = rattanservice.New(rattanservice.Dependencies{
+		Keyring:      &keyring{ring: d.ring},
+		Catalog:      d.catalog,
+		Admitter:     d.shares,
+		Executor:     d.executor,
+		Sessions:     &sessions{clock: d.clock, sealer: sealer},
+		Transactions: d.transactions,
+		Forwarder:    d.peers,
+		Limits:       rattanservice.Limits{StatementTime: limits.StatementTime(), BatchStatements: batchStatements},
+	})
+	d.handlers(d.peerServer)
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() rattanmember.Addresses { return d.self.Addresses }
--- /dev/null
+++ b/internal/daemon/rattandaemon/peerlink.go
@@ -0,0 +1,145 @@
+package rattandaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/caller/rattanservice"
+	"github.com/rattanstream/rattanstream/internal/limit/rattanshare"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// A peerLink calls other daemons by the name of their VM.
+type peerLink struct {
+	client  *rattanlink.Client
+	members *rattanmember.Registry
+}
+
+var (
+	_ rattanshare.Peers       = (*peerLink)(nil)
+	_ rattanservice.Forwarder = (*peerLink)(nil)
+)
+
+// errNoPeer is the error for a VM of which no daemon is known.
+var errNoPeer = errors.New("no daemon is known on the VM")
+
+func (p *peerLink) call(ctx context.Context, vm string, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	member, ok := p.members.Member(vm)
+	if !ok {
+		return nil, errNoPeer
+	}
+	return p.client.Call(ctx, member.Addresses.Peer, frame)
+}
+
+// Borrow implements rattanshare.Peers.
+func (p *peerLink) Borrow(ctx context.Context, request rattanshare.Request) (rattanshare.Loan, error) {
+	wire := &rattanv1.BorrowRequest{
+		FromVm:           request.VM,
+		FromIncarnation:  request.Incarnation,
+		Share:            request.Share,
+		Loan:             request.Loan,
+		RateMilli:        uint64(request.Rate),
+		BurstMilli:       uint64(request.Burst),
+		TokensMilli:      uint64(request.Tokens),
+		SettingsRevision: request.Settings,
+		RosterRevision:   request.Roster,
+	}
+	answer, err := p.call(ctx, request.Lender, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_BorrowRequest{BorrowRequest: wire}})
+	if err != nil {
+		return rattanshare.Loan{}, err
+	}
+	loan := answer.GetBorrowResponse()
+	return rattanshare.Loan{
+		Loan:   loan.GetLoan(),
+		Amount: rattanshare.Amount{Rate: int64(loan.GetRateMilli()), Burst: int64(loan.GetBurstMilli())},
+		Tokens: int64(loan.GetTokensMilli()),
+		TTL:    time.Duration(loan.GetTtlMs()) * time.Millisecond,
+	}, nil
+}
+
+// Return implements rattanshare.Peers.
+func (p *peerLink) Return(ctx context.Context, back rattanshare.Return) error {
+	wire := &rattanv1.ReturnLoanRequest{
+		FromVm:          back.VM,
+		FromIncarnation: back.Incarnation,
+		Share:           back.Share,
+		Loan:            back.Loan,
+		TokensMilli:     uint64(back.Tokens),
+	}
+	_, err := p.call(ctx, back.Lender, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_ReturnLoanRequest{ReturnLoanRequest: wire}})
+	return err
+}
+
+// Forward implements rattanservice.Forwarder.
+func (p *peerLink) Forward(ctx context.Context, vm string, request *rattanv1.ForwardRequest) (*rattanv1.ForwardResponse, error) {
+	answer, err := p.call(ctx, vm, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_ForwardRequest{ForwardRequest: request}})
+	if err != nil {
+		return nil, forwardRefusal(vm, err)
+	}
+	response := answer.GetForwardResponse()
+	if response.GetRefusal() != nil {
+		return nil, rattanerr.RefusalFromWire(response.GetRefusal())
+	}
+	return response, nil
+}
+
+// forwardRefusal returns the refusal for a call that did not reach the owner of
+// a transaction, or whose answer is lost.
+func forwardRefusal(vm string, err error) error {
+	if errors.Is(err, errNoPeer) || errors.Is(err, rattanlink.ErrBackoff) {
+		return rattanerr.NewNotRun(rattanv1.Reason_REASON_TRANSACTION_LOST, 0, "VM %s, which owns the transaction, cannot be reached", vm)
+	}
+	return rattanerr.NewUnknown(rattanv1.Reason_REASON_TRANSACTION_LOST, "", "VM %s, which owns the transaction, did not answer", vm)
+}
+
+// handlers registers the handlers of frames other than gossip.
+func (d *Daemon) handlers(server *rattanlink.Server) {
+	server.Handle(rattanlink.KindSync, d.gossipRunner.Handle)
+	server.Handle(rattanlink.KindBorrow, d.handleBorrow)
+	server.Handle(rattanlink.KindReturnLoan, d.handleReturn)
+	server.Handle(rattanlink.KindForward, d.handleForward)
+}
+
+func (d *Daemon) handleBorrow(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	wire := frame.GetBorrowRequest()
+	loan := d.shares.manager.HandleBorrow(rattanshare.Request{
+		VM:          wire.GetFromVm(),
+		Incarnation: wire.GetFromIncarnation(),
+		Share:       wire.GetShare(),
+		Loan:        wire.GetLoan(),
+		Amount:      rattanshare.Amount{Rate: int64(wire.GetRateMilli()), Burst: int64(wire.GetBurstMilli())},
+		Tokens:      int64(wire.GetTokensMilli()),
+		Settings:    wire.GetSettingsRevision(),
+		Roster:      wire.GetRosterRevision(),
+	})
+	response := &rattanv1.BorrowResponse{
+		Loan:        loan.Loan,
+		RateMilli:   uint64(loan.Rate),
+		BurstMilli:  uint64(loan.Burst),
+		TokensMilli: uint64(loan.Tokens),
+		TtlMs:       uint32(loan.TTL.Milliseconds()),
+	}
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_BorrowResponse{BorrowResponse: response}}, nil
+}
+
+func (d *Daemon) handleReturn(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	wire := frame.GetReturnLoanRequest()
+	d.shares.manager.HandleReturn(rattanshare.Return{
+		VM:          wire.GetFromVm(),
+		Incarnation: wire.GetFromIncarnation(),
+		Share:       wire.GetShare(),
+		Loan:        wire.GetLoan(),
+		Tokens:      int64(wire.GetTokensMilli()),
+	})
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_ReturnLoanResponse{ReturnLoanResponse: &rattanv1.ReturnLoanResponse{}}}, nil
+}
+
+func (d *Daemon) handleForward(ctx context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	response := d.callers.HandleForward(ctx, frame.GetForwardRequest())
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_ForwardResponse{ForwardResponse: response}}, nil
+}
--- /dev/null
+++ b/internal/daemon/rattandaemon/watches.go
@@ -0,0 +1,122 @@
+package rattandaemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/config/rattankey"
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/config/rattanstore"
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// The platform's key prefixes that daemons watch.
+const (
+	settingsPrefix = "settings/"
+	rosterPrefix   = "roster/"
+)
+
+// watcherInterval is how often a daemon looks whether it is one of the watchers
+// of its failure domain.
+const watcherInterval = time.Second
+
+// A watcher watches a prefix of the platform while this daemon is one of the
+// watchers of its failure domain. The other daemons learn by gossip, so that
+// the number of watches does not grow with the fleet.
+type watcher struct {
+	clock   rattanclock.Clock
+	logger  *log.Logger
+	prefix  string
+	self    rattanmember.Identity
+	members *rattanmember.Registry
+	store   *rattanstore.Store
+	gossip  *rattangossip.Store
+	fresh   *rattankey.Freshness
+}
+
+// run watches whenever this daemon is chosen, until ctx ends.
+func (w *watcher) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if w.chosen() {
+			w.watch(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-w.clock.After(watcherInterval):
+		}
+	}
+	return ctx.Err()
+}
+
+// chosen reports whether this daemon is a watcher of its failure domain.
+func (w *watcher) chosen() bool {
+	live := w.members.LiveByDomain()[w.self.FailureDomain]
+	watchers := rattanmember.Highest(w.prefix, live, rattanmember.WatchersPerDomain)
+	return slices.ContainsFunc(watchers, func(m rattanmember.Member) bool { return m.VM == w.self.VM })
+}
+
+// watch holds the watch until this daemon is not chosen any more.
+func (w *watcher) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for w.chosen() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-w.clock.After(watcherInterval):
+			}
+		}
+		cancel()
+	}()
+	_ = w.store.Watch(ctx, w.prefix, w) // it ends with ctx only
+}
+
+// Deliver implements rattanstore.Observer.
+func (w *watcher) Deliver(entry rattanstore.Entry) {
+	if entry.Deleted {
+		return // documents are never deleted; a missing one must not revert settings
+	}
+	if domain, ok := strings.CutPrefix(entry.Key, rosterPrefix); ok {
+		w.gossip.Offer(rosterRecord(domain, entry.Value, entry.Revision))
+		return
+	}
+	team, ok := rattansettings.TeamOfPath(entry.Key)
+	if !ok {
+		return
+	}
+	stored, err := rattanstore.DecodeStored(team, entry.Revision, entry.Value)
+	if err != nil {
+		w.logger.Error("stored settings cannot be read", "key", entry.Key, "error", err)
+		return
+	}
+	w.gossip.Offer(documentRecord(team, stored.INI, stored.Revision))
+}
+
+// Contact implements rattanstore.Observer.
+func (w *watcher) Contact(asOf time.Time) {
+	if w.prefix == settingsPrefix {
+		w.fresh.Platform(asOf)
+	}
+}
+
+// Interrupt implements rattanstore.Observer.
+func (w *watcher) Interrupt(err error) {
+	w.logger.Warn("watch is interrupted", "prefix", w.prefix, "error", err)
+}
+
+func rosterRecord(domain string, value []byte, revision uint64) rattangossip.Record {
+	return rattangossip.Record{
+		Kind:    rattanv1.RecordKind_RECORD_KIND_ROSTER,
+		Name:    domain,
+		Version: revision,
+		Value:   value,
+	}
+}
--- a/internal/daemon/rattanlisten/server.go
+++ b/internal/daemon/rattanlisten/server.go
@@ -47,13 +47,8 @@
 	return func(s *Server) { s.grace = d }
 }
 
-// Listen returns a Server that already listens on address, so that a wrong
-// address is an error at the start. The name appears in errors.
-func Listen(name, address string, handler http.Handler, options ...Option) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", name)
-	}
+// New returns a Server on listener. The name appears in errors.
+func New(name string, listener net.Listener, handler http.Handler, options ...Option) *Server {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
@@ -71,7 +66,7 @@
 	for _, option := range options {
 		option(s)
 	}
-	return s, nil
+	return s
 }
 
 // Address returns the address that the server listens on.
--- a/internal/daemon/rattanlisten/server_test.go
+++ b/internal/daemon/rattanlisten/server_test.go
@@ -15,10 +15,11 @@
 
 func start(t *testing.T, handler http.Handler, options ...Option) (*Server, context.CancelFunc, <-chan error) {
 	t.Helper()
-	server, err := Listen("test", "127.0.0.1:0", handler, options...)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	server := New("test", listener, handler, options...)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ctx) }()
