--- /dev/null
+++ b/internal/config/rattanoperator/fleet.go
@@ -0,0 +1,102 @@
+package rattanoperator
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// GetFleet returns every daemon and failure domain, to any team.
+func (s *Service) GetFleet(ctx context.Context, request *connect.Request[rattanv1.GetFleetRequest]) (*connect.Response[rattanv1.GetFleetResponse], error) {
+	if _, err := s.authenticate(ctx, request.Header()); err != nil {
+		return nil, err
+	}
+	snapshot := s.settings.Snapshot()
+	response := &rattanv1.GetFleetResponse{Revision: snapshot.MaxRevision()}
+	for _, daemon := range s.fleet.Daemons() {
+		response.Daemons = append(response.Daemons, &rattanv1.Daemon{
+			Vm: daemon.VM, FailureDomain: daemon.FailureDomain, Incarnation: daemon.Incarnation,
+			State: daemon.State, SilentMs: uint64(daemon.Silent.Milliseconds()), Revision: daemon.Revision,
+			PeerAddress: daemon.PeerAddress, Running: daemon.Running,
+		})
+	}
+	slices.SortFunc(response.Daemons, func(a, b *rattanv1.Daemon) int { return strings.Compare(a.GetVm(), b.GetVm()) })
+	for _, domain := range snapshot.FailureDomains() {
+		running, started := s.fleet.DomainLoad(domain.Name())
+		response.FailureDomains = append(response.FailureDomains, &rattanv1.DomainState{
+			Name: domain.Name(), Drained: domain.Drained(), Running: running, Started: started,
+		})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// GetGroups returns the team's groups, and all groups to team root.
+func (s *Service) GetGroups(ctx context.Context, request *connect.Request[rattanv1.GetGroupsRequest]) (*connect.Response[rattanv1.GetGroupsResponse], error) {
+	who, err := s.authenticate(ctx, request.Header())
+	if err != nil {
+		return nil, err
+	}
+	response := &rattanv1.GetGroupsResponse{}
+	for _, group := range s.groups.Groups() {
+		if team, _, _ := strings.Cut(group.Name, "/"); who.may(team) {
+			response.Groups = append(response.Groups, wireGroup(group))
+		}
+	}
+	slices.SortFunc(response.Groups, func(a, b *rattanv1.GroupState) int { return strings.Compare(a.GetGroup(), b.GetGroup()) })
+	return connect.NewResponse(response), nil
+}
+
+func wireGroup(group Group) *rattanv1.GroupState {
+	state := &rattanv1.GroupState{Group: group.Name, Term: group.Term, Primary: group.Primary, Phase: group.Phase}
+	for _, endpoint := range group.Endpoints {
+		state.Endpoints = append(state.Endpoints, &rattanv1.EndpointState{
+			Name: endpoint.Name, FailureDomain: endpoint.FailureDomain, Role: endpoint.Role,
+			Term: endpoint.Term, Index: endpoint.Index, Reachable: endpoint.Reachable,
+			Drained: endpoint.Drained, Breaker: endpoint.Breaker, Running: endpoint.Running,
+		})
+	}
+	return state
+}
+
+// SwitchPrimary moves a group's primary. The request has full names.
+func (s *Service) SwitchPrimary(ctx context.Context, request *connect.Request[rattanv1.SwitchPrimaryRequest]) (*connect.Response[rattanv1.SwitchPrimaryResponse], error) {
+	name, endpoint := request.Msg.GetGroup(), request.Msg.GetEndpoint()
+	team, _, _ := strings.Cut(name, "/")
+	if _, err := s.authorize(ctx, request.Header(), team); err != nil {
+		return nil, err
+	}
+	group, found := s.settings.Snapshot().Group(name)
+	if !found {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("there is no such group; accepted: <team>/<group>"))
+	}
+	if endpoint != "" && !slices.Contains(group.Endpoints(), endpoint) {
+		return nil, connect.NewError(connect.CodeInvalidArgument,
+			errors.New("the endpoint is not in the group; accepted: "+strings.Join(group.Endpoints(), ", ")))
+	}
+	switched, err := s.groups.Switch(ctx, name, endpoint)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	return connect.NewResponse(&rattanv1.SwitchPrimaryResponse{
+		Term: switched.Term, Primary: switched.Primary, GapMs: uint32(switched.Gap.Milliseconds()),
+	}), nil
+}
+
+// Dump returns this daemon's state to team root.
+func (s *Service) Dump(ctx context.Context, request *connect.Request[rattanv1.DumpRequest]) (*connect.Response[rattanv1.DumpResponse], error) {
+	if _, err := s.authorize(ctx, request.Header(), rattansettings.RootTeam); err != nil {
+		return nil, err
+	}
+	json, ok := s.dumper.Dump(request.Msg.GetPart())
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("the state has no such part"))
+	}
+	// The parts leave out secrets themselves; this also covers text of callers.
+	return connect.NewResponse(&rattanv1.DumpResponse{Json: []byte(rattansettings.Redact(string(json)))}), nil
+}
