Allow for a platform that takes seconds per call

With a call timeout of 2 s a platform that takes 3 s per call looked like an outage: no watch or change came through. A call may now take 4 s and a change 20 s.

go test -race passes; with 3 s per call a change is stored and watched.

--- a/internal/config/rattanoperator/service.go
+++ b/internal/config/rattanoperator/service.go
@@ -18,8 +18,9 @@
 const (
 	// maxMessageBytes is above the largest document, 512 KiB.
 	maxMessageBytes = 2 << 20
-	// defaultChangeTimeout leaves time to read again after lost answers.
-	defaultChangeTimeout = 10 * time.Second
+	// defaultChangeTimeout allows for the three calls of a change at the longest
+	// time of a call, 4 s, and for reading again after a lost answer.
+	defaultChangeTimeout = 20 * time.Second
 	// defaultConfirmWait is below the 8 s in which a change is in force everywhere.
 	defaultConfirmWait = 5 * time.Second
 	// maxWait bounds the waits that operators ask for.
@@ -158,7 +159,7 @@
 	return func(s *Service) { s.bootstrap = hash }
 }
 
-// WithChangeTimeout sets the longest time of one change; the default is 10 s.
+// WithChangeTimeout sets the longest time of one change; the default is 20 s.
 func WithChangeTimeout(timeout time.Duration) Option {
 	return func(s *Service) { s.changeTimeout = timeout }
 }
--- a/internal/config/rattanoperator/service_test.go
+++ b/internal/config/rattanoperator/service_test.go
@@ -304,6 +304,8 @@
 	}
 	// The daemon's settings are still empty here; the platform's are not.
 	wantCode(t, "bootstrap again", apply("bootstrap", 1), connect.CodeUnauthenticated)
+	_, err := w.service.GetSettings(t.Context(), as("bootstrap", &rattanv1.GetSettingsRequest{}))
+	wantCode(t, "bootstrap reads", err, connect.CodeUnauthenticated)
 	w.sync()
 	wantCode(t, "bootstrap after the watch", apply("bootstrap", 1), connect.CodeUnauthenticated)
 	if err := apply("root", 1); err != nil {
--- a/internal/config/rattanstore/store.go
+++ b/internal/config/rattanstore/store.go
@@ -17,8 +17,9 @@
 
 const (
 	// defaultCallTimeout is far above the platform's ordinary milliseconds, so
-	// that slow periods do not turn into failures.
-	defaultCallTimeout = 2 * time.Second
+	// that slow periods do not turn into failures, and half of the 8 s in which a
+	// change must be in force everywhere.
+	defaultCallTimeout = 4 * time.Second
 	// defaultWatchWait keeps the age of a watching daemon's knowledge well below
 	// the least key_freshness, 2 s.
 	defaultWatchWait = 1500 * time.Millisecond
@@ -58,7 +59,7 @@
 // An Option changes a Store that is being built.
 type Option func(*Store)
 
-// WithCallTimeout sets the longest time of one call; the default is 2 s.
+// WithCallTimeout sets the longest time of one call; the default is 4 s.
 func WithCallTimeout(timeout time.Duration) Option {
 	return func(s *Store) { s.callTimeout = timeout }
 }
--- a/internal/config/rattanstore/store_test.go
+++ b/internal/config/rattanstore/store_test.go
@@ -278,6 +278,24 @@
 	})
 }
 
+// TestSlowPlatform guards against timeouts that turn a slow period into an outage.
+func TestSlowPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFake()
+		s := newStore(fake)
+		fake.fault(t, &rattanv1.SetFaultRequest{DelayMs: 3000})
+		r := &recorder{t: t, last: make(map[string]uint64)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = s.Watch(ctx, "settings/", r) }()
+		mustChange(t, s, appendChange("c1"))
+		time.Sleep(8 * time.Second)
+		if r.revision() != 1 || r.failures != 0 {
+			t.Errorf("revision %d, %d failures", r.revision(), r.failures)
+		}
+	})
+}
+
 // A recorder is an Observer that checks that revisions only increase.
 type recorder struct {
 	t *testing.T
