Cover replaced credentials and partly confirmed failure domains

Two trials with a weakened check had passed the tests: a replaced credential that still counts while its team exists, and a failure domain that counts as confirmed by its last daemon alone. Both now fail a test.

go test -race passes on the package.

--- a/internal/config/rattanoperator/service_test.go
+++ b/internal/config/rattanoperator/service_test.go
@@ -316,12 +316,15 @@
 // TestReplacedCredential guards against a daemon with old settings that lets a
 // replaced credential change anything.
 func TestReplacedCredential(t *testing.T) {
-	w := newShop(t)
-	old := w.Snapshot()
-	w.put("root", domains+credentials("root"))
-	w.snapshot = old
-	_, err := w.service.EditSettings(t.Context(), as("shop", &rattanv1.EditSettingsRequest{Team: "shop", Edits: edit("endpoint.e", "drained", "true")}))
-	wantCode(t, "replaced credential", err, connect.CodeUnauthenticated)
+	changed := strings.Replace(credentials("root", "shop"), rattansettings.HashSecret(secrets["shop"]).Hex(), strings.Repeat("0", 64), 1)
+	for name, text := range map[string]string{"removed": credentials("root"), "replaced": changed} {
+		w := newShop(t)
+		old := w.Snapshot()
+		w.put("root", domains+text)
+		w.snapshot = old
+		_, err := w.service.EditSettings(t.Context(), as("shop", &rattanv1.EditSettingsRequest{Team: "shop", Edits: edit("endpoint.e", "drained", "true")}))
+		wantCode(t, name, err, connect.CodeUnauthenticated)
+	}
 }
 
 // staleStore is a Store whose lists are empty, as of long ago.
@@ -511,7 +514,8 @@
 			missing  []string
 		}{
 			{"one failure domain", []string{"b1", "c1"}, false, []string{"b1", "c1"}},
-			{"two, one of them in part", []string{"a2", "c1"}, false, []string{"a2", "c1"}},
+			{"two, the last daemon of one missing", []string{"a2", "c1"}, false, []string{"a2", "c1"}},
+			{"two, the first daemon of one missing", []string{"a1", "c1"}, false, []string{"a1", "c1"}},
 			{"majority", []string{"c1"}, true, []string{"c1"}},
 			{"all", nil, true, nil},
 		} {
