--- a/internal/config/rattanoperator/service_test.go
+++ b/internal/config/rattanoperator/service_test.go
@@ -108,7 +108,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.snapshot = snapshotOf(stored)
+	for _, one := range stored {
+		document, err := one.Document()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.snapshot, _ = w.snapshot.With(document)
+	}
 	w.ring.Update(w.snapshot)
 }
 
@@ -298,6 +304,8 @@
 	}
 	// The daemon's settings are still empty here; the platform's are not.
 	wantCode(t, "bootstrap again", apply("bootstrap", 1), connect.CodeUnauthenticated)
+	_, err := w.service.GetSettings(t.Context(), as("bootstrap", &rattanv1.GetSettingsRequest{}))
+	wantCode(t, "bootstrap reads", err, connect.CodeUnauthenticated)
 	w.sync()
 	wantCode(t, "bootstrap after the watch", apply("bootstrap", 1), connect.CodeUnauthenticated)
 	if err := apply("root", 1); err != nil {
@@ -308,12 +316,31 @@
 // TestReplacedCredential guards against a daemon with old settings that lets a
 // replaced credential change anything.
 func TestReplacedCredential(t *testing.T) {
+	changed := strings.Replace(credentials("root", "shop"), rattansettings.HashSecret(secrets["shop"]).Hex(), strings.Repeat("0", 64), 1)
+	for name, text := range map[string]string{"removed": credentials("root"), "replaced": changed} {
+		w := newShop(t)
+		old := w.Snapshot()
+		w.put("root", domains+text)
+		w.snapshot = old
+		_, err := w.service.EditSettings(t.Context(), as("shop", &rattanv1.EditSettingsRequest{Team: "shop", Edits: edit("endpoint.e", "drained", "true")}))
+		wantCode(t, name, err, connect.CodeUnauthenticated)
+	}
+}
+
+// staleStore is a Store whose lists are empty, as of long ago.
+type staleStore struct{ Store }
+
+func (staleStore) List(context.Context) ([]rattanstore.Stored, int, error) { return nil, 0, nil }
+
+// TestStaleList guards against an old answer of the platform that takes the
+// settings in force back: a valid change would be refused and a credential fail.
+func TestStaleList(t *testing.T) {
 	w := newShop(t)
-	old := w.Snapshot()
-	w.put("root", domains+credentials("root"))
-	w.snapshot = old
-	_, err := w.service.EditSettings(t.Context(), as("shop", &rattanv1.EditSettingsRequest{Team: "shop", Edits: edit("endpoint.e", "drained", "true")}))
-	wantCode(t, "replaced credential", err, connect.CodeUnauthenticated)
+	w.service.store = staleStore{w.store}
+	done, err := w.service.EditSettings(t.Context(), as("shop", &rattanv1.EditSettingsRequest{Team: "shop", Edits: edit("endpoint.e", "drained", "true")}))
+	if err != nil || done.Msg.GetRevision() != 3 {
+		t.Errorf("edit: %v, %v", done, err)
+	}
 }
 
 // TestBadInput guards against bad input of each kind that changes something.
@@ -487,7 +514,8 @@
 			missing  []string
 		}{
 			{"one failure domain", []string{"b1", "c1"}, false, []string{"b1", "c1"}},
-			{"two, one of them in part", []string{"a2", "c1"}, false, []string{"a2", "c1"}},
+			{"two, the last daemon of one missing", []string{"a2", "c1"}, false, []string{"a2", "c1"}},
+			{"two, the first daemon of one missing", []string{"a1", "c1"}, false, []string{"a1", "c1"}},
 			{"majority", []string{"c1"}, true, []string{"c1"}},
 			{"all", nil, true, nil},
 		} {
