--- a/internal/config/rattansettings/process.go
+++ b/internal/config/rattansettings/process.go
@@ -194,19 +194,32 @@
 
 // TLSSettings names the files for the TLS of the links between daemons.
 type TLSSettings struct {
+	off         bool
 	certificate string
 	key         string
 	authority   string
 }
 
+// The values of mode in the section [tls].
+const (
+	tlsMutual = "mutual"
+	tlsOff    = "off"
+)
+
 func readTLSSettings(r *sectionReader) TLSSettings {
 	const accepted = "the path of a PEM file"
+	if r.choice("mode", tlsMutual, tlsMutual, tlsOff) == tlsOff {
+		return TLSSettings{off: true}
+	}
 	certificate, _ := r.text("certificate", true, accepted)
 	key, _ := r.text("key", true, accepted)
 	authority, _ := r.text("authority", true, accepted)
 	return TLSSettings{certificate: certificate, key: key, authority: authority}
 }
 
+// Off reports whether all links are plain TCP, for trials on one machine.
+func (t TLSSettings) Off() bool { return t.off }
+
 // Certificate returns the path of the VM's certificate.
 func (t TLSSettings) Certificate() string { return t.certificate }
 
--- a/internal/daemon/rattandaemon/daemon.go
+++ b/internal/daemon/rattandaemon/daemon.go
@@ -3,10 +3,12 @@
 package rattandaemon
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"connectrpc.com/grpchealth"
@@ -45,6 +47,9 @@
 	self     rattanmember.Identity
 	stopping atomic.Bool
 
+	replaced    chan struct{}
+	replaceOnce sync.Once
+
 	catalog       *catalog
 	configuration *configuration
 	gossip        *rattangossip.Store
@@ -61,7 +66,7 @@
 	callers       *rattanservice.Service
 	registration  *rattanstore.Registration
 
-	peerServer   *rattanlink.Server
+	peerServer   PeerServer
 	peerListener net.Listener
 	servers      []*rattanlisten.Server
 	health       *grpchealth.StaticChecker
@@ -72,6 +77,10 @@
 	pool     []rattanpool.Option
 	executor []rattanexecutor.Option
 	shares   []rattanshare.Option
+	network  Network
+
+	peerClient PeerClient
+	peerServer PeerServer
 }
 
 // An Option changes a Daemon.
@@ -95,7 +104,8 @@
 // New returns a Daemon that already listens on its addresses. The error names
 // the setting that cannot be used.
 func New(process *rattansettings.Process, clock rattanclock.Clock, logger *log.Logger, opts ...Option) (*Daemon, error) {
-	d := &Daemon{process: process, clock: clock, logger: logger}
+	d := &Daemon{process: process, clock: clock, logger: logger, replaced: make(chan struct{})}
+	d.options.network = &tcp{}
 	for _, option := range opts {
 		option(&d.options)
 	}
@@ -107,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listeners, err := listen(process.Daemon())
+	listeners, err := listen(d.options.network, process.Daemon())
 	if err != nil {
 		return nil, err
 	}
@@ -146,11 +156,10 @@
 	d.members = rattanmember.New(d.self, d.gossip, d.clock,
 		rattanmember.WithRunning(d.running),
 		rattanmember.WithSeeds(d.process.Daemon().SeedPeers()...))
-	linkOptions := security.linkOptions()
-	d.peers = &peerLink{client: rattanlink.NewClient(linkOptions...), members: d.members}
-	d.peerServer = rattanlink.NewServer(linkOptions...)
+	d.newLinks(security)
 	d.gossipRunner = d.newGossipRunner()
-	platform := rattanv1connect.NewPlatformServiceClient(&http.Client{}, "http://"+d.process.Daemon().PlatformAddress())
+	httpClient := &http.Client{Transport: &http.Transport{DialContext: d.options.network.DialContext}}
+	platform := rattanv1connect.NewPlatformServiceClient(httpClient, "http://"+d.process.Daemon().PlatformAddress())
 	d.store = rattanstore.New(platform, d.clock)
 	d.registration = d.store.NewRegistration(rattanstore.VM{
 		Name:          d.self.VM,
@@ -160,6 +169,19 @@
 	}, 0)
 }
 
+// newLinks makes the links to other daemons.
+func (d *Daemon) newLinks(security *security) {
+	client, server := d.options.peerClient, d.options.peerServer
+	if client == nil {
+		options := append(security.linkOptions(), rattanlink.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+			return d.options.network.DialContext(ctx, "tcp", address)
+		}))
+		client, server = rattanlink.NewClient(options...), rattanlink.NewServer(options...)
+	}
+	d.peers = &peerLink{client: client, members: d.members}
+	d.peerServer = server
+}
+
 func (d *Daemon) newGossipRunner() *rattangossip.Runner {
 	self := rattangossip.Peer{
 		VM:            d.self.VM,
@@ -219,7 +241,7 @@
 
 func (d *Daemon) newEndpoints() {
 	d.endpoints = rattanendpoints.New(d.clock, rattanendpoints.Config{
-		HTTPClient:   rattanadapter.NewHTTPClient(),
+		HTTPClient:   rattanadapter.NewHTTPClient(d.options.network.DialContext),
 		Daemon:       d.name(),
 		MessageBytes: d.process.Limits().MessageBytes(),
 		Share:        d.shares.connections,
@@ -259,3 +281,6 @@
 
 // Addresses returns where the daemon listens.
 func (d *Daemon) Addresses() rattanmember.Addresses { return d.self.Addresses }
+
+// Revision returns the revision of the team's settings in force.
+func (d *Daemon) Revision(team string) uint64 { return d.configuration.snapshot().Revision(team) }
--- a/internal/daemon/rattandaemon/listeners.go
+++ b/internal/daemon/rattandaemon/listeners.go
@@ -17,7 +17,7 @@
 }
 
 // listen opens the listeners of the settings, all or none.
-func listen(settings rattansettings.DaemonSettings) (*listeners, error) {
+func listen(network Network, settings rattansettings.DaemonSettings) (*listeners, error) {
 	l := &listeners{}
 	for _, open := range []struct {
 		name     string
@@ -32,7 +32,7 @@
 		if open.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", open.address)
+		listener, err := network.Listen(open.address)
 		if err != nil {
 			l.close()
 			return nil, errors.Wrapf(err, "[daemon] %s", open.name)
--- /dev/null
+++ b/internal/daemon/rattandaemon/monitors.go
@@ -0,0 +1,233 @@
+package rattandaemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfailover"
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+)
+
+const (
+	// switchDelay separates the monitors' attempts to move a primary out of a
+	// drained failure domain, by rank.
+	switchDelay = time.Second
+	// switchTimeout bounds one planned switch.
+	switchTimeout = 5 * time.Second
+)
+
+// run monitors the groups that fall to this daemon until ctx ends.
+func (g *groups) run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		g.choose(ctx, &running)
+		g.refreshUsed()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.daemon.clock.After(monitorInterval):
+		}
+	}
+}
+
+// refreshUsed asks the endpoints of groups in use that this daemon does not
+// monitor, so that it knows which of them it can reach.
+func (g *groups) refreshUsed() {
+	g.mutex.Lock()
+	now := g.daemon.clock.Now()
+	var due []string
+	for _, group := range g.names {
+		used := now.Sub(g.used[group]) < usedTime
+		if used && g.monitored[group] == nil && now.Sub(g.refreshed[group]) >= idleRefresh {
+			due = append(due, group)
+		}
+	}
+	g.mutex.Unlock()
+	for _, group := range due {
+		g.Refresh(group)
+	}
+}
+
+// choose starts and stops monitors as live daemons and groups change.
+func (g *groups) choose(ctx context.Context, running *sync.WaitGroup) {
+	live := g.liveDaemons()
+	heard := g.heardDaemons()
+	g.mutex.Lock()
+	names := slices.Clone(g.names)
+	g.mutex.Unlock()
+	for _, group := range names {
+		view := g.tracker.View(group)
+		domains := hostingDomains(view)
+		monitors := rattanfailover.Monitors(group, domains, live, rattanfailover.MonitorsPerDomain)
+		chosen := slices.ContainsFunc(monitors, func(d rattanfailover.Daemon) bool { return d.Name == g.daemon.self.VM })
+		m := g.setMonitored(ctx, running, group, chosen)
+		if m == nil {
+			continue
+		}
+		m.detector.SetMonitors(domains, monitors)
+		for _, name := range heard {
+			m.detector.Hear(name)
+		}
+		g.moveDrained(ctx, running, m, view, monitors)
+	}
+	g.stopRemoved(names)
+}
+
+// setMonitored starts or stops the monitor of a group and returns the running one.
+func (g *groups) setMonitored(ctx context.Context, running *sync.WaitGroup, group string, chosen bool) *monitored {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m := g.monitored[group]
+	switch {
+	case chosen && m == nil:
+		monitorCtx, cancel := context.WithCancel(ctx)
+		m = &monitored{detector: rattanfailover.NewDetector(group, g.self(), g.daemon.clock), cancel: cancel}
+		g.monitored[group] = m
+		monitor := rattanfailover.NewMonitor(m.detector, g.coordinator,
+			rattanfailover.WithPublish(g.publishSuspicion),
+			rattanfailover.WithReport(func(p rattanfailover.Promotion, err error) { g.report(group, p, err) }))
+		running.Go(func() { monitor.Run(monitorCtx) })
+	case !chosen && m != nil:
+		m.cancel()
+		delete(g.monitored, group)
+		m = nil
+	}
+	return m
+}
+
+// stopRemoved stops the monitors of groups that the settings do not have any more.
+func (g *groups) stopRemoved(names []string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for group, m := range g.monitored {
+		if !slices.Contains(names, group) {
+			m.cancel()
+			delete(g.monitored, group)
+		}
+	}
+}
+
+func (g *groups) liveDaemons() []rattanfailover.Daemon {
+	var live []rattanfailover.Daemon
+	for _, member := range g.daemon.members.Live() {
+		live = append(live, rattanfailover.Daemon{
+			Name:          member.VM,
+			Incarnation:   member.Incarnation,
+			FailureDomain: member.FailureDomain,
+		})
+	}
+	return live
+}
+
+// heardDaemons returns the names of the daemons with a recent heartbeat.
+func (g *groups) heardDaemons() []string {
+	var heard []string
+	for _, member := range g.daemon.members.Live() {
+		if member.Heard && member.Silent < heardWithin {
+			heard = append(heard, member.VM)
+		}
+	}
+	return heard
+}
+
+func hostingDomains(view rattanmodel.GroupView) []string {
+	var domains []string
+	for _, endpoint := range view.Endpoints {
+		if !slices.Contains(domains, endpoint.FailureDomain) {
+			domains = append(domains, endpoint.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
+
+func (g *groups) publishSuspicion(suspicion rattanfailover.Suspicion) {
+	record, err := suspicion.Record()
+	if err != nil {
+		g.daemon.logger.Error("suspicion cannot be encoded", "error", err)
+		return
+	}
+	g.daemon.gossip.Offer(rattangossip.RecordFromWire(record))
+}
+
+// report logs the outcome of a change of primary and wakes waiting requests.
+func (g *groups) report(group string, promotion rattanfailover.Promotion, err error) {
+	g.notify(group)
+	g.publish(g.tracker.View(group))
+	if err != nil {
+		g.daemon.logger.Warn("primary was not changed", "group", group, "error", err)
+		return
+	}
+	g.daemon.logger.Info("primary changed", "group", group, "primary", promotion.Primary, "previous", promotion.Previous,
+		"term", promotion.Term, "took", promotion.Took)
+}
+
+// moveDrained starts a planned switch when the primary is drained and another
+// endpoint can take over. The monitors try one after the other, by rank.
+func (g *groups) moveDrained(ctx context.Context, running *sync.WaitGroup, m *monitored, view rattanmodel.GroupView, monitors []rattanfailover.Daemon) {
+	primary, ok := view.Endpoint(view.Primary)
+	if !ok || !primary.Drained {
+		m.drainedSince = time.Time{}
+		return
+	}
+	now := g.daemon.clock.Now()
+	if m.drainedSince.IsZero() {
+		m.drainedSince = now
+	}
+	rank := rattanfailover.Rank(view.Group, view.Term, monitors, g.daemon.self.VM)
+	target := switchTarget(view)
+	if target == "" || m.switching.Load() || now.Sub(m.drainedSince) < time.Duration(rank)*switchDelay {
+		return
+	}
+	m.switching.Store(true)
+	running.Go(func() {
+		defer func() { m.switching.Store(false) }()
+		ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+		defer cancel()
+		promotion, err := g.coordinator.Promote(ctx, view.Group, target)
+		g.report(view.Group, promotion, err)
+	})
+}
+
+// switchTarget returns the endpoint in service with the highest position, ""
+// when there is none beside the primary.
+func switchTarget(view rattanmodel.GroupView) string {
+	var best rattanmodel.EndpointView
+	for _, endpoint := range view.Endpoints {
+		if endpoint.Drained || !endpoint.Reachable || endpoint.Name == view.Primary {
+			continue
+		}
+		if best.Name == "" || endpoint.Position.Compare(best.Position) > 0 {
+			best = endpoint
+		}
+	}
+	return best.Name
+}
+
+// errNoTarget is the error of a planned switch without an endpoint to promote.
+var errNoTarget = errors.New("no other endpoint of the group is in service and reachable")
+
+// switchPrimary moves the primary of a group by an operator's order.
+func (g *groups) switchPrimary(ctx context.Context, group, target string) (rattanfailover.Promotion, error) {
+	if target == "" {
+		if target = switchTarget(g.tracker.View(group)); target == "" {
+			return rattanfailover.Promotion{}, errNoTarget
+		}
+	}
+	promotion, err := g.coordinator.Promote(ctx, group, target)
+	g.report(group, promotion, err)
+	return promotion, err
+}
+
+// monitors reports whether this daemon monitors the group.
+func (g *groups) monitors(group string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.monitored[group] != nil
+}
--- /dev/null
+++ b/internal/daemon/rattandaemon/operator.go
@@ -0,0 +1,140 @@
+package rattandaemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/config/rattanoperator"
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
+)
+
+// operatorHandler returns the operators' service over this daemon's state.
+func (d *Daemon) operatorHandler() http.Handler {
+	view := &operatorView{daemon: d}
+	service := rattanoperator.New(rattanoperator.Dependencies{
+		Clock:    d.clock,
+		Store:    d.store,
+		Settings: view,
+		Keys:     d.ring,
+		Fleet:    view,
+		Groups:   view,
+		Dumper:   view,
+	}, rattanoperator.WithBootstrap(d.process.Daemon().BootstrapCredential()))
+	mux := http.NewServeMux()
+	mux.Handle(service.Handler())
+	return mux
+}
+
+// An operatorView shows this daemon's state to the operators' service.
+type operatorView struct{ daemon *Daemon }
+
+var (
+	_ rattanoperator.Settings = (*operatorView)(nil)
+	_ rattanoperator.Fleet    = (*operatorView)(nil)
+	_ rattanoperator.Groups   = (*operatorView)(nil)
+	_ rattanoperator.Dumper   = (*operatorView)(nil)
+)
+
+// Snapshot implements rattanoperator.Settings.
+func (v *operatorView) Snapshot() *rattansettings.Snapshot { return v.daemon.configuration.snapshot() }
+
+// Daemons implements rattanoperator.Fleet.
+func (v *operatorView) Daemons() []rattanoperator.Daemon {
+	members := v.daemon.members.Members()
+	daemons := make([]rattanoperator.Daemon, 0, len(members))
+	for _, member := range members {
+		daemons = append(daemons, rattanoperator.Daemon{
+			VM:            member.VM,
+			FailureDomain: member.FailureDomain,
+			Incarnation:   member.Incarnation,
+			State:         memberState(member),
+			Live:          member.Live,
+			Silent:        member.Silent,
+			Revision:      member.Revisions.Settings,
+			PeerAddress:   member.Addresses.Peer,
+			Running:       member.Running,
+		})
+	}
+	return daemons
+}
+
+func memberState(member rattanmember.Member) string {
+	if !member.Live && member.State != rattanmember.Leaving {
+		return "silent"
+	}
+	return string(member.State)
+}
+
+// InForce implements rattanoperator.Fleet. A daemon whose digest of revisions
+// equals this daemon's has the same documents in force.
+func (v *operatorView) InForce(vm, team string, revision uint64) bool {
+	snapshot := v.Snapshot()
+	if snapshot.Revision(team) < revision {
+		return false
+	}
+	if vm == v.daemon.self.VM {
+		return true
+	}
+	member, ok := v.daemon.members.Member(vm)
+	return ok && member.Revisions.Digest == snapshot.Digest()
+}
+
+// DomainLoad implements rattanoperator.Fleet.
+func (v *operatorView) DomainLoad(failureDomain string) (running, started uint32) {
+	return v.daemon.domainLoad(failureDomain)
+}
+
+// Groups implements rattanoperator.Groups.
+func (v *operatorView) Groups() []rattanoperator.Group {
+	var groups []rattanoperator.Group
+	for _, settings := range v.Snapshot().Groups() {
+		view := v.daemon.groups.View(settings.Name())
+		group := rattanoperator.Group{Name: view.Group, Term: view.Term, Primary: view.Primary, Phase: phase(view)}
+		for _, endpoint := range view.Endpoints {
+			group.Endpoints = append(group.Endpoints, v.endpoint(view, endpoint))
+		}
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+func phase(view rattanmodel.GroupView) string {
+	if view.Primary == "" {
+		return "no_primary"
+	}
+	return "serving"
+}
+
+func (v *operatorView) endpoint(view rattanmodel.GroupView, endpoint rattanmodel.EndpointView) rattanoperator.Endpoint {
+	shown := rattanoperator.Endpoint{
+		Name:          endpoint.Name,
+		FailureDomain: endpoint.FailureDomain,
+		Role:          "replica",
+		Term:          endpoint.Position.Term,
+		Index:         endpoint.Position.Index,
+		Reachable:     endpoint.Reachable,
+		Drained:       endpoint.Drained,
+	}
+	if endpoint.Name == view.Primary {
+		shown.Role = "primary"
+	}
+	if found, ok := v.daemon.endpoints.Find(endpoint.Name); ok {
+		shown.Breaker = found.Pool().Breaker().String()
+		shown.Running = uint32(found.Running())
+	}
+	return shown
+}
+
+// Switch implements rattanoperator.Groups.
+func (v *operatorView) Switch(ctx context.Context, group, endpoint string) (rattanoperator.Switched, error) {
+	promotion, err := v.daemon.groups.switchPrimary(ctx, group, endpoint)
+	if err != nil {
+		return rattanoperator.Switched{}, err
+	}
+	return rattanoperator.Switched{Term: promotion.Term, Primary: promotion.Primary, Gap: promotion.Took}, nil
+}
+
+// Dump implements rattanoperator.Dumper.
+func (v *operatorView) Dump(part string) ([]byte, bool) { return v.daemon.dump(part) }
--- a/internal/daemon/rattandaemon/peerlink.go
+++ b/internal/daemon/rattandaemon/peerlink.go
@@ -16,7 +16,7 @@
 
 // A peerLink calls other daemons by the name of their VM.
 type peerLink struct {
-	client  *rattanlink.Client
+	client  PeerClient
 	members *rattanmember.Registry
 }
 
@@ -98,7 +98,7 @@
 }
 
 // handlers registers the handlers of frames other than gossip.
-func (d *Daemon) handlers(server *rattanlink.Server) {
+func (d *Daemon) handlers(server PeerServer) {
 	server.Handle(rattanlink.KindSync, d.gossipRunner.Handle)
 	server.Handle(rattanlink.KindBorrow, d.handleBorrow)
 	server.Handle(rattanlink.KindReturnLoan, d.handleReturn)
--- /dev/null
+++ b/internal/daemon/rattandaemon/run.go
@@ -0,0 +1,206 @@
+package rattandaemon
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/grpchealth"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+const (
+	// revisionInterval is how often the daemon tells its peers what it has in force.
+	revisionInterval = 50 * time.Millisecond
+	// balancerTime is how long a stopping daemon still takes new requests, so
+	// that the platform's balancer notices first.
+	balancerTime = 500 * time.Millisecond
+	// leaveTimeout bounds the calls to the platform at the stop.
+	leaveTimeout = 2 * time.Second
+)
+
+// ErrReplaced is returned by Run when a daemon with a higher incarnation runs
+// under the same VM name.
+var ErrReplaced = errors.New("a newer daemon runs on this VM")
+
+// Run serves until ctx ends and then stops gracefully: it reports NOT_SERVING,
+// refuses new requests, finishes running requests and transactions within the
+// settings' stop_timeout, and gives its shares back. The error is nil after a
+// graceful stop, and ErrReplaced when the stop had that cause.
+func (d *Daemon) Run(ctx context.Context) error {
+	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := d.supervisor().ServeBackground(treeCtx)
+	d.logger.Info("daemon is running", "incarnation", d.self.Incarnation, "failure_domain", d.self.FailureDomain,
+		"caller_address", d.self.Addresses.Caller, "operator_address", d.self.Addresses.Operator, "peer_address", d.self.Addresses.Peer)
+	var result error
+	select {
+	case <-ctx.Done():
+	case <-d.replaced:
+		result = ErrReplaced
+	case err := <-failed:
+		return errors.Wrap(err, "supervisor ended")
+	}
+	d.stop()
+	cancel()
+	<-failed
+	_ = d.peers.client.Close() // its sessions have nothing left to send
+	d.logger.Info("daemon has stopped")
+	return result
+}
+
+// replace starts the stop of a daemon whose VM runs a newer one.
+func (d *Daemon) replace() {
+	d.replaceOnce.Do(func() { close(d.replaced) })
+}
+
+// supervisor returns the tree of services. A service that fails is restarted
+// with backoff; the parts are apart so that trouble in one does not stop others.
+func (d *Daemon) supervisor() *suture.Supervisor {
+	spec := suture.Spec{EventHook: d.logEvent}
+	root := suture.New("daemon", spec)
+	d.addPart(root, spec, "callers", d.serverServices()...)
+	d.addPart(root, spec, "peers",
+		service{"peer server", func(ctx context.Context) error { return d.peerServer.Serve(ctx, d.peerListener) }},
+		service{"gossip", d.gossipRunner.Run},
+		service{"members", d.members.Run},
+		service{"revisions", d.publishRevisions})
+	d.addPart(root, spec, "platform",
+		service{"registration", func(ctx context.Context) error { return d.registration.Run(ctx, d.registrationFailed) }},
+		service{"settings watch", d.newWatcher(settingsPrefix).run},
+		service{"roster watch", d.newWatcher(rosterPrefix).run})
+	d.addPart(root, spec, "shares",
+		service{"share manager", d.shares.manager.Run},
+		service{"share confirmation", d.shares.confirm},
+		service{"roster", d.shares.maintain})
+	d.addPart(root, spec, "groups", service{"group monitors", d.groups.run})
+	return root
+}
+
+func (d *Daemon) addPart(root *suture.Supervisor, spec suture.Spec, name string, services ...suture.Service) {
+	part := suture.New(name, spec)
+	for _, service := range services {
+		part.Add(service)
+	}
+	root.Add(part)
+}
+
+func (d *Daemon) serverServices() []suture.Service {
+	services := make([]suture.Service, 0, len(d.servers))
+	for _, server := range d.servers {
+		services = append(services, server)
+	}
+	return services
+}
+
+func (d *Daemon) newWatcher(prefix string) *watcher {
+	return &watcher{
+		clock:   d.clock,
+		logger:  d.logger,
+		prefix:  prefix,
+		members: d.members,
+		store:   d.store,
+		gossip:  d.gossip,
+		fresh:   d.ring.Freshness(),
+	}
+}
+
+func (d *Daemon) logEvent(event suture.Event) {
+	if d.stopping.Load() {
+		return
+	}
+	d.logger.Warn("supervisor event", "event", event.String())
+}
+
+func (d *Daemon) registrationFailed(err error) {
+	d.logger.Warn("VM is not registered in the platform", "error", err)
+}
+
+// publishRevisions tells the peers which settings are in force here, and the
+// balancer whether this VM takes work.
+func (d *Daemon) publishRevisions(ctx context.Context) error {
+	var published rattanmember.Revisions
+	for {
+		snapshot := d.configuration.snapshot()
+		revisions := rattanmember.Revisions{Settings: snapshot.MaxRevision(), Digest: snapshot.Digest()}
+		if revisions != published {
+			d.members.SetRevisions(revisions)
+			published = revisions
+		}
+		if d.members.Replaced() {
+			d.replace()
+		}
+		d.setHealth(snapshot)
+		d.endpoints.UpdateShares()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.clock.After(revisionInterval):
+		}
+	}
+}
+
+// setHealth reports NOT_SERVING while the daemon stops or its failure domain is
+// drained.
+func (d *Daemon) setHealth(snapshot *rattansettings.Snapshot) {
+	domain, ok := snapshot.FailureDomain(d.self.FailureDomain)
+	status := grpchealth.StatusServing
+	if d.stopping.Load() || ok && domain.Drained() {
+		status = grpchealth.StatusNotServing
+	}
+	d.members.SetState(d.memberState(ok && domain.Drained()))
+	d.health.SetStatus(rattanv1connect.CallerServiceName, status)
+	d.health.SetStatus("", status)
+}
+
+func (d *Daemon) memberState(drained bool) rattanmember.State {
+	switch {
+	case d.stopping.Load():
+		return rattanmember.Leaving
+	case drained:
+		return rattanmember.Draining
+	default:
+		return rattanmember.Serving
+	}
+}
+
+// stop ends service step by step. Each step is bounded.
+func (d *Daemon) stop() {
+	d.logger.Info("daemon is stopping", "running", d.callers.Running(), "transactions", d.transactions.Len())
+	d.stopping.Store(true)
+	d.setHealth(d.configuration.snapshot())
+	d.registration.SetLeaving()
+	ctx, cancel := context.WithTimeout(context.Background(), d.process.Daemon().StopTimeout())
+	defer cancel()
+	d.wait(ctx, balancerTime)
+	d.callers.Stop()
+	if ended := d.transactions.Drain(ctx); ended > 0 {
+		d.logger.Warn("transactions were rolled back at the stop", "transactions", ended)
+	}
+	d.waitRunning(ctx)
+	d.endpoints.Close(ctx)
+	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancelLeave()
+	if err := d.shares.leave(leaveCtx); err != nil {
+		d.logger.Warn("shares were not given back; they stay unused until the VM is gone from the platform's list", "error", err)
+	}
+}
+
+// waitRunning waits until no request runs, at most until ctx ends.
+func (d *Daemon) waitRunning(ctx context.Context) {
+	const poll = 10 * time.Millisecond
+	for d.callers.Running() > 0 && ctx.Err() == nil {
+		d.wait(ctx, poll)
+	}
+}
+
+func (d *Daemon) wait(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(duration):
+	}
+}
--- a/internal/daemon/rattandaemon/security.go
+++ b/internal/daemon/rattandaemon/security.go
@@ -17,7 +17,7 @@
 
 // loadSecurity reads the TLS material that the settings name. The error names the file.
 func loadSecurity(settings rattansettings.TLSSettings) (*security, error) {
-	if settings.Certificate() == "" {
+	if settings.Off() {
 		return &security{}, nil
 	}
 	certificate, err := rattanlisten.LoadCertificate(settings.Certificate(), settings.Key())
--- a/internal/daemon/rattandaemon/shares.go
+++ b/internal/daemon/rattandaemon/shares.go
@@ -219,11 +219,7 @@
 
 // leads reports whether this daemon is the one of its failure domain that reads
 // the VM list, so that the platform is asked once per failure domain.
-func (s *shares) leads() bool {
-	live := s.members.LiveByDomain()[s.self.FailureDomain]
-	highest := rattanmember.Highest(rosterPrefix, live, 1)
-	return len(highest) == 1 && highest[0].VM == s.self.VM
-}
+func (s *shares) leads() bool { return s.members.Watches(rosterPrefix, 1) }
 
 func (s *shares) removeGone(ctx context.Context, roster rattanshare.Roster) error {
 	vms, err := s.store.ListVMs(ctx)
--- a/internal/daemon/rattandaemon/watches.go
+++ b/internal/daemon/rattandaemon/watches.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -34,7 +33,6 @@
 	clock   rattanclock.Clock
 	logger  *log.Logger
 	prefix  string
-	self    rattanmember.Identity
 	members *rattanmember.Registry
 	store   *rattanstore.Store
 	gossip  *rattangossip.Store
@@ -56,11 +54,7 @@
 }
 
 // chosen reports whether this daemon is a watcher of its failure domain.
-func (w *watcher) chosen() bool {
-	live := w.members.LiveByDomain()[w.self.FailureDomain]
-	watchers := rattanmember.Highest(w.prefix, live, rattanmember.WatchersPerDomain)
-	return slices.ContainsFunc(watchers, func(m rattanmember.Member) bool { return m.VM == w.self.VM })
-}
+func (w *watcher) chosen() bool { return w.members.Watches(w.prefix, rattanmember.WatchersPerDomain) }
 
 // watch holds the watch until this daemon is not chosen any more.
 func (w *watcher) watch(ctx context.Context) {
--- a/internal/endpoint/rattanadapter/http_client.go
+++ b/internal/endpoint/rattanadapter/http_client.go
@@ -1,6 +1,7 @@
 package rattanadapter
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -15,14 +16,20 @@
 	idleTimeout     = time.Minute
 )
 
-// NewHTTPClient returns a client for the calls to endpoints. It uses no proxy,
-// follows no redirect and sets no timeout: deadlines come from the context of
-// each call.
-func NewHTTPClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// A DialFunc opens a network connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewHTTPClient returns a client for the calls to endpoints over connections of
+// dial. It uses no proxy, follows no redirect and sets no timeout beyond that of
+// dialing: deadlines come from the context of each call.
+func NewHTTPClient(dial DialFunc) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+				defer cancel()
+				return dial(ctx, network, address)
+			},
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleTimeout,
 		},
--- /dev/null
+++ b/internal/load/rattancluster/vm.go
@@ -0,0 +1,102 @@
+package rattancluster
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattandaemon"
+)
+
+// A VM is an entry VM of a cluster with at most one daemon.
+type VM struct {
+	cluster *Cluster
+	name    string
+	domain  string
+	host    string
+
+	mutex  sync.Mutex
+	daemon *rattandaemon.Daemon
+	cancel context.CancelFunc
+	done   chan error
+	client *http.Client
+}
+
+// CallerHost is the machine of all callers and operators.
+const CallerHost = "127.0.0.1"
+
+// Name returns the VM's name.
+func (v *VM) Name() string { return v.name }
+
+// Host returns the VM's address without a port.
+func (v *VM) Host() string { return v.host }
+
+// FailureDomain returns the VM's failure domain.
+func (v *VM) FailureDomain() string { return v.domain }
+
+// CallerURL returns the base URL for callers.
+func (v *VM) CallerURL() string { return "http://" + address(v.host, callerPort) }
+
+// OperatorURL returns the base URL for operators.
+func (v *VM) OperatorURL() string { return "http://" + address(v.host, operatorPort) }
+
+// DebugURL returns the base URL of metrics and state dump.
+func (v *VM) DebugURL() string { return "http://" + address(v.host, debugPort) }
+
+func (v *VM) httpClient() *http.Client {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.client == nil {
+		v.client = v.cluster.httpClient(CallerHost)
+	}
+	return v.client
+}
+
+// Start starts a daemon on the VM.
+func (v *VM) Start() error {
+	process, err := rattansettings.ParseProcess(v.name+".ini", v.cluster.processText(v))
+	if err != nil {
+		return err
+	}
+	options := append(v.cluster.hostOptions(v.host), rattandaemon.WithNetwork(hostNetwork{v.cluster.network, v.host}))
+	options = append(options, v.cluster.options...)
+	daemon, err := rattandaemon.New(process, v.cluster.clock(v.name), v.cluster.logger.With("vm", v.name), options...)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(v.cluster.ctx)
+	done := make(chan error, 1)
+	go func() {
+		done <- daemon.Run(ctx)
+		close(done)
+	}()
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.daemon, v.cancel, v.done = daemon, cancel, done
+	return nil
+}
+
+// Revision returns the revision of the team's settings in force on the VM.
+func (v *VM) Revision(team string) uint64 {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.daemon.Revision(team)
+}
+
+// Stop stops the VM's daemon gracefully and waits for it.
+func (v *VM) Stop() {
+	v.mutex.Lock()
+	cancel, done, client := v.cancel, v.done, v.client
+	v.cancel = nil
+	v.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	if done != nil {
+		<-done
+	}
+	if client != nil {
+		client.CloseIdleConnections()
+	}
+}
