Apply the replication lag to each entry from its own arrival

A replica with a lag noted the arrival of an entry only when all earlier ones had been applied, so the lags of a batch added up: with a lag of 400 ms and six writers the replica fell behind without bound. The age of a replica whose other peer is cut off was confirmed only after that peer's timeout of 500 ms.

The arrival of every entry is noted when it first comes, and a question for the age counts as soon as a majority has answered it. The primary reports its age as well: a primary that no majority follows cannot know how old its data is.

go test -race ./internal/standin/...: pass.

--- a/internal/standin/rattanendpoint/age.go
+++ b/internal/standin/rattanendpoint/age.go
@@ -27,7 +27,8 @@
 	index uint64
 }
 
-// dataAge returns the bound. It is not known before the first confirmation in
+// dataAge returns the bound, on the primary as on a replica: a primary that no
+// majority follows any more does not know what a later one has. It is not known before the first confirmation in
 // the term. The caller holds mu.
 func (i *Instance) dataAge() (time.Duration, bool) {
 	if len(i.config.Peers) == 0 {
@@ -36,7 +37,9 @@
 	_, last := i.state.last()
 	reached := 0
 	for reached < len(i.age.waiting) && i.age.waiting[reached].index <= last {
-		i.age.confirmed = i.age.waiting[reached].sent
+		if sent := i.age.waiting[reached].sent; sent.After(i.age.confirmed) {
+			i.age.confirmed = sent
+		}
 		reached++
 	}
 	i.age.waiting = i.age.waiting[reached:]
@@ -46,17 +49,20 @@
 	return i.clock.Now().Sub(i.age.confirmed), true
 }
 
+// ageLoop asks a question every QuestionInterval. Questions overlap, so that a
+// peer that does not answer does not hold up the confirmation by the others.
 func (i *Instance) ageLoop(ctx context.Context) {
 	if len(i.config.Peers) == 0 {
 		return
 	}
+	var asked sync.WaitGroup
+	defer asked.Wait()
 	for ctx.Err() == nil {
 		i.mu.Lock()
 		idle, term := i.idle(), i.state.Term
 		i.mu.Unlock()
 		if !idle {
-			sent := i.clock.Now()
-			i.keepAnswers(term, sent, i.askPeers(ctx))
+			asked.Go(func() { i.ask(ctx, term) })
 		}
 		if i.sleep(ctx, i.config.QuestionInterval) != nil {
 			return
@@ -64,27 +70,35 @@
 	}
 }
 
-func (i *Instance) askPeers(ctx context.Context) []*rattanv1.EndpointStatus {
-	answers := make([]*rattanv1.EndpointStatus, len(i.config.Peers))
-	var calls sync.WaitGroup
-	for at, peer := range i.config.Peers {
-		calls.Go(func() {
+// ask sends a question to all peers and keeps it as soon as a majority and the
+// primary have answered in term.
+func (i *Instance) ask(ctx context.Context, term uint64) {
+	sent := i.clock.Now()
+	answers := make(chan *rattanv1.EndpointStatus, len(i.config.Peers))
+	for _, peer := range i.config.Peers {
+		go func() {
 			answer, err := callPeer(ctx, i, peer, &rattanv1.GetStatusRequest{}, i.config.Dial(peer).GetStatus)
-			if err == nil {
-				answers[at] = answer.GetStatus()
+			if err != nil {
+				answers <- nil
+				return
 			}
-		})
+			answers <- answer.GetStatus()
+		}()
+	}
+	var arrived []*rattanv1.EndpointStatus
+	kept := false
+	for range i.config.Peers {
+		arrived = append(arrived, <-answers)
+		kept = kept || i.keepAnswers(term, sent, arrived)
 	}
-	calls.Wait()
-	return answers
 }
 
-// keepAnswers keeps a question that a majority and the primary answered in term.
-func (i *Instance) keepAnswers(term uint64, sent time.Time, answers []*rattanv1.EndpointStatus) {
+// keepAnswers reports whether the answers confirm a question, and keeps it then.
+func (i *Instance) keepAnswers(term uint64, sent time.Time, answers []*rattanv1.EndpointStatus) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.state.Term != term || i.state.PromisedTerm != term {
-		return
+		return false
 	}
 	members := 1
 	_, index := i.state.last()
@@ -99,7 +113,9 @@
 			index = answer.GetPosition().GetIndex()
 		}
 	}
-	if found && members >= i.config.majority() && len(i.age.waiting) < maxQuestions {
-		i.age.waiting = append(i.age.waiting, question{sent: sent, index: index})
+	if !found || members < i.config.majority() || len(i.age.waiting) >= maxQuestions {
+		return false
 	}
+	i.age.waiting = append(i.age.waiting, question{sent: sent, index: index})
+	return true
 }
--- a/internal/standin/rattanendpoint/replicate.go
+++ b/internal/standin/rattanendpoint/replicate.go
@@ -32,6 +32,7 @@
 	if i.state.termAt(previous.GetIndex()) != previous.GetTerm() {
 		return false
 	}
+	i.noteArrivals(request.GetEntries())
 	for _, entry := range request.GetEntries() {
 		if _, index := i.state.last(); entry.GetPosition().GetIndex() != index+1 {
 			continue
@@ -57,14 +58,21 @@
 	i.truncate(i.state.fork(request.GetLineage(), request.GetLast().GetIndex()))
 }
 
-// lagPassed reports whether ReplicationLag has passed since the entry first
-// arrived. The primary sends it again until it is accepted.
-func (i *Instance) lagPassed(index uint64) bool {
-	now := i.clock.Now()
-	if _, ok := i.arrivals[index]; !ok {
-		i.arrivals[index] = now
+// noteArrivals keeps when each entry first arrived. The primary sends an entry
+// again until it is accepted.
+func (i *Instance) noteArrivals(entries []*rattanv1.LogEntry) {
+	_, last := i.state.last()
+	for _, entry := range entries {
+		index := entry.GetPosition().GetIndex()
+		if _, ok := i.arrivals[index]; !ok && index > last {
+			i.arrivals[index] = i.clock.Now()
+		}
 	}
-	if now.Sub(i.arrivals[index]) < i.controls.ReplicationLag {
+}
+
+// lagPassed reports whether ReplicationLag has passed since the entry arrived.
+func (i *Instance) lagPassed(index uint64) bool {
+	if i.clock.Now().Sub(i.arrivals[index]) < i.controls.ReplicationLag {
 		return false
 	}
 	delete(i.arrivals, index)
