--- /dev/null
+++ b/internal/endpoint/rattanfailover/main_test.go
@@ -0,0 +1,21 @@
+package rattanfailover
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of random plans unless the command
+// line sets them: -rapid.seed=0 takes a new seed.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.checks": "25"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/endpoint/rattanfailover/monitor.go
@@ -0,0 +1,174 @@
+package rattanfailover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// A Monitor watches one group on one daemon: it probes, spreads suspicions and
+// starts failovers.
+type Monitor struct {
+	group       string
+	self        Daemon
+	tracker     *Tracker
+	detector    *Detector
+	coordinator *Coordinator
+	endpoints   Endpoints
+	clock       rattanclock.Clock
+	publish     func(Suspicion)
+	report      func(Promotion, error)
+
+	mu       sync.Mutex
+	busy     bool
+	replicas time.Time
+	// unconfirmed is when the primary of unconfirmedTerm first answered without
+	// knowing whether a majority follows it; zero while it knows.
+	unconfirmed     time.Time
+	unconfirmedTerm uint64
+}
+
+// A MonitorOption changes a Monitor.
+type MonitorOption func(*Monitor)
+
+// WithPublish sets the function that spreads the daemon's own suspicions. It
+// must not block.
+func WithPublish(publish func(Suspicion)) MonitorOption {
+	return func(m *Monitor) { m.publish = publish }
+}
+
+// WithReport sets the function that is told the outcome of every failover that
+// the daemon started.
+func WithReport(report func(Promotion, error)) MonitorOption {
+	return func(m *Monitor) { m.report = report }
+}
+
+// NewMonitor returns a Monitor for the detector's group.
+func NewMonitor(detector *Detector, coordinator *Coordinator, options ...MonitorOption) *Monitor {
+	m := &Monitor{
+		group:       detector.group,
+		self:        detector.self,
+		tracker:     coordinator.tracker,
+		detector:    detector,
+		coordinator: coordinator,
+		endpoints:   coordinator.endpoints,
+		clock:       coordinator.clock,
+		publish:     func(Suspicion) {},
+		report:      func(Promotion, error) {},
+	}
+	for _, option := range options {
+		option(m)
+	}
+	return m
+}
+
+// Run probes every ProbeInterval and decides, until ctx ends. It returns when
+// everything that it started has ended.
+func (m *Monitor) Run(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for ctx.Err() == nil {
+		m.tick(ctx, &calls)
+		select {
+		case <-m.clock.After(ProbeInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *Monitor) tick(ctx context.Context, calls *sync.WaitGroup) {
+	view := m.tracker.View(m.group)
+	m.detector.SetTerm(view.Term)
+	if view.Primary == "" {
+		m.detector.Evidence(view.Term, false)
+	}
+	for _, endpoint := range m.due(view) {
+		calls.Go(func() {
+			m.probe(ctx, view, endpoint)
+			m.decide(ctx, calls)
+		})
+	}
+	m.decide(ctx, calls)
+}
+
+// due returns the endpoints to probe now: the primary, and all of them every
+// replicaInterval or while something is wrong.
+func (m *Monitor) due(view rattanmodel.GroupView) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	all := view.Primary == "" || m.detector.Suspects() || now.Sub(m.replicas) >= replicaInterval
+	if !all {
+		return []string{view.Primary}
+	}
+	m.replicas = now
+	var names []string
+	for _, endpoint := range view.Endpoints {
+		names = append(names, endpoint.Name)
+	}
+	return names
+}
+
+func (m *Monitor) probe(ctx context.Context, view rattanmodel.GroupView, endpoint string) {
+	ctx, cancel := withTimeout(ctx, m.clock, CallTimeout)
+	defer cancel()
+	status, err := m.endpoints(endpoint).Status(ctx)
+	if err != nil {
+		m.tracker.ObserveFailure(endpoint)
+	} else {
+		m.tracker.Observe(endpoint, status)
+		m.detector.SetTerm(m.tracker.View(m.group).Term)
+	}
+	if endpoint == view.Primary {
+		m.detector.Evidence(view.Term, err == nil && m.works(status, view.Term))
+	}
+}
+
+// works reports whether a status is that of a primary which can acknowledge
+// writes of the term: the age of its data counts from the last moment at which
+// a majority followed it.
+func (m *Monitor) works(status *rattanv1.EndpointStatus, term uint64) bool {
+	if status.GetRole() != rattanv1.EndpointRole_ENDPOINT_ROLE_PRIMARY || status.GetTerm() != term {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	switch {
+	case status.GetAgeKnown():
+		m.unconfirmed = time.Time{}
+		return time.Duration(status.GetAgeMs())*time.Millisecond <= maxPrimaryAge
+	case m.unconfirmed.IsZero() || m.unconfirmedTerm != term:
+		m.unconfirmed, m.unconfirmedTerm = now, term
+	}
+	return now.Sub(m.unconfirmed) <= maxPrimaryAge
+}
+
+// decide spreads the own opinion and starts what is due, one at a time.
+func (m *Monitor) decide(ctx context.Context, calls *sync.WaitGroup) {
+	if own, news := m.detector.Opinion(); news {
+		m.publish(own)
+	}
+	decision := m.detector.Decide()
+	heal := m.detector.first() && m.tracker.Stranded(m.group) > strandedTime
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.busy || !decision.Failover && !heal || ctx.Err() != nil {
+		return
+	}
+	m.busy = true
+	calls.Go(func() {
+		if decision.Failover {
+			m.report(m.coordinator.Failover(ctx, m.group, decision.Term))
+		} else {
+			m.report(m.coordinator.Promote(ctx, m.group, m.tracker.View(m.group).Primary))
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.busy = false
+	})
+}
--- /dev/null
+++ b/internal/endpoint/rattanfailover/tracker.go
@@ -0,0 +1,210 @@
+package rattanfailover
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// A Member is one endpoint of a group, from the settings.
+type Member struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Drained       bool
+}
+
+// A Tracker keeps the view of every group: the settings' members and what was
+// observed of them. A view never goes back to a lower term. It is safe for
+// concurrent use.
+type Tracker struct {
+	clock  rattanclock.Clock
+	mu     sync.Mutex
+	groups map[string]*trackedGroup
+	// groupOf has the group of every configured endpoint.
+	groupOf map[string]string
+}
+
+type trackedGroup struct {
+	view rattanmodel.GroupView
+	// observed has the highest terms that each endpoint was seen with.
+	observed map[string]observedTerms
+	// strandedSince is when a member was first seen to refuse the primary's term.
+	strandedSince time.Time
+}
+
+type observedTerms struct{ term, promised uint64 }
+
+// NewTracker returns a Tracker without groups.
+func NewTracker(clock rattanclock.Clock) *Tracker {
+	return &Tracker{clock: clock, groups: map[string]*trackedGroup{}, groupOf: map[string]string{}}
+}
+
+// SetGroup adds a group or replaces its members. What is known of members that
+// stay is kept, and so is the term.
+func (t *Tracker) SetGroup(group string, members ...Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.groups[group]
+	if tracked == nil {
+		tracked = &trackedGroup{view: rattanmodel.GroupView{Group: group}, observed: map[string]observedTerms{}}
+		t.groups[group] = tracked
+	}
+	endpoints := make([]rattanmodel.EndpointView, 0, len(members))
+	for _, old := range tracked.view.Endpoints {
+		delete(t.groupOf, old.Name)
+	}
+	for _, member := range members {
+		endpoint, _ := tracked.view.Endpoint(member.Name)
+		endpoint.Name, endpoint.Address = member.Name, member.Address
+		endpoint.FailureDomain, endpoint.Drained = member.FailureDomain, member.Drained
+		endpoints = append(endpoints, endpoint)
+		t.groupOf[member.Name] = group
+	}
+	tracked.view.Endpoints = endpoints
+	if _, ok := tracked.view.Endpoint(tracked.view.Primary); !ok {
+		tracked.view.Primary = ""
+	}
+}
+
+// RemoveGroup forgets a group that the settings no longer have.
+func (t *Tracker) RemoveGroup(group string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if tracked := t.groups[group]; tracked != nil {
+		for _, endpoint := range tracked.view.Endpoints {
+			delete(t.groupOf, endpoint.Name)
+		}
+		delete(t.groups, group)
+	}
+}
+
+// View returns the view of a group. It has no endpoints when the group is unknown.
+func (t *Tracker) View(group string) rattanmodel.GroupView {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.groups[group]
+	if tracked == nil {
+		return rattanmodel.GroupView{Group: group}
+	}
+	view := tracked.view
+	view.Endpoints = slices.Clone(view.Endpoints)
+	view.Lineage = slices.Clone(view.Lineage)
+	return view
+}
+
+// Observe takes in the status that an endpoint has just sent. endpoint is the
+// name in the settings; the status' own names are not trusted. The age in the
+// view counts from now, not from when the endpoint measured it, so it is a hint
+// for the choice of a replica; the endpoint itself checks the age of a read.
+func (t *Tracker) Observe(endpoint string, status *rattanv1.EndpointStatus) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.groups[t.groupOf[endpoint]]
+	if tracked == nil || status == nil {
+		return
+	}
+	at := slices.IndexFunc(tracked.view.Endpoints, func(e rattanmodel.EndpointView) bool { return e.Name == endpoint })
+	view := &tracked.view.Endpoints[at]
+	view.Reachable = true
+	seen := tracked.observed[endpoint]
+	if status.GetTerm() < seen.term || status.GetPromisedTerm() < seen.promised {
+		// A late answer: the endpoint has moved on since.
+		return
+	}
+	position := rattanmodel.PositionFromWire(status.GetPosition())
+	if status.GetTerm() > seen.term {
+		// Joining a term may cut the log, so the position may go back.
+		view.Position = position
+	}
+	view.Position = view.Position.Max(position)
+	view.Age = time.Duration(status.GetAgeMs()) * time.Millisecond
+	view.AgeKnown, view.Observed = status.GetAgeKnown(), t.clock.Now()
+	tracked.observed[endpoint] = observedTerms{term: status.GetTerm(), promised: status.GetPromisedTerm()}
+	tracked.observePrimary(endpoint, status)
+	tracked.observeStranded(t.clock.Now())
+}
+
+// ObserveFailure records that a call to an endpoint got no answer.
+func (t *Tracker) ObserveFailure(endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.groups[t.groupOf[endpoint]]
+	if tracked == nil {
+		return
+	}
+	for i := range tracked.view.Endpoints {
+		if tracked.view.Endpoints[i].Name == endpoint {
+			tracked.view.Endpoints[i].Reachable = false
+		}
+	}
+}
+
+func (g *trackedGroup) observePrimary(endpoint string, status *rattanv1.EndpointStatus) {
+	isPrimary := status.GetRole() == rattanv1.EndpointRole_ENDPOINT_ROLE_PRIMARY
+	switch {
+	case isPrimary && status.GetTerm() >= g.view.Term:
+		g.view.Term, g.view.Primary = status.GetTerm(), endpoint
+		g.view.Lineage = rattanmodel.LineageFromWire(status.GetLineage())
+	case !isPrimary && status.GetTerm() > g.view.Term:
+		// A replica has joined a term whose primary has not been seen yet.
+		g.view.Term, g.view.Primary = status.GetTerm(), ""
+		g.view.Lineage = rattanmodel.LineageFromWire(status.GetLineage())
+	case !isPrimary && endpoint == g.view.Primary:
+		// The primary was fenced. Its term is not over until another begins.
+		g.view.Primary = ""
+	}
+}
+
+// Merge takes in a view from another daemon or, as a hint, from the platform.
+// Only a higher term changes the primary; positions only advance within a term.
+func (t *Tracker) Merge(view rattanmodel.GroupView) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.groups[view.Group]
+	if tracked == nil || view.Term < tracked.view.Term {
+		return
+	}
+	if view.Term > tracked.view.Term {
+		tracked.view.Term, tracked.view.Lineage = view.Term, slices.Clone(view.Lineage)
+		tracked.view.Primary = ""
+		if _, ok := tracked.view.Endpoint(view.Primary); ok {
+			tracked.view.Primary = view.Primary
+		}
+	}
+	for i := range tracked.view.Endpoints {
+		mine := &tracked.view.Endpoints[i]
+		if theirs, ok := view.Endpoint(mine.Name); ok && theirs.Position.Term == mine.Position.Term {
+			mine.Position = mine.Position.Max(theirs.Position)
+		}
+	}
+}
+
+func (g *trackedGroup) observeStranded(now time.Time) {
+	stranded := false
+	for _, endpoint := range g.view.Endpoints {
+		stranded = stranded || g.view.Primary != "" && g.observed[endpoint.Name].promised > g.view.Term
+	}
+	switch {
+	case !stranded:
+		g.strandedSince = time.Time{}
+	case g.strandedSince.IsZero():
+		g.strandedSince = now
+	}
+}
+
+// Stranded returns for how long a member has refused the present primary,
+// because it promised a higher term to a coordinator that did not finish.
+func (t *Tracker) Stranded(group string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := t.groups[group]
+	if tracked == nil || tracked.strandedSince.IsZero() {
+		return 0
+	}
+	return t.clock.Now().Sub(tracked.strandedSince)
+}
