--- a/internal/endpoint/rattanpool/fake_test.go
+++ b/internal/endpoint/rattanpool/fake_test.go
@@ -26,6 +26,8 @@
 	rattanv1connect.EndpointServiceClient
 	service time.Duration
 	slots   chan struct{}
+	// slotCount is the capacity of slots, which is made in the test's bubble.
+	slotCount int
 
 	mu       sync.Mutex
 	opened   int
@@ -38,7 +40,7 @@
 }
 
 func newFakeEndpoint(slots int, service time.Duration) *fakeEndpoint {
-	return &fakeEndpoint{service: service, slots: make(chan struct{}, slots), open: make(map[string]bool)}
+	return &fakeEndpoint{service: service, slotCount: slots, open: make(map[string]bool)}
 }
 
 func (f *fakeEndpoint) set(change func(f *fakeEndpoint)) {
@@ -116,6 +118,7 @@
 func inPool(t *testing.T, endpoint *fakeEndpoint, limits Limits, test func(t *testing.T, p *Pool), options ...Option) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		endpoint.slots = make(chan struct{}, endpoint.slotCount)
 		p := New(rattanclock.System(), rattanadapter.New(endpoint, "vm-1"), limits, options...)
 		test(t, p)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -142,3 +145,16 @@
 		t.Errorf("%s: got %v, want %v", what, got, want)
 	}
 }
+
+// counts returns how many connections were opened and are open, and how often
+// the status was asked for.
+func (f *fakeEndpoint) counts() (opened, open, statuses int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opened, len(f.open), f.statuses
+}
+
+func (f *fakeEndpoint) connections() int {
+	_, open, _ := f.counts()
+	return open
+}
