Test the endpoint client and close connections it cannot trust

A fault with the code NOT_FOUND counted as a known state, so a connection that a restarted endpoint did not know could have been used again and again. The same held for a fault that denies the transaction.

Both now make the connection unusable, and a fault with NOT_FOUND or RESOURCE_EXHAUSTED is known not to have run. The tests run over loopback HTTP: fault details, crossed, partial and too large answers, a refused dial, and the acknowledgement by a majority.

--- /dev/null
+++ b/internal/endpoint/rattanadapter/client_test.go
@@ -0,0 +1,154 @@
+package rattanadapter
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/goleak"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// handler answers RunStatements by a function.
+type handler struct {
+	rattanv1connect.UnimplementedEndpointServiceHandler
+	run func(request *rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error)
+}
+
+func (h *handler) OpenConnection(context.Context, *connect.Request[rattanv1.OpenConnectionRequest]) (*connect.Response[rattanv1.OpenConnectionResponse], error) {
+	return connect.NewResponse(&rattanv1.OpenConnectionResponse{Connection: "c1"}), nil
+}
+
+func (h *handler) RunStatements(_ context.Context, request *connect.Request[rattanv1.RunStatementsRequest]) (*connect.Response[rattanv1.RunStatementsResponse], error) {
+	response, err := h.run(request.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(response), nil
+}
+
+func withFault(kind rattanv1.EndpointFaultKind) error {
+	err := connect.NewError(connect.CodeFailedPrecondition, errors.New("refused"))
+	detail, _ := connect.NewErrorDetail(&rattanv1.EndpointFault{Kind: kind, Status: &rattanv1.EndpointStatus{Term: 7}})
+	err.AddDetail(detail)
+	return err
+}
+
+// TestRun guards against a refusal that wrongly says that nothing ran, and
+// against reuse of a connection whose state is not known.
+func TestRun(t *testing.T) {
+	answer := func(change func(r *rattanv1.RunStatementsResponse)) func(*rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) {
+		return func(request *rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) {
+			response := &rattanv1.RunStatementsResponse{Call: request.GetCall(), Results: []*rattanv1.Result{{}}}
+			change(response)
+			return response, nil
+		}
+	}
+	fail := func(err error) func(*rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) {
+		return func(*rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) { return nil, err }
+	}
+	large := &rattanv1.Result{Columns: []string{string(make([]byte, 5000))}}
+	for _, tc := range []struct {
+		name     string
+		run      func(*rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error)
+		ok       bool
+		state    rattanerr.RunState
+		reusable bool
+	}{
+		{"answer", answer(func(*rattanv1.RunStatementsResponse) {}), true, rattanerr.Unknown, true},
+		{"crossed", answer(func(r *rattanv1.RunStatementsResponse) { r.Call++ }), false, rattanerr.Unknown, false},
+		{"partial", answer(func(r *rattanv1.RunStatementsResponse) { r.Results = nil }), false, rattanerr.Unknown, false},
+		{"too large", answer(func(r *rattanv1.RunStatementsResponse) { r.Results[0] = large }), false, rattanerr.Unknown, false},
+		{"behind", fail(withFault(rattanv1.EndpointFaultKind_ENDPOINT_FAULT_KIND_BEHIND)), false, rattanerr.NotRun, true},
+		{"new fault", fail(withFault(99)), false, rattanerr.Unknown, false},
+		{"unknown connection", fail(connect.NewError(connect.CodeNotFound, nil)), false, rattanerr.NotRun, false},
+		{"unavailable", fail(connect.NewError(connect.CodeUnavailable, nil)), false, rattanerr.Unknown, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, service := rattanv1connect.NewEndpointServiceHandler(&handler{run: tc.run})
+			server := httptest.NewServer(service)
+			defer server.Close()
+			client := Dial(server.Client(), server.Listener.Addr().String(), "vm-1", 4096)
+			conn, err := client.Open(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = conn.Run(t.Context(), &rattanv1.RunStatementsRequest{Statements: []*rattanv1.Statement{{}}})
+			if fault, ok := AsFault(err); ok && fault.Status.GetTerm() != 7 {
+				t.Errorf("fault without its status: %v", fault)
+			}
+			if (err == nil) != tc.ok || err != nil && RunState(err) != tc.state || conn.Reusable() != tc.reusable {
+				t.Errorf("got %v, %s, reusable %t", err, RunState(err), conn.Reusable())
+			}
+		})
+	}
+}
+
+// TestNotSent guards against an unknown outcome of a request that never left,
+// which would keep a write from being retried.
+func TestNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	client := Dial(NewHTTPClient(), listener.Addr().String(), "vm-1", 0)
+	_, refused := client.Status(t.Context())
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, late := client.Status(ended)
+	for name, err := range map[string]error{"dial refused": refused, "context ended": late} {
+		if err == nil || RunState(err) != rattanerr.NotRun {
+			t.Errorf("%s: %v is %s", name, err, RunState(err))
+		}
+	}
+}
+
+type replica struct{ err error }
+
+func (r replica) WaitPosition(ctx context.Context, _ rattanmodel.Position) (*rattanv1.EndpointStatus, error) {
+	if r.err == context.Canceled {
+		<-ctx.Done()
+	}
+	return nil, r.err
+}
+
+// TestAcknowledge guards against a write that is acknowledged without a majority
+// or waits for a replica that it does not need, and against a replica's fault
+// that passes for proof that the write has not run.
+func TestAcknowledge(t *testing.T) {
+	promised := replica{&Fault{Kind: rattanv1.EndpointFaultKind_ENDPOINT_FAULT_KIND_PROMISED}}
+	stuck := replica{context.Canceled}
+	for _, tc := range []struct {
+		name     string
+		replicas []PositionWaiter
+		ok       bool
+	}{
+		{"one of two", []PositionWaiter{replica{}, promised}, true},
+		{"one stuck", []PositionWaiter{stuck, replica{}}, true},
+		{"none", []PositionWaiter{promised, promised}, false},
+		{"all stuck", []PositionWaiter{stuck, stuck}, false},
+		{"no replicas", nil, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			err := Acknowledge(ctx, rattanmodel.Position{Term: 1, Index: 1}, 1, tc.replicas)
+			if (err == nil) != tc.ok || err != nil && RunState(err) != rattanerr.Unknown {
+				t.Errorf("got %v, %s", err, RunState(err))
+			}
+		})
+	}
+}
--- a/internal/endpoint/rattanadapter/conn.go
+++ b/internal/endpoint/rattanadapter/conn.go
@@ -36,9 +36,10 @@
 }
 
 // Run runs the statements of request. It sets the request's connection and call
-// number, so one request must not be used by two calls at once. After an error
-// that is neither a *Fault nor known not to have run, and after an answer to
-// another call, the connection is not reusable and Run returns ErrClosed.
+// number, so one request must not be used by two calls at once. After an answer
+// to another call, an error that may have run, or a fault that says that the
+// connection or its transaction is not known, the connection is not reusable and
+// Run returns ErrClosed.
 func (c *Conn) Run(ctx context.Context, request *rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) {
 	if !c.busy.CompareAndSwap(false, true) {
 		return nil, ErrBusy
@@ -75,6 +76,9 @@
 // IsNotFound reports whether the endpoint does not know the connection, as
 // after its restart.
 func IsNotFound(err error) bool {
+	if fault, ok := AsFault(err); ok {
+		return fault.Code == connect.CodeNotFound
+	}
 	return connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeNotFound
 }
 
@@ -111,12 +115,10 @@
 }
 
 func (c *Conn) afterError(err error) {
-	if RunState(err) != rattanerr.NotRun || IsNotFound(err) {
-		c.broken.Store(true)
-		return
-	}
 	fault, ok := AsFault(err)
-	if ok && fault.Kind == rattanv1.EndpointFaultKind_ENDPOINT_FAULT_KIND_TRANSACTION {
-		c.inTransaction.Store(false)
+	// The endpoint and the daemon do not agree on what the connection holds.
+	disagreed := ok && fault.Kind == rattanv1.EndpointFaultKind_ENDPOINT_FAULT_KIND_TRANSACTION
+	if disagreed || RunState(err) != rattanerr.NotRun || IsNotFound(err) {
+		c.broken.Store(true)
 	}
 }
--- a/internal/endpoint/rattanadapter/run_state.go
+++ b/internal/endpoint/rattanadapter/run_state.go
@@ -40,19 +40,16 @@
 
 func refusedByEndpoint(err error) bool {
 	if fault, ok := AsFault(err); ok {
-		return nothingRan(fault.Kind)
+		return nothingRan(fault.Kind) || refusedByCode(fault.Code)
 	}
 	// Only an error that the endpoint itself sent counts: a response that is too
 	// large has the code RESOURCE_EXHAUSTED too, and its statement has run.
-	if !connect.IsWireError(err) {
-		return false
-	}
-	switch connect.CodeOf(err) {
-	case connect.CodeResourceExhausted, connect.CodeNotFound:
-		return true
-	default:
-		return false
-	}
+	return connect.IsWireError(err) && refusedByCode(connect.CodeOf(err))
+}
+
+// refusedByCode reports whether the endpoint uses code for a missing connection.
+func refusedByCode(code connect.Code) bool {
+	return code == connect.CodeResourceExhausted || code == connect.CodeNotFound
 }
 
 // nothingRan reports whether the endpoint checks for the fault before it runs
