Refuse at once when no connection can be opened

The pool now refuses what waits when an attempt fails and no connection is left, and new requests until the next attempt.

go test -race: the refusal comes after 10 ms, the time of one attempt to open.

--- a/internal/endpoint/rattanpool/admit.go
+++ b/internal/endpoint/rattanpool/admit.go
@@ -81,6 +81,8 @@
 		return rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAVAILABLE, retryAfter, "the endpoint's circuit breaker is open")
 	case p.limits.Connections == 0:
 		return rattanerr.NewNotRun(rattanv1.Reason_REASON_OVERLOADED, connectionRetryAfter, "the daemon has no connection to the endpoint")
+	case p.connections.waiting && p.connections.usable() == 0:
+		return rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAVAILABLE, minBackoff, "no connection to the endpoint could be opened")
 	default:
 		return nil
 	}
--- a/internal/endpoint/rattanpool/connections.go
+++ b/internal/endpoint/rattanpool/connections.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 const (
@@ -34,6 +35,11 @@
 	return len(c.idle) + c.opening + c.closing + c.busy + c.pinned + c.granted
 }
 
+// usable returns the connections that serve requests or will.
+func (c *connections) usable() int {
+	return c.total() - c.closing
+}
+
 // take returns the connection that was used last.
 func (c *connections) take() *rattanadapter.Conn {
 	last := len(c.idle) - 1
@@ -76,16 +82,19 @@
 	p.dispatch()
 }
 
-// openFailed waits before the next attempt to open.
+// openFailed waits before the next attempt to open. Without any connection the
+// waiting requests are refused, so that callers can go elsewhere.
 func (p *Pool) openFailed(ctx context.Context, start time.Time, err error) {
 	p.observeCall(ctx, start, nil, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.connections.opening--
+	if p.connections.usable() == 0 {
+		p.refuseWaiting(rattanv1.Reason_REASON_UNAVAILABLE, minBackoff)
+	}
 	if p.closed || p.connections.waiting {
 		return
 	}
-	p.connections.waiting = true
 	backoff := minBackoff
 	if answered(err) {
 		// The endpoint is alive and has no connection free. The failures of a dead
@@ -93,6 +102,7 @@
 		p.connections.refused = min(max(2*p.connections.refused, minBackoff), maxBackoff)
 		backoff = p.connections.refused
 	}
+	p.connections.waiting = true
 	p.tasks.Go(func() { p.openAgainAfter(backoff) })
 }
 
@@ -119,7 +129,7 @@
 
 // trim closes free connections that may not stay open.
 func (p *Pool) trim() {
-	for len(p.connections.idle) > 0 && (p.drained || p.closed || p.connections.total()-p.connections.closing > p.limits.Connections) {
+	for len(p.connections.idle) > 0 && (p.drained || p.closed || p.connections.usable() > p.limits.Connections) {
 		p.discard(p.connections.take())
 	}
 }
--- a/internal/endpoint/rattanpool/pool_test.go
+++ b/internal/endpoint/rattanpool/pool_test.go
@@ -173,6 +173,18 @@
 	})
 }
 
+// TestNoConnection guards against callers who wait for an endpoint to which no
+// connection can be opened.
+func TestNoConnection(t *testing.T) {
+	endpoint := newFakeEndpoint(1, time.Millisecond)
+	endpoint.down = errors.New("connection refused")
+	inPool(t, endpoint, Limits{Connections: 2, Slots: 1}, func(t *testing.T, p *Pool) {
+		start := time.Now()
+		assertRefused(t, p.Do(t.Context(), Job{Account: "a"}, single), rattanv1.Reason_REASON_UNAVAILABLE)
+		assertEqual(t, "time until the refusal", time.Since(start), 10*time.Millisecond)
+	})
+}
+
 // TestShortDeadlines guards against a breaker that one account opens for all by
 // sending deadlines that no request can meet.
 func TestShortDeadlines(t *testing.T) {
