rattanmatrix: keep a drifting clock's timers from firing at once

Cause: the cell 'clocks drift/write is committed' did not end: a wait of 1 ns on a fast clock rounded to 0, so the clock did not move between two waits. Ruled out: a loop in the daemon; the goroutine dump shows only the clock's timers. Change: the wait is rounded up.

--- a/internal/proof/rattanmatrix/clock.go
+++ b/internal/proof/rattanmatrix/clock.go
@@ -1,6 +1,7 @@
 package rattanmatrix
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -32,7 +33,9 @@
 	fired := make(chan time.Time, 1)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	time.AfterFunc(time.Duration(float64(d)/c.rate), func() {
+	// Rounding up keeps a wait of one nanosecond from ending before the clock moves.
+	wait := time.Duration(math.Ceil(float64(d) / c.rate))
+	time.AfterFunc(wait, func() {
 		c.mutex.Lock()
 		thaw := c.thaw
 		c.mutex.Unlock()
