Add rattangossip: versioned records between daemons

Settings, withdrawals, rosters, group views and suspicions have to reach every daemon within 8 s, during partitions and platform outages too.

Store keeps the newest version of each record and an incremental XXH64 digest in 64 buckets. Exchange sends heartbeats and recent changes with every message and versions only of buckets that differ; records over 2 KiB are announced by version and asked for once. Picker draws peers from a small set that changes slowly, so that a daemon of a large fleet does not need a session to every other one.

--- /dev/null
+++ b/internal/peer/rattangossip/runner.go
@@ -0,0 +1,180 @@
+package rattangossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+const (
+	// RoundInterval is the mean time between two rounds.
+	RoundInterval = 200 * time.Millisecond
+	// roundJitter is the largest deviation from it.
+	roundJitter = 20 * time.Millisecond
+	// regularTimeout bounds the first request of an exchange, repairTimeout the
+	// others, which may carry large records.
+	regularTimeout = time.Second
+	repairTimeout  = 5 * time.Second
+	// stepLimit bounds the requests of one exchange: regular, buckets,
+	// versions, and records that the peer lacks.
+	stepLimit = 4
+	// pushPause gathers urgent changes that arrive together.
+	pushPause = 10 * time.Millisecond
+	// sweepInterval is the time between two sweeps of the store.
+	sweepInterval = time.Second
+)
+
+// A Link calls other daemons. *rattanlink.Client is one.
+type Link interface {
+	Call(ctx context.Context, address string, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error)
+}
+
+// A Runner exchanges records with other daemons at every round and pushes
+// urgent changes.
+type Runner struct {
+	exchange *Exchange
+	picker   *Picker
+	link     Link
+	clock    rattanclock.Clock
+	random   *rand.Rand
+
+	started, failed atomic.Uint64
+
+	mutex sync.Mutex
+	busy  map[string]bool
+}
+
+// NewRunner returns a Runner. random is used by Run's goroutine only and must
+// not be the Picker's.
+func NewRunner(exchange *Exchange, picker *Picker, link Link, clock rattanclock.Clock, random *rand.Rand) *Runner {
+	return &Runner{
+		exchange: exchange,
+		picker:   picker,
+		link:     link,
+		clock:    clock,
+		random:   random,
+		busy:     make(map[string]bool),
+	}
+}
+
+// Exchanges returns the number of exchanges started and failed so far.
+func (r *Runner) Exchanges() (started, failed uint64) {
+	return r.started.Load(), r.failed.Load()
+}
+
+// Run gossips until ctx ends and returns ctx's error when all exchanges have
+// ended.
+func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	swept := r.clock.Now()
+	round := r.clock.After(r.wait())
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-round:
+			round = r.clock.After(r.wait())
+			for _, peer := range r.picker.Round() {
+				r.start(ctx, &running, peer)
+			}
+		case <-r.exchange.store.woken():
+			running.Go(func() { r.push(ctx) })
+		}
+		if now := r.clock.Now(); rattanclock.Elapsed(swept, now) >= sweepInterval {
+			swept = now
+			r.exchange.store.Sweep()
+		}
+	}
+}
+
+func (r *Runner) wait() time.Duration {
+	return RoundInterval - roundJitter + time.Duration(r.random.Int64N(int64(2*roundJitter)))
+}
+
+// start exchanges with a peer unless the last exchange with it still runs, so
+// that a slow peer does not gather exchanges.
+func (r *Runner) start(ctx context.Context, running *sync.WaitGroup, peer Peer) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.busy[peer.Address] {
+		return
+	}
+	r.busy[peer.Address] = true
+	running.Go(func() {
+		r.run(ctx, peer.Address, r.exchange.Request(peer))
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		delete(r.busy, peer.Address)
+	})
+}
+
+func (r *Runner) push(ctx context.Context) {
+	select {
+	case <-r.clock.After(pushPause):
+	case <-ctx.Done():
+		return
+	}
+	request := r.exchange.Push()
+	if request == nil {
+		return
+	}
+	var running sync.WaitGroup
+	defer running.Wait()
+	for _, peer := range r.picker.Push() {
+		running.Go(func() { r.run(ctx, peer.Address, request) })
+	}
+}
+
+// run does one exchange, beginning with request.
+func (r *Runner) run(ctx context.Context, address string, request *rattanv1.SyncRequest) {
+	r.started.Add(1)
+	timeout := regularTimeout
+	for range stepLimit {
+		sent := r.clock.Now()
+		response, err := r.step(ctx, address, request, timeout)
+		if err != nil {
+			r.failed.Add(1)
+			return
+		}
+		request = r.exchange.Accept(request, response, sent)
+		if request == nil {
+			return
+		}
+		timeout = repairTimeout
+	}
+}
+
+func (r *Runner) step(ctx context.Context, address string, request *rattanv1.SyncRequest, timeout time.Duration) (*rattanv1.SyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_SyncRequest{SyncRequest: request}}
+	answer, err := r.link.Call(ctx, address, frame)
+	if err != nil {
+		return nil, err
+	}
+	response := answer.GetSyncResponse()
+	if response == nil {
+		return nil, errors.Errorf("peer %s answered a sync request with another kind of frame", address)
+	}
+	return response, nil
+}
+
+// Handle answers a sync request. It is a handler for rattanlink.
+func (r *Runner) Handle(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	request := frame.GetSyncRequest()
+	if request == nil {
+		return nil, errors.New("frame has no sync request")
+	}
+	response := r.exchange.Answer(request)
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_SyncResponse{SyncResponse: response}}, nil
+}
--- /dev/null
+++ b/internal/peer/rattangossip/store_test.go
@@ -0,0 +1,179 @@
+package rattangossip
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+const (
+	kindSettings   = rattanv1.RecordKind_RECORD_KIND_SETTINGS
+	kindDaemon     = rattanv1.RecordKind_RECORD_KIND_DAEMON
+	kindSuspicion  = rattanv1.RecordKind_RECORD_KIND_SUSPICION
+	kindWithdrawal = rattanv1.RecordKind_RECORD_KIND_WITHDRAWAL
+)
+
+func record(kind rattanv1.RecordKind, name string, epoch, version uint64) Record {
+	return Record{Kind: kind, Name: name, Epoch: epoch, Version: version}
+}
+
+// TestOffer guards against an older version that replaces a newer one, and
+// against changes that are reported twice or out of order.
+func TestOffer(t *testing.T) {
+	store := NewStore(clockwork.NewFakeClock())
+	var reported []Record
+	store.Register(kindSettings, func(changed []Record) {
+		reported = append(reported, changed...)
+		// A registered function may offer a record itself.
+		if changed[0].Version == 5 {
+			store.Offer(record(kindSettings, "shop", 0, 6))
+		}
+	})
+	for _, step := range []struct {
+		record  Record
+		changed bool
+	}{
+		{record(kindSettings, "shop", 0, 2), true},
+		{record(kindSettings, "shop", 0, 2), false},
+		{record(kindSettings, "shop", 0, 1), false},
+		{record(kindSettings, "shop", 0, 5), true},
+		{record(kindSettings, "shop", 0, 0), false},
+		{record(kindDaemon, "vm-1", 2, 1), true},
+		{record(kindDaemon, "vm-1", 1, 9), false},
+	} {
+		if got := len(store.Offer(step.record)) == 1; got != step.changed {
+			t.Errorf("Offer(%v): changed = %t, want %t", step.record, got, step.changed)
+		}
+	}
+	var versions []uint64
+	for _, r := range reported {
+		versions = append(versions, r.Version)
+	}
+	if !slices.Equal(versions, []uint64{2, 5, 6}) {
+		t.Errorf("reported versions %v, want 2, 5, 6", versions)
+	}
+}
+
+// TestWithdrawal guards against a withdrawal that is undone or removed.
+func TestWithdrawal(t *testing.T) {
+	store := NewStore(clockwork.NewFakeClock())
+	store.Offer(Record{Kind: kindWithdrawal, Name: "k1", Version: 3, Value: []byte("withdrawn")})
+	store.Offer(Record{Kind: kindWithdrawal, Name: "k1", Epoch: 1, Version: 9})
+	if got, _ := store.Get(kindWithdrawal, "k1"); string(got.Value) != "withdrawn" {
+		t.Errorf("withdrawal became %+v", got)
+	}
+	if store.Remove(kindWithdrawal, "k1") || store.Remove(kindSettings, "k1") {
+		t.Error("a record other than a daemon's was removed")
+	}
+}
+
+// TestDigest guards against a digest that depends on the order of changes or
+// that suspicions, which come and go, make different.
+func TestDigest(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	one, two := NewStore(clock), NewStore(clock)
+	one.Offer(record(kindSettings, "a", 0, 1), record(kindDaemon, "b", 1, 1), record(kindSettings, "a", 0, 2))
+	two.Offer(record(kindDaemon, "b", 1, 1), record(kindSettings, "a", 0, 2), record(kindSuspicion, "g", 0, 1))
+	if one.Digest() != two.Digest() {
+		t.Error("digests of equal stores differ")
+	}
+	two.Offer(record(kindDaemon, "b", 1, 2))
+	if one.Digest() == two.Digest() {
+		t.Error("digests of different stores are equal")
+	}
+	clock.Advance(time.Minute)
+	two.Sweep()
+	if got := two.List(kindSuspicion); len(got) != 0 {
+		t.Errorf("suspicion still there after a minute: %v", got)
+	}
+}
+
+// TestRemove guards against a removed daemon that comes back from a peer which
+// removes it later, and against one that never can come back.
+func TestRemove(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := NewStore(clock)
+	store.Offer(record(kindDaemon, "vm-1", 3, 1))
+	empty := NewStore(clock).Digest()
+	store.Remove(kindDaemon, "vm-1")
+	if store.Digest() != empty {
+		t.Error("digest still covers a removed record")
+	}
+	if changed := store.Offer(record(kindDaemon, "vm-1", 3, 1)); len(changed) != 0 {
+		t.Error("removed record came back")
+	}
+	if changed := store.Offer(record(kindDaemon, "vm-1", 3, 2)); len(changed) != 1 {
+		t.Error("newer version was not taken")
+	}
+}
+
+// exchangeUntilEqual runs whole exchanges and returns the number of messages.
+func exchangeUntilEqual(t *testing.T, clock *clockwork.FakeClock, from, to *Exchange) int {
+	t.Helper()
+	for messages := 0; messages < 100; {
+		clock.Advance(RoundInterval)
+		request := from.Request(to.self)
+		for request != nil {
+			messages += 2
+			request = from.Accept(request, to.Answer(request), clock.Now())
+		}
+		if from.store.Digest() == to.store.Digest() {
+			return messages
+		}
+	}
+	t.Fatal("stores still differ after 100 messages")
+	return 0
+}
+
+// TestRepair guards against stores that stay different after a partition, and
+// against messages that grow with what both have.
+func TestRepair(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	one, two := NewStore(clock), NewStore(clock)
+	for i := range 1000 {
+		r := record(kindDaemon, "vm-"+strings.Repeat("x", i%7)+string(rune('a'+i%26)), 1, uint64(i))
+		one.Offer(r)
+		two.Offer(r)
+	}
+	large := record(kindSettings, "large", 0, 4)
+	large.Value = make([]byte, 200<<10)
+	two.Offer(large, record(kindSettings, "older", 0, 1))
+	one.Offer(record(kindSettings, "older", 0, 2), record(kindSettings, "mine", 0, 1))
+	huge := record(kindSettings, "huge", 0, 1)
+	huge.Value = make([]byte, 900<<10)
+	two.Offer(huge)
+	clock.Advance(time.Minute)
+	from := NewExchange(Peer{VM: "one"}, one)
+	to := NewExchange(Peer{VM: "two"}, two)
+	t.Logf("%d messages until equal", exchangeUntilEqual(t, clock, from, to))
+	if got, _ := two.Get(kindSettings, "older"); got.Version != 2 {
+		t.Errorf("older has version %d, want 2", got.Version)
+	}
+}
+
+// TestAskOnce guards against a large record that several peers send at once.
+func TestAskOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	one, two := NewStore(clock), NewStore(clock)
+	large := record(kindSettings, "large", 0, 4)
+	large.Value = make([]byte, 100<<10)
+	one.Offer(large)
+	push := NewExchange(Peer{VM: "one"}, one).Push()
+	if len(push.GetRecords()) != 0 || len(push.GetVersions()) != 1 {
+		t.Fatalf("push has %d records and %d versions, want one version", len(push.GetRecords()), len(push.GetVersions()))
+	}
+	receiver := NewExchange(Peer{VM: "two"}, two)
+	first, second := receiver.Answer(push), receiver.Answer(push)
+	if len(first.GetWanted()) != 1 || len(second.GetWanted()) != 0 {
+		t.Errorf("asked %d and %d times, want once", len(first.GetWanted()), len(second.GetWanted()))
+	}
+	clock.Advance(2 * askInterval)
+	if again := receiver.Answer(push); len(again.GetWanted()) != 1 {
+		t.Error("not asked again after the first answer stayed out")
+	}
+}
