--- /dev/null
+++ b/internal/peer/rattanmember/spread_test.go
@@ -0,0 +1,160 @@
+package rattanmember
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+var (
+	traffic    = flag.Bool("traffic", false, "print the control traffic of fleets of several sizes, up to 770 daemons")
+	trafficMax = flag.Int("traffic_max", 770, "size of the largest fleet of -traffic")
+)
+
+// TestTraffic prints bytes and messages per daemon. It guards against a control
+// traffic above the 17 KB/s of the design, for the small sizes in every run.
+func TestTraffic(t *testing.T) {
+	sizes := []struct{ daemons, domains int }{{2, 1}, {9, 3}, {50, 3}}
+	if *traffic {
+		sizes = append(sizes, []struct{ daemons, domains int }{{200, 4}, {*trafficMax, 7}}...)
+		t.Log("daemons domains  sent_B/s received_B/s messages/s max_sent_B/s not_live join settings_change")
+	}
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.daemons), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newFleet(t, size.daemons, size.domains)
+				join := f.until(60*time.Second, "join", f.allLive)
+				time.Sleep(15 * time.Second)
+				f.resetCounters()
+				const seconds = 10
+				notLive := 0
+				for range seconds * 2 {
+					time.Sleep(500 * time.Millisecond)
+					notLive += f.notLive()
+				}
+				sent, received, messages, highest := f.counters()
+				n := uint64(size.daemons * seconds)
+				f.daemons[0].store.Offer(settings(1, 20000))
+				change := f.until(8*time.Second, "settings change", func() bool { return f.allHave(settings(1, 0)) })
+				t.Logf("%7d %7d %9d %12d %10.1f %12d %8d %s %s", size.daemons, size.domains, sent/n, received/n,
+					float64(messages)/float64(n), highest/seconds, notLive, join, change)
+				if sent/n > 17000 {
+					t.Errorf("%d bytes/s sent by a daemon of %d, want at most 17000", sent/n, size.daemons)
+				}
+				if notLive > 0 {
+					t.Errorf("%d views of a running daemon as not live in a calm fleet", notLive)
+				}
+			})
+		})
+	}
+}
+
+func (f *fleet) resetCounters() {
+	for _, d := range f.daemons {
+		d.sent.Store(0)
+		d.received.Store(0)
+		d.messages.Store(0)
+	}
+}
+
+func (f *fleet) counters() (sent, received, messages, highest uint64) {
+	for _, d := range f.daemons {
+		sent += d.sent.Load()
+		received += d.received.Load()
+		messages += d.messages.Load()
+		highest = max(highest, d.sent.Load())
+	}
+	return sent, received, messages, highest
+}
+
+func (f *fleet) notLive() int {
+	count := 0
+	for _, d := range f.daemons {
+		count += len(f.daemons) - 1 - len(d.registry.LivePeers())
+	}
+	return count
+}
+
+// TestSpread guards against changes that do not reach every daemon within 8 s
+// because messages are lost, and against versions that go back.
+func TestSpread(t *testing.T) {
+	for _, size := range []struct{ daemons, domains int }{{9, 3}, {200, 4}} {
+		t.Run(fmt.Sprint(size.daemons), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newFleet(t, size.daemons, size.domains)
+				f.until(30*time.Second, "join", f.allLive)
+				f.watchVersions()
+				f.setNetwork(0.2, nil)
+				for version := uint64(1); version <= 3; version++ {
+					f.daemons[int(version)].store.Offer(settings(version, 20000))
+					// An older version from a lagging source must change nothing.
+					f.daemons[0].store.Offer(settings(version-1, 10))
+					took := f.until(8*time.Second, "settings change with 20% loss", func() bool { return f.allHave(settings(version, 0)) })
+					t.Logf("settings revision %d with 20%% loss: %s", version, took)
+				}
+				withdrawn := rattangossip.Record{Kind: rattanv1.RecordKind_RECORD_KIND_WITHDRAWAL, Name: "k7f3a", Version: 1}
+				f.daemons[0].store.Offer(withdrawn)
+				took := f.until(8*time.Second, "withdrawal with 20% loss", func() bool { return f.allHave(withdrawn) })
+				t.Logf("withdrawal with 20%% loss: %s", took)
+			})
+		})
+	}
+}
+
+// watchVersions fails the test when a daemon reports an older version after a
+// newer one.
+func (f *fleet) watchVersions() {
+	for _, d := range f.daemons {
+		var last uint64
+		d.store.Register(rattanv1.RecordKind_RECORD_KIND_SETTINGS, func(records []rattangossip.Record) {
+			for _, record := range records {
+				if record.Version <= last {
+					f.t.Errorf("%s went from revision %d to %d", d.identity.VM, last, record.Version)
+				}
+				last = record.Version
+			}
+		})
+	}
+}
+
+// TestCutDomain guards against a failure domain that stays behind after it has
+// been cut off, and against one that is taken for live while it is.
+func TestCutDomain(t *testing.T) {
+	for _, size := range []struct{ daemons, domains int }{{9, 3}, {200, 4}} {
+		t.Run(fmt.Sprint(size.daemons), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newFleet(t, size.daemons, size.domains)
+				f.until(30*time.Second, "join", f.allLive)
+				f.watchVersions()
+				f.setNetwork(0, func(from, to *testDaemon) bool {
+					return (from.identity.FailureDomain == "b") != (to.identity.FailureDomain == "b")
+				})
+				took := f.until(10*time.Second, "cut seen", func() bool { return f.seeOnly("b") })
+				t.Logf("cut seen by all after %s", took)
+				f.daemons[0].store.Offer(settings(5, 20000))
+				f.daemons[1].store.Offer(settings(4, 20000))
+				time.Sleep(15 * time.Second)
+				f.setNetwork(0, nil)
+				took = f.until(15*time.Second, "return", func() bool { return f.allHave(settings(5, 0)) && f.allLive() })
+				t.Logf("returned domain up to date and live after %s", took)
+			})
+		})
+	}
+}
+
+// seeOnly reports whether the daemons of each side of the cut see exactly their
+// side live.
+func (f *fleet) seeOnly(domain string) bool {
+	for _, d := range f.daemons {
+		for _, m := range d.registry.LivePeers() {
+			if (m.FailureDomain == domain) != (d.identity.FailureDomain == domain) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/peer/rattanmember/watch.go
@@ -0,0 +1,121 @@
+package rattanmember
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+)
+
+// WatchersPerDomain is the number of daemons of each failure domain that hold
+// the watch of a document.
+const WatchersPerDomain = 2
+
+// Watchers returns the daemons that watch name: in each failure domain the
+// perDomain live ones with the highest rendezvous hash. Daemons with the same
+// knowledge of who is live choose the same.
+func (r *Registry) Watchers(name string, perDomain int) []Member {
+	var watchers []Member
+	byDomain := r.LiveByDomain()
+	for _, members := range byDomain {
+		watchers = append(watchers, Highest(name, members, perDomain)...)
+	}
+	slices.SortFunc(watchers, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	return watchers
+}
+
+// Watches reports whether this daemon is one of name's Watchers.
+func (r *Registry) Watches(name string, perDomain int) bool {
+	own := Highest(name, r.LiveByDomain()[r.self.FailureDomain], perDomain)
+	return slices.ContainsFunc(own, func(m Member) bool { return m.VM == r.self.VM })
+}
+
+// Highest returns up to count members with the highest rendezvous hash for
+// name, highest first. The hash covers the VM and not the incarnation, so a
+// restart changes no choice.
+func Highest(name string, members []Member, count int) []Member {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(rank(name, b.VM), rank(name, a.VM)), strings.Compare(a.VM, b.VM))
+	})
+	return ranked[:min(count, len(ranked))]
+}
+
+func rank(name, vm string) uint64 {
+	buffer := binary.AppendUvarint(nil, uint64(len(name)))
+	buffer = append(buffer, name...)
+	return xxhash.Sum64(append(buffer, vm...))
+}
+
+// A Confirmation says which live daemons have a revision in force.
+type Confirmation struct {
+	Confirmed []string
+	Missing   []string
+	// Domains are the failure domains with a daemon among Confirmed.
+	Domains []string
+}
+
+// Confirmed returns who has all settings up to revision in force, by VM name.
+func (r *Registry) Confirmed(revision uint64) Confirmation {
+	var c Confirmation
+	for _, m := range r.Live() {
+		if m.Revisions.Settings < revision {
+			c.Missing = append(c.Missing, m.VM)
+			continue
+		}
+		c.Confirmed = append(c.Confirmed, m.VM)
+		if !slices.Contains(c.Domains, m.FailureDomain) {
+			c.Domains = append(c.Domains, m.FailureDomain)
+		}
+	}
+	return c
+}
+
+// Majority reports whether heard has more than half of the failure domains in
+// all.
+func Majority(heard, all []string) bool {
+	count := 0
+	for _, name := range all {
+		if slices.Contains(heard, name) {
+			count++
+		}
+	}
+	return count > len(all)/2
+}
+
+// Contacted takes an answered exchange; see rattangossip.WithContact.
+func (r *Registry) Contacted(contact rattangossip.Contact) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if old, ok := r.contacts[contact.FailureDomain]; !ok || contact.Sent.After(old) {
+		r.contacts[contact.FailureDomain] = contact.Sent
+	}
+}
+
+// HeardDomains returns the failure domains of which a daemon has answered a
+// request that was sent within the given time, the own one always among them.
+func (r *Registry) HeardDomains(within time.Duration) []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock.Now()
+	heard := []string{r.self.FailureDomain}
+	for name, sent := range r.contacts {
+		if name != r.self.FailureDomain && rattanclock.Elapsed(sent, now) <= within {
+			heard = append(heard, name)
+		}
+	}
+	slices.Sort(heard)
+	return heard
+}
+
+// MajorityHeard reports whether HeardDomains has more than half of all
+// configured failure domains.
+func (r *Registry) MajorityHeard(all []string, within time.Duration) bool {
+	return Majority(r.HeardDomains(within), all)
+}
