Send yamux headers together with what follows them

Each frame took four TLS records, since yamux writes headers and bodies one after the other.

joinConn holds the header of a stream's opening and of data until the next write.

--- a/internal/peer/rattanlink/client_test.go
+++ b/internal/peer/rattanlink/client_test.go
@@ -20,7 +20,7 @@
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
-func listen(t *testing.T, address string) net.Listener {
+func listen(t testing.TB, address string) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -30,7 +30,7 @@
 }
 
 // serve runs server until the returned function is called or the test ends.
-func serve(t *testing.T, server *Server, listener net.Listener) (stop func()) {
+func serve(t testing.TB, server *Server, listener net.Listener) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -46,7 +46,7 @@
 	return stop
 }
 
-func newTestClient(t *testing.T, opts ...Option) *Client {
+func newTestClient(t testing.TB, opts ...Option) *Client {
 	t.Helper()
 	client := NewClient(opts...)
 	t.Cleanup(func() { _ = client.Close() })
@@ -70,7 +70,7 @@
 	return server
 }
 
-func assertBorrow(t *testing.T, client *Client, address string, loan uint64) {
+func assertBorrow(t testing.TB, client *Client, address string, loan uint64) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -217,7 +217,7 @@
 
 // testCertificate returns a self-signed certificate for 127.0.0.1 and the pool
 // that trusts it.
-func testCertificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+func testCertificate(t testing.TB) (tls.Certificate, *x509.CertPool) {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
--- a/internal/peer/rattanlink/peer.go
+++ b/internal/peer/rattanlink/peer.go
@@ -160,7 +160,7 @@
 		}
 		conn = secured
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(&joinConn{Conn: conn}, sessionConfig())
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
