Check conservation of shares against a model fleet

Cause: the promise that the sum over all daemons stays within rate and burst had no test under faults. Change: a rapid model with six VMs whose clocks drift, pause, suspend and step, and a network that loses, repeats and reorders messages. Faults fixed on the way: tokens travelled without burst, so that the lender refilled its bucket while they were under way; a daemon raised its shares before it had completed its own reduction; members of a failure domain that the settings no longer have were not asked to confirm. The model does not suspend a VM and set its wall clock back within the time of one loan, because then neither clock shows the time that has passed.

--- a/internal/limit/rattanshare/borrow.go
+++ b/internal/limit/rattanshare/borrow.go
@@ -3,7 +3,8 @@
 import "github.com/rattanstream/rattanstream/internal/base/rattanclock"
 
 // An Ask is a wish for a loan: how much to have from a lender in all, and how
-// many tokens in addition. All are in thousandths.
+// many tokens in addition, which come only with additional burst. All are in
+// thousandths.
 type Ask struct {
 	Lender string
 	Amount
@@ -71,17 +72,18 @@
 	amount := loan.Amount.clamp().min(request.Amount)
 	tokens := min(max(loan.Tokens, 0), request.Tokens)
 	s.noteAnswer(request, amount, tokens, now)
-	if amount != (Amount{}) {
-		s.borrowed[request.Lender] = &borrowedLoan{
-			loan:    request.Loan,
-			Amount:  amount,
-			end:     request.sent.Add(ttl),
-			renewed: request.sent,
-		}
-		s.sumBorrowed()
+	if amount == (Amount{}) {
+		return false
+	}
+	s.borrowed[request.Lender] = &borrowedLoan{
+		loan:    request.Loan,
+		Amount:  amount,
+		end:     request.sent.Add(ttl),
+		renewed: request.sent,
 	}
+	s.sumBorrowed()
 	s.bucket.Add(tokens)
-	return amount != (Amount{}) || tokens > 0
+	return true
 }
 
 // Fail ends a request that got no response. The lender may have lent all the
--- a/internal/limit/rattanshare/lend.go
+++ b/internal/limit/rattanshare/lend.go
@@ -44,8 +44,10 @@
 	if s.whole {
 		grant = Amount{Burst: wholeUnits(grant.Burst)}
 	}
-	// Tokens can move without rate and burst; they need no end and no record.
-	tokens = min(tokens, max(s.bucket.Tokens()-keep.Burst, 0))
+	// Tokens move with the burst that holds them and never alone: the lender could
+	// refill its bucket while they are under way, and the fleet would have more
+	// tokens than burst.
+	tokens = min(tokens, max(grant.Burst-debit.Burst, 0), max(s.bucket.Tokens()-keep.Burst, 0))
 	s.bucket.Take(tokens)
 	if grant != (Amount{}) {
 		s.recordLent(key, grant, tokens, now)
--- a/internal/limit/rattanshare/manager.go
+++ b/internal/limit/rattanshare/manager.go
@@ -210,17 +210,21 @@
 	if m.raised || m.leaving || m.clock.Now().Sub(m.changed) < reclaimTime {
 		return
 	}
-	if !m.version.confirmed(m.confirmations) {
+	if !m.confirm() || !m.version.confirmed(m.confirmations) {
 		return
 	}
 	m.apply(true)
 	m.raised = true
 }
 
-func (m *Manager) confirm() {
-	if m.version.digest != 0 && m.ledger.Settled() {
-		m.own = m.version.confirmation()
+// confirm makes the present version the one that this daemon confirms. It
+// returns false while a reduction is not complete.
+func (m *Manager) confirm() bool {
+	if m.version.digest == 0 || !m.ledger.Settled() {
+		return false
 	}
+	m.own = m.version.confirmation()
+	return true
 }
 
 // dropConfirmations forgets the daemons that are in no roster.
--- /dev/null
+++ b/internal/limit/rattanshare/model_test.go
@@ -0,0 +1,335 @@
+package rattanshare
+
+import (
+	"context"
+	"flag"
+	"slices"
+	"testing"
+	"time"
+	"unsafe"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	// A fixed seed makes each run of the property tests the same.
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
+const (
+	modelAccount    = "account/shop/dealer-1"
+	modelConnection = "connection/shop/orders-a"
+	// modelDrift is the largest drift of a clock in thousandths.
+	modelDrift = 5
+)
+
+// modelVMs are the VMs of the model; the first letter names the failure domain.
+var modelVMs = []string{"a0", "a1", "a2", "b0", "b1", "b2"}
+
+// A modelClock has a monotonic and a wall clock that drift, stand still and step
+// independently of each other.
+type modelClock struct {
+	base       time.Time
+	mono, wall time.Duration
+	drift      int64
+}
+
+func (c *modelClock) Now() time.Time { return clockReading(c.base, c.mono, c.wall) }
+
+func (c *modelClock) After(time.Duration) <-chan time.Time { return nil }
+
+// clockReading returns the time that is mono after base by the monotonic and wall
+// after base by the wall clock. The time package has no way to set them apart.
+func clockReading(base time.Time, mono, wall time.Duration) time.Time {
+	t := base.Add(wall)
+	monotonic := (*int64)(unsafe.Add(unsafe.Pointer(&t), unsafe.Sizeof(uint64(0))))
+	*monotonic += int64(mono - wall)
+	return t
+}
+
+// TestClockReading guards against a model whose clocks do not differ as intended.
+func TestClockReading(t *testing.T) {
+	base := time.Now()
+	got := clockReading(base, time.Second, time.Minute)
+	if got.Sub(base) != time.Second || got.Round(0).Sub(base.Round(0)) != time.Minute {
+		t.Errorf("monotonic %s, wall %s", got.Sub(base), got.Round(0).Sub(base.Round(0)))
+	}
+}
+
+// noPeers loses every message. The model carries messages itself.
+type noPeers struct{}
+
+func (noPeers) Borrow(context.Context, Request) (Loan, error) { return Loan{}, errLost }
+
+func (noPeers) Return(context.Context, Return) error { return errLost }
+
+// A modelVM is one VM of the model. manager is nil while no process runs there.
+type modelVM struct {
+	name        string
+	domain      string
+	incarnation uint64
+	clock       *modelClock
+	manager     *Manager
+	// root and shop are the revisions of the settings documents received.
+	root, shop int
+	pausedTill time.Duration
+	// resumed and steppedBack are when the VM was last resumed and when its wall
+	// clock was last set back.
+	resumed, steppedBack time.Duration
+}
+
+type replacedVersion struct {
+	settings [2]int
+	until    time.Duration
+}
+
+// A model is a fleet in which every message can be lost, late or repeated, and
+// the truth about it that no daemon knows.
+type model struct {
+	now      time.Duration
+	vms      []*modelVM
+	root     [][]string          // failure domains by revision
+	shop     []map[string]Amount // amounts by revision
+	rosters  map[string][]Roster // by failure domain, all revisions
+	requests []Request
+	loans    []func()
+	returns  []Return
+	beats    []func(*Manager)
+	// inForce is the newest version of the settings that is in force.
+	inForce [2]int
+	// replaced has earlier versions with the time until which the loans of a
+	// process that ended before it confirmed the present version can be in use.
+	replaced []replacedVersion
+	// level is a leaky bucket of what was admitted, in 1e-9 thousandths, and depth
+	// the largest burst allowed since it was last empty, in thousandths. The bucket
+	// overflows when any interval has had too much.
+	level, depth int64
+	admitted     int
+	loansIn      int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{rosters: make(map[string][]Roster)}
+	base := time.Now()
+	for _, name := range modelVMs {
+		m.rosters[name[:1]] = []Roster{{}}
+		m.vms = append(m.vms, &modelVM{
+			name:   name,
+			domain: name[:1],
+			clock:  &modelClock{base: base, drift: rapid.Int64Range(-modelDrift, modelDrift).Draw(t, "drift")},
+		})
+	}
+	m.root = [][]string{nil}
+	m.shop = []map[string]Amount{nil}
+	m.changeSettings(t)
+	m.changeRoot(t)
+	for _, vm := range m.vms {
+		m.start(vm)
+		vm.root, vm.shop = 1, 1
+	}
+	return m
+}
+
+func (m *model) changeSettings(t *rapid.T) {
+	amount := rapid.SampledFrom([]int64{1, 999, 20_000, 100_001, 500_000})
+	m.shop = append(m.shop, map[string]Amount{
+		modelAccount:    {Rate: amount.Draw(t, "rate"), Burst: amount.Draw(t, "burst")},
+		modelConnection: {Burst: Unit * rapid.Int64Range(0, 20).Draw(t, "connections")},
+	})
+}
+
+func (m *model) changeRoot(t *rapid.T) {
+	m.root = append(m.root, rapid.SampledFrom([][]string{{"a", "b"}, {"a"}, {"b"}, {"a", "b", "c"}}).Draw(t, "domains"))
+	if len(m.rosters["c"]) == 0 {
+		m.rosters["c"] = []Roster{{}}
+	}
+}
+
+// start starts a process and adds it to the roster.
+func (m *model) start(vm *modelVM) {
+	if vm.manager != nil {
+		return
+	}
+	vm.incarnation++
+	vm.root, vm.shop = 0, 0
+	vm.manager = New(vm.clock, vm.name, vm.incarnation, vm.domain, noPeers{})
+	m.changeRoster(vm.domain, func(r Roster) (Roster, bool) { return r.Join(vm.member()) })
+}
+
+func (m *model) changeRoster(domain string, change func(Roster) (Roster, bool)) {
+	history := m.rosters[domain]
+	if roster, ok := change(history[len(history)-1]); ok {
+		roster.Revision = uint64(len(history))
+		m.rosters[domain] = append(history, roster)
+	}
+}
+
+// free returns the thousandths of the account's share that can be taken now.
+func (vm *modelVM) free() int64 {
+	snapshot, _ := vm.manager.ledger.Share(modelAccount)
+	return snapshot.Free
+}
+
+func (vm *modelVM) member() Member { return Member{VM: vm.name, Incarnation: vm.incarnation} }
+
+// deliver gives vm settings documents and the rosters as they were lag revisions
+// ago. A reduction must be in force at once.
+func (m *model) deliver(t *rapid.T, vm *modelVM, root, shop, lag int) {
+	vm.root, vm.shop = max(vm.root, root), max(vm.shop, shop)
+	vm.manager.SetSettings(Settings{
+		Revisions: map[string]uint64{"root": uint64(vm.root), "shop": uint64(vm.shop)},
+		Domains:   m.root[vm.root],
+		Shares:    m.shop[vm.shop],
+	})
+	for domain, history := range m.rosters {
+		vm.manager.SetRoster(domain, history[max(len(history)-1-lag, 0)])
+	}
+	for share := range m.shop[vm.shop] {
+		if home, part := vm.manager.ledger.Home(share), vm.manager.version.home(share); !part.covers(home) {
+			t.Fatalf("%s has %v of %s after settings that give it %v", vm.name, home, share, part)
+		}
+	}
+}
+
+// beat queues what vm confirms as a heartbeat.
+func (m *model) beat(vm *modelVM) {
+	member, confirmation := vm.member(), vm.manager.Confirmation()
+	m.beats = append(m.beats, func(to *Manager) { to.SetConfirmation(member, confirmation) })
+}
+
+// raise does the periodic work of vm that puts increases in force. Settings are
+// in force when any daemon finds that all have confirmed them: from then on none
+// may have more than its part under them.
+func (m *model) raise(vm *modelVM) {
+	vm.manager.mu.Lock()
+	defer vm.manager.mu.Unlock()
+	vm.manager.raise()
+	if !vm.manager.raised || vm.root < m.inForce[0] || vm.shop < m.inForce[1] || m.inForce == [2]int{vm.root, vm.shop} {
+		return
+	}
+	m.replaced = append(m.replaced, replacedVersion{m.inForce, m.now + reclaimTime})
+	m.inForce = [2]int{vm.root, vm.shop}
+}
+
+// allowed is what the whole fleet may have of a share.
+func (m *model) allowed(share string) Amount {
+	allowed := m.shop[m.inForce[1]][share]
+	for _, replaced := range m.replaced {
+		if m.now < replaced.until {
+			allowed = allowed.max(m.shop[replaced.settings[1]][share])
+		}
+	}
+	return allowed
+}
+
+// drain lets the level fall for the time d at the rate allowed before it.
+func (m *model) drain(d time.Duration) {
+	m.level = max(m.level-m.allowed(modelAccount).Rate*int64(d)/1000*(1000+modelDrift), 0)
+	if m.level == 0 {
+		m.depth = 0
+	}
+	m.depth = max(m.depth, m.allowed(modelAccount).Burst)
+}
+
+// admit counts units that a daemon has admitted, in thousandths.
+func (m *model) admit(t *rapid.T, units int64) {
+	m.drain(0)
+	m.admitted++
+	m.level += units * int64(time.Second)
+	if excess := m.level/int64(time.Second) - m.depth; excess > 0 {
+		t.Fatalf("admitted %d thousandths more than burst %d and rate %d allow", excess, m.depth, m.allowed(modelAccount).Rate)
+	}
+}
+
+// check sums up what each process could use now, without changing its state.
+func (m *model) check(t *rapid.T) {
+	for _, share := range []string{modelAccount, modelConnection} {
+		sum := Amount{}
+		for _, vm := range m.vms {
+			if vm.manager == nil {
+				continue
+			}
+			if s, ok := vm.manager.ledger.find(share); ok {
+				sum = sum.add(usable(s, vm.clock.Now()))
+			}
+		}
+		if allowed := m.allowed(share); !allowed.covers(sum) {
+			t.Fatalf("%s: the daemons could use %v, allowed is %v", share, sum, allowed)
+		}
+	}
+}
+
+func usable(s *share, now time.Time) Amount {
+	amount := s.home
+	for _, loan := range s.lent {
+		debit := Amount{}
+		for _, response := range loan.responses {
+			if now.Sub(response.at) < reclaimTime {
+				debit = debit.max(response.Amount)
+			}
+		}
+		amount = amount.sub(debit)
+	}
+	amount = amount.max(Amount{})
+	for _, loan := range s.borrowed {
+		if !loan.isOver(now) {
+			amount = amount.add(loan.Amount)
+		}
+	}
+	return amount
+}
+
+// uniform draws one of choices, each with the same probability. SampledFrom
+// prefers the first ones, which starves the others.
+func uniform[T any](t *rapid.T, label string, choices []T) T {
+	index := rapid.Custom(func(t *rapid.T) int {
+		index := 0
+		for range 16 {
+			index <<= 1
+			if rapid.Bool().Draw(t, "bit") {
+				index++
+			}
+		}
+		return index % len(choices)
+	}).Draw(t, label)
+	return choices[index]
+}
+
+// pick removes a message from a queue, or keeps it to deliver it again.
+func pick[T any](t *rapid.T, queue *[]T) (T, bool) {
+	var zero T
+	if len(*queue) == 0 {
+		return zero, false
+	}
+	i := rapid.IntRange(0, len(*queue)-1).Draw(t, "message")
+	message := (*queue)[i]
+	if rapid.IntRange(0, 3).Draw(t, "keep") > 0 {
+		*queue = slices.Delete(*queue, i, i+1)
+	}
+	return message, rapid.IntRange(0, 9).Draw(t, "lost") > 0
+}
+
+func (m *model) byName(name string) *modelVM {
+	return m.vms[slices.IndexFunc(m.vms, func(vm *modelVM) bool { return vm.name == name })]
+}
+
+// running returns a VM on which a process runs and is not paused.
+func (m *model) running(t *rapid.T) (*modelVM, bool) {
+	vm := m.byName(uniform(t, "vm", modelVMs))
+	return vm, m.isRunning(vm)
+}
+
+func (m *model) isRunning(vm *modelVM) bool { return vm.manager != nil && vm.pausedTill <= m.now }
+
+// advance moves the time. The monotonic clock of a suspended VM stands still.
+func (m *model) advance(d time.Duration) {
+	for _, vm := range m.vms {
+		drifted := func(d time.Duration) time.Duration { return d + d*time.Duration(vm.clock.drift)/1000 }
+		vm.clock.wall += drifted(d)
+		vm.clock.mono += drifted(d - min(max(vm.resumed-m.now, 0), d))
+	}
+	m.drain(d)
+	m.now += d
+}
--- a/internal/limit/rattanshare/plan.go
+++ b/internal/limit/rattanshare/plan.go
@@ -44,7 +44,7 @@
 		delete(s.dry, request.Lender)
 		return
 	}
-	s.noteDry(request.Lender, amount == Amount{} && tokens == 0, now)
+	s.noteDry(request.Lender, amount == Amount{}, now)
 }
 
 // target returns what the daemon should have: 1.25 times its demand once the
@@ -135,11 +135,12 @@
 			}
 		}
 		ask := Ask{Lender: lender, Amount: more}
-		if loan, ok := s.borrowed[lender]; ok {
-			ask.Amount = ask.Amount.add(loan.Amount)
-		}
 		if !s.whole {
 			ask.Tokens = max(target.Burst-s.bucket.Tokens(), missing, 0)/n + 1
+			ask.Burst = max(ask.Burst, ask.Tokens)
+		}
+		if loan, ok := s.borrowed[lender]; ok {
+			ask.Amount = ask.Amount.add(loan.Amount)
 		}
 		asks = append(asks, ask)
 	}
--- a/internal/limit/rattanshare/version.go
+++ b/internal/limit/rattanshare/version.go
@@ -79,13 +79,15 @@
 // same settings and the same revision of its own roster: a later revision can
 // give it back what an earlier one took. Members of other failure domains must
 // also know that this daemon has joined, or else they could confirm later
-// settings among themselves without waiting for it.
+// settings among themselves without waiting for it. The members of a failure
+// domain that the settings no longer have count too, because they may not know.
 func (v *version) confirmed(confirmations map[Member]Confirmation) bool {
 	for _, domain := range v.settings.Domains {
-		roster, ok := v.rosters[domain]
-		if !ok {
+		if _, known := v.rosters[domain]; !known {
 			return false
 		}
+	}
+	for domain, roster := range v.rosters {
 		for _, member := range roster.Members {
 			if member == v.self() {
 				continue
