--- /dev/null
+++ b/internal/load/rattancluster/operate.go
@@ -0,0 +1,74 @@
+package rattancluster
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// CallerURLs returns the base URLs of all VMs for callers.
+func (c *Cluster) CallerURLs() []string {
+	urls := make([]string, 0, len(c.vms))
+	for _, vm := range c.vms {
+		urls = append(urls, vm.CallerURL())
+	}
+	return urls
+}
+
+// NewCallerTransport returns an HTTP transport of the callers' machine. The
+// caller closes its idle connections.
+func (c *Cluster) NewCallerTransport() *http.Transport {
+	return &http.Transport{DialContext: c.network.Dialer(CallerHost), MaxIdleConnsPerHost: idleConnections}
+}
+
+// Primary returns the full name of the primary with the highest term of a
+// service's group, "" when it has none.
+func (c *Cluster) Primary(service string) string {
+	var name string
+	var term uint64
+	for candidate, instance := range c.endpoints {
+		status := instance.Status()
+		if status.GetGroup() == Team+"/"+service && status.GetRole() == rattanv1.EndpointRole_ENDPOINT_ROLE_PRIMARY && status.GetTerm() > term {
+			name, term = candidate, status.GetTerm()
+		}
+	}
+	return name
+}
+
+// SetKilled ends an endpoint's process or starts it again, by its full name.
+func (c *Cluster) SetKilled(endpoint string, killed bool) {
+	c.endpoints[endpoint].Adjust(func(controls *rattanendpoint.Controls) { controls.Killed = killed })
+}
+
+// SetRate changes the rate, in requests per second, and the burst of a client
+// account through the operators' service.
+func (c *Cluster) SetRate(ctx context.Context, account string, rate, burst int) (*rattanv1.ApplySettingsResponse, error) {
+	section := "client_account." + account
+	return c.edit(ctx, Team,
+		&rattanv1.SettingsEdit{Section: section, Key: "rate", Value: strconv.Itoa(rate)},
+		&rattanv1.SettingsEdit{Section: section, Key: "burst", Value: strconv.Itoa(burst)})
+}
+
+// SetDrained takes a failure domain out of service or returns it, through the
+// operators' service.
+func (c *Cluster) SetDrained(ctx context.Context, domain string, drained bool) (*rattanv1.ApplySettingsResponse, error) {
+	return c.edit(ctx, rattansettings.RootTeam,
+		&rattanv1.SettingsEdit{Section: "failure_domain." + domain, Key: "drained", Value: strconv.FormatBool(drained)})
+}
+
+// edit changes settings through the last VM, which no script takes out.
+func (c *Cluster) edit(ctx context.Context, team string, edits ...*rattanv1.SettingsEdit) (*rattanv1.ApplySettingsResponse, error) {
+	request := connect.NewRequest(&rattanv1.EditSettingsRequest{Team: team, Edits: edits, ChangeId: randomHex()})
+	response, err := c.Operator(c.vms[len(c.vms)-1], team).EditSettings(ctx, request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "change settings of team %s", team)
+	}
+	return response.Msg, nil
+}
