rattanload: open-loop load, measures, commands load and demo

Cause: nothing measures what callers of a fleet get. Measures count what a token bucket with the account's rate and burst allows.

--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -56,11 +56,13 @@
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	cmd.AddCommand(
 		newAccountCmd(c),
+		newDemoCmd(c),
 		newDomainCmd(c),
 		newDumpCmd(c),
 		newEndpointCmd(c),
 		newGroupCmd(c),
 		newKeyCmd(c),
+		newLoadCmd(c),
 		newRouteCmd(c),
 		newServeCmd(c),
 		newSettingsCmd(c),
--- /dev/null
+++ b/internal/cmd/rattancmd/democmd.go
@@ -0,0 +1,75 @@
+package rattancmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+	"github.com/rattanstream/rattanstream/internal/load/rattanload"
+)
+
+const (
+	// demoDuration leaves half of a minute for start and stop on a busy machine.
+	demoDuration = 30 * time.Second
+	// demoStartTimeout bounds the start of all daemons and stand-ins.
+	demoStartTimeout = 20 * time.Second
+)
+
+func newDemoCmd(c *config) *cobra.Command {
+	f := loadFlags{load: rattanload.Config{Duration: demoDuration}}
+	var scenario string
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole deployment on loopback addresses under load and faults",
+		Long: "Runs a whole deployment in this process on loopback addresses without TLS, sends a load for half a\n" +
+			"minute, and meanwhile kills a primary, raises a rate, and takes a failure domain out and returns it.",
+		Args: exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error { return c.runDemo(cmd.Context(), f, scenario) },
+	}
+	cmd.Flags().StringVar(&scenario, "scenario", "fjordknute", "deployment: fjordknute or palapeli")
+	f.addCommon(cmd)
+	return cmd
+}
+
+func (c *config) runDemo(ctx context.Context, f loadFlags, name string) error {
+	scenario, flooding, err := rattanload.FindScenario(name)
+	if err != nil {
+		return usageError{err}
+	}
+	starting, cancel := context.WithTimeout(ctx, demoStartTimeout)
+	defer cancel()
+	cluster, err := rattancluster.Start(starting, scenario)
+	if err != nil {
+		return errors.Wrap(err, "start the deployment")
+	}
+	defer cluster.Stop()
+	fmt.Fprintf(c.stderr, "%s: %d daemons, %d endpoints; client account %s sends 4 times its rate\n",
+		scenario.Name, len(cluster.VMs()), len(cluster.Endpoints()), flooding)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(rattanload.SettleTime):
+	}
+	f.load = rattanload.ForCluster(cluster, f.load, flooding)
+	scripted := make(chan error, 1)
+	go func() {
+		script := rattancluster.Script{Duration: f.load.Duration, RaiseRate: scenario.Accounts[2].Name, Observe: func(e rattancluster.Event) {
+			f.load.Marks.Add(e.At, rattanload.MarkKind(e.Kind), e.Subject)
+			fmt.Fprintln(c.stderr, e.Detail)
+		}}
+		scripted <- script.Run(ctx, cluster, rattanclock.System())
+	}()
+	report, err := c.sendLoad(ctx, f)
+	if err != nil {
+		return err
+	}
+	if err := <-scripted; err != nil {
+		return err
+	}
+	return c.printReport(report)
+}
--- /dev/null
+++ b/internal/load/rattanload/config.go
@@ -0,0 +1,146 @@
+// Package rattanload sends an open-loop load to daemons over the callers'
+// service and measures what callers get. Arrival times follow from the seed
+// alone; they never depend on answers.
+package rattanload
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+)
+
+// The defaults of Config.
+const (
+	// DefaultTimeout is longer than the goal of a failover, 2 s.
+	DefaultTimeout = 3 * time.Second
+	// DefaultHealthInterval is how often the balancer asks each daemon.
+	DefaultHealthInterval = 500 * time.Millisecond
+	// DefaultInFlight bounds the memory of the generator: about 20 KB per request.
+	DefaultInFlight = 5000
+)
+
+// An Account is a client account that sends requests.
+type Account struct {
+	// Name is the client account's name in reports.
+	Name string
+	// Key is the client account's key as callers send it.
+	Key string
+	// Rate, in requests per second, and Burst, in requests, are the limits in
+	// the settings. They decide which requests are within the rate.
+	Rate, Burst float64
+	// Send is the mean number of requests per second, with exponentially
+	// distributed pauses.
+	Send float64
+	// Flood is the mean number of requests per second between FloodFrom and
+	// FloodUntil after the start. 0 means no flood.
+	Flood                 float64
+	FloodFrom, FloodUntil time.Duration
+}
+
+// sendRate returns the mean number of requests per second at a time of the run.
+func (a Account) sendRate(at time.Duration) float64 {
+	if a.Flood > 0 && at >= a.FloodFrom && at < a.FloodUntil {
+		return a.Flood
+	}
+	return a.Send
+}
+
+// A Config describes a load.
+type Config struct {
+	// URLs are the base URLs of the daemons for callers.
+	URLs []string
+	// Transport carries the requests. The default is http.DefaultTransport.
+	Transport http.RoundTripper
+	// Clock decides when requests are sent. The default is the system's clock.
+	Clock rattanclock.Clock
+	// Seed determines arrivals, kinds, services and the choice of daemons.
+	Seed     uint64
+	Duration time.Duration
+	// Timeout is the deadline of each request.
+	Timeout time.Duration
+	// Services are chosen with equal probability.
+	Services []string
+	// StaleRoute is the route of stale reads in every service.
+	StaleRoute string
+	// ReadShare is the share of reads among all requests, StaleShare the share
+	// of stale reads among reads, Roam the probability that a session moves to
+	// another daemon before a request. All are between 0 and 1.
+	ReadShare, StaleShare, Roam float64
+	Accounts                    []Account
+	// HealthInterval is how often the balancer asks the daemons' health; a
+	// daemon that does not report SERVING gets no requests. Negative means never.
+	HealthInterval time.Duration
+	// InFlight bounds the requests that wait for an answer. Requests over it
+	// are reported with the reason "generator_full".
+	InFlight int
+	// Progress gets a line for every ProgressInterval; nil means none.
+	Progress         io.Writer
+	ProgressInterval time.Duration
+	// Trace gets one JSON line for each request; nil means none.
+	Trace io.Writer
+	// Marks has what is done to the deployment during the run; nil means nothing.
+	Marks *Marks
+}
+
+// A ConfigError says which field of a Config is wrong.
+type ConfigError struct{ Field, Accepted string }
+
+// Error implements the error interface.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("load: %s: accepted is %s", e.Field, e.Accepted)
+}
+
+// withDefaults returns the Config with defaults, or a *ConfigError.
+func (c Config) withDefaults() (Config, error) {
+	if c.Transport == nil {
+		c.Transport = http.DefaultTransport
+	}
+	if c.Clock == nil {
+		c.Clock = rattanclock.System()
+	}
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	if c.HealthInterval == 0 {
+		c.HealthInterval = DefaultHealthInterval
+	}
+	if c.InFlight == 0 {
+		c.InFlight = DefaultInFlight
+	}
+	if c.ProgressInterval == 0 {
+		c.ProgressInterval = time.Second
+	}
+	if c.Marks == nil {
+		c.Marks = &Marks{}
+	}
+	return c, c.check()
+}
+
+func (c Config) check() error {
+	switch {
+	case len(c.URLs) == 0:
+		return &ConfigError{"URLs", "at least one URL"}
+	case len(c.Services) == 0:
+		return &ConfigError{"Services", "at least one service"}
+	case len(c.Accounts) == 0:
+		return &ConfigError{"Accounts", "at least one client account"}
+	case c.Duration <= 0:
+		return &ConfigError{"Duration", "more than 0"}
+	case c.Timeout < 0 || c.ProgressInterval < 0 || c.InFlight < 0:
+		return &ConfigError{"Timeout, ProgressInterval and InFlight", "at least 0"}
+	}
+	for name, share := range map[string]float64{"ReadShare": c.ReadShare, "StaleShare": c.StaleShare, "Roam": c.Roam} {
+		if !(share >= 0 && share <= 1) {
+			return &ConfigError{name, "0 to 1"}
+		}
+	}
+	for _, account := range c.Accounts {
+		if account.Name == "" || account.Rate <= 0 || account.Burst < 1 || account.Send <= 0 || account.Flood < 0 {
+			return &ConfigError{fmt.Sprintf("client account %q", account.Name), "a name, Rate and Send over 0, Burst of at least 1, Flood of at least 0"}
+		}
+	}
+	return nil
+}
