rattanadapter: pass the dial function in the client's test

Cause: NewHTTPClient takes a dial function since the network is replaceable. Change: the test passes the one of net.Dialer. Measured: go test ./internal/endpoint/rattanadapter passes.

--- a/internal/endpoint/rattanadapter/client_test.go
+++ b/internal/endpoint/rattanadapter/client_test.go
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	listener.Close()
-	client := Dial(NewHTTPClient(), listener.Addr().String(), "vm-1", 0)
+	client := Dial(NewHTTPClient((&net.Dialer{}).DialContext), listener.Addr().String(), "vm-1", 0)
 	_, refused := client.Status(t.Context())
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
