rattandaemon: count peers as fresh only in sync; stop spending when cut off

Cause: three gaps. A peer's freshness counted before its withdrawals had arrived. The platform's list may leave out a VM that is only cut off, whose home share the others would then take while it still spends. A settings change that replaces two endpoints of a group at once can give majorities without a common endpoint. Ruled out: a time limit on all home shares, which would end service of a failure domain that is cut off whole. Change: freshness counts only exchanges after which both sides hold the same records; a VM is removed from the roster only after 10 s of silence as well, and a daemon that hears neither platform nor roster for 5 s stops spending; CheckChange refuses more than one added or removed endpoint of a group.

--- a/internal/config/rattansettings/change.go
+++ b/internal/config/rattansettings/change.go
@@ -1,6 +1,9 @@
 package rattansettings
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // CheckChange reports what a new document may not change: a withdrawn key stays
 // in the document and stays withdrawn, because a daemon that starts anew learns
@@ -27,7 +30,42 @@
 			faults = append(faults, withdrawalFault(after, key.id))
 		}
 	}
-	return NewFaultsError(faults)
+	return NewFaultsError(append(faults, membershipFaults(before, after)...))
+}
+
+// membershipFaults reports groups of which more than one endpoint is added or
+// removed at once. Majorities before and after such a change need not have an
+// endpoint in common, so two primaries could have their writes acknowledged.
+func membershipFaults(before, after *Document) []Fault {
+	var faults []Fault
+	for _, group := range after.groups {
+		at := slices.IndexFunc(before.groups, func(old Group) bool { return old.name == group.name })
+		if at < 0 || differences(before.groups[at].endpoints, group.endpoints) <= 1 {
+			continue
+		}
+		faults = append(faults, Fault{
+			path: DocumentPath(after.team), section: "group." + localName(group.name), key: "endpoints",
+			problem:  "more than one endpoint is added or removed at once",
+			accepted: "a change of one endpoint; wait until it is in force everywhere before the next",
+		})
+	}
+	return faults
+}
+
+// differences returns how many names are in one list only.
+func differences(a, b []string) int {
+	count := 0
+	for _, name := range a {
+		if !slices.Contains(b, name) {
+			count++
+		}
+	}
+	for _, name := range b {
+		if !slices.Contains(a, name) {
+			count++
+		}
+	}
+	return count
 }
 
 func withdrawalFault(document *Document, id string) Fault {
--- a/internal/config/rattansettings/change_test.go
+++ b/internal/config/rattansettings/change_test.go
@@ -1,6 +1,7 @@
 package rattansettings
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -91,3 +92,31 @@
 		}
 	}
 }
+
+// TestGroupMembership guards against two changes of a group at once, after which
+// two majorities without a common endpoint could acknowledge writes.
+func TestGroupMembership(t *testing.T) {
+	document := func(endpoints string) *Document {
+		var text strings.Builder
+		for i, name := range []string{"a", "b", "c", "d", "e"} {
+			fmt.Fprintf(&text, "[endpoint.%s]\naddress = 127.0.0.1:800%d\nfailure_domain = a\nconnections = 20\nslots = 3\n\n", name, i)
+		}
+		return mustParse(t, "shop", text.String()+"[group.orders]\nendpoints = "+endpoints+"\n", 1)
+	}
+	for _, tc := range []struct {
+		name, after string
+		ok          bool
+	}{
+		{"same", "c, a, b", true},
+		{"one added", "a, b, c, d", true},
+		{"one removed", "a, b", true},
+		{"one replaced", "a, b, d", false},
+		{"two added", "a, b, c, d, e", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if err := CheckChange(document("a, b, c"), document(tc.after), nil); (err == nil) != tc.ok {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/daemon/rattandaemon/daemon.go
+++ b/internal/daemon/rattandaemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"connectrpc.com/grpchealth"
 	"github.com/charmbracelet/log"
@@ -202,6 +203,10 @@
 // contacted takes an answered exchange with a peer.
 func (d *Daemon) contacted(contact rattangossip.Contact) {
 	d.members.Contacted(contact)
+	if !contact.InSync {
+		return // the peer may know of withdrawals that are not known here yet
+	}
+	d.shares.contacted(contact.VM)
 	d.ring.Freshness().Peer(contact.FailureDomain, contact.Sent, contact.FreshAge, contact.FreshKnown)
 }
 
@@ -235,6 +240,10 @@
 		store:   d.store,
 		members: d.members,
 		rosters: make(map[string]rattanshare.Roster),
+
+		freshness: d.ring.Freshness(),
+		contacts:  make(map[string]time.Time),
+		started:   d.clock.Now(),
 	}
 	d.shares.register()
 }
--- a/internal/daemon/rattandaemon/shares.go
+++ b/internal/daemon/rattandaemon/shares.go
@@ -11,7 +11,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanservice"
+	"github.com/rattanstream/rattanstream/internal/config/rattankey"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/config/rattanstore"
 	"github.com/rattanstream/rattanstream/internal/limit/rattanshare"
@@ -25,6 +27,14 @@
 	rosterInterval = 2 * time.Second
 	// rosterTimeout bounds one change of the roster.
 	rosterTimeout = 5 * time.Second
+	// isolatedTime is the silence after which a daemon stops spending its home
+	// shares, because others may have removed it from the roster.
+	isolatedTime = 5 * time.Second
+	// removalSilence is how long a VM that is gone from the platform's list must
+	// be silent before it is removed from the roster. It is longer than
+	// isolatedTime with the drift of clocks, since the list may leave out a VM
+	// that is only cut off.
+	removalSilence = 2 * isolatedTime
 	// confirmInterval is how often a daemon publishes what its shares follow.
 	confirmInterval = 200 * time.Millisecond
 )
@@ -38,18 +48,29 @@
 	gossip  *rattangossip.Store
 	store   *rattanstore.Store
 	members *rattanmember.Registry
+	// freshness is the age of what this daemon knows of the platform.
+	freshness *rattankey.Freshness
 
 	mutex     sync.Mutex
 	rosters   map[string]rattanshare.Roster
 	sent      rattanshare.Confirmation
 	version   uint64
 	departure rattanshare.Departures
+	started   time.Time
+	// contacts has when each daemon last answered.
+	contacts map[string]time.Time
 }
 
 var _ rattanservice.Admitter = (*shares)(nil)
 
-// Admit implements rattanservice.Admitter.
+// Admit implements rattanservice.Admitter. A daemon that is cut off from the
+// platform and from its whole failure domain may have been removed from the
+// roster, so it does not spend its home shares.
 func (s *shares) Admit(ctx context.Context, clientAccount string) error {
+	if s.isolated() {
+		return rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAVAILABLE, retryNotFresh,
+			"VM %s is cut off from the platform and from its failure domain", s.self.VM)
+	}
 	return s.manager.Admit(ctx, rattanshare.AccountShare(clientAccount))
 }
 
@@ -64,6 +85,36 @@
 	return max(1, int(share.Limit.Burst/rattanshare.Unit))
 }
 
+// contacted notes an answer of another daemon.
+func (s *shares) contacted(vm string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.contacts[vm] = s.clock.Now()
+}
+
+// isolated reports whether this daemon has heard neither the platform, directly
+// or through peers, nor another member of its roster within isolatedTime. The
+// only member of a roster is never isolated: nobody else can take its share.
+func (s *shares) isolated() bool {
+	if age, known := s.freshness.Age(); known && age <= isolatedTime {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	alone := true
+	now := s.clock.Now()
+	for _, member := range s.rosters[s.self.FailureDomain].Members {
+		if member.VM == s.self.VM {
+			continue
+		}
+		alone = false
+		if heard, ok := s.contacts[member.VM]; ok && rattanclock.Elapsed(heard, now) <= isolatedTime {
+			return false
+		}
+	}
+	return !alone
+}
+
 // register subscribes to rosters and confirmations of other daemons.
 func (s *shares) register() {
 	s.gossip.Register(rattanv1.RecordKind_RECORD_KIND_ROSTER, func(records []rattangossip.Record) {
@@ -235,10 +286,24 @@
 		members = append(members, member.VM)
 	}
 	s.departure.Observe(s.clock.Now(), listed, members)
-	if !slices.ContainsFunc(members, s.departure.Gone) {
+	if !slices.ContainsFunc(members, s.gone) {
 		return nil
 	}
-	return s.changeRoster(ctx, func(roster rattanshare.Roster) (rattanshare.Roster, bool) { return roster.Remove(s.departure.Gone) })
+	return s.changeRoster(ctx, func(roster rattanshare.Roster) (rattanshare.Roster, bool) { return roster.Remove(s.gone) })
+}
+
+// gone reports whether a VM has ended for certain: the platform's list does not
+// have it any more, and its heartbeat has been silent for long enough that its
+// daemon, if it is only cut off, has stopped spending.
+func (s *shares) gone(vm string) bool {
+	if !s.departure.Gone(vm) {
+		return false
+	}
+	member, known := s.members.Member(vm)
+	if known && member.Heard {
+		return member.Silent > removalSilence
+	}
+	return s.clock.Now().Sub(s.started) > removalSilence
 }
 
 // changeRoster changes the roster of the own failure domain by compare-and-swap.
--- a/internal/daemon/rattanendpoints/endpoint.go
+++ b/internal/daemon/rattanendpoints/endpoint.go
@@ -39,7 +39,7 @@
 func (e *Endpoint) Started() int { return e.work.startedLastSecond() }
 
 // Blocked implements rattanexecutor.Runner.
-func (e *Endpoint) Blocked() bool { return e.pool.Breaker() == rattanpool.BreakerOpen }
+func (e *Endpoint) Blocked() bool { return e.pool.Breaker() != rattanpool.BreakerClosed }
 
 // Run implements rattanexecutor.Runner.
 func (e *Endpoint) Run(ctx context.Context, job rattanexecutor.Job, request *rattanv1.RunStatementsRequest) (*rattanv1.RunStatementsResponse, error) {
--- a/internal/load/rattancluster/vm.go
+++ b/internal/load/rattancluster/vm.go
@@ -16,6 +16,9 @@
 	domain  string
 	host    string
 
+	// starting is held while a daemon starts.
+	starting sync.Mutex
+
 	mutex  sync.Mutex
 	daemon *rattandaemon.Daemon
 	cancel context.CancelFunc
@@ -53,8 +56,16 @@
 	return v.client
 }
 
-// Start starts a daemon on the VM.
+// Start starts a daemon on the VM, unless one runs there.
 func (v *VM) Start() error {
+	v.starting.Lock()
+	defer v.starting.Unlock()
+	v.mutex.Lock()
+	running := v.cancel != nil
+	v.mutex.Unlock()
+	if running {
+		return nil
+	}
 	process, err := rattansettings.ParseProcess(v.name+".ini", v.cluster.processText(v))
 	if err != nil {
 		return err
--- a/internal/peer/rattangossip/exchange.go
+++ b/internal/peer/rattangossip/exchange.go
@@ -66,6 +66,9 @@
 	// answered, valid when FreshKnown.
 	FreshAge   time.Duration
 	FreshKnown bool
+	// InSync is true when the peer held the same records when it answered. What
+	// the peer knows of withdrawals is then known here too.
+	InSync bool
 }
 
 // An Exchange decides what the messages between two daemons contain.
@@ -203,6 +206,7 @@
 		Sent:          sent,
 		FreshAge:      time.Duration(response.GetFreshAgeMs()) * time.Millisecond,
 		FreshKnown:    response.GetFreshKnown(),
+		InSync:        response.GetDigest() == e.store.Digest(),
 	})
 	if len(response.GetWanted()) > 0 {
 		return e.wanted(response.GetWanted())
