Start one new term, not two, for a stranded replica

A replica that has promised a higher term to a dead coordinator is taken in again by a new term.

Merge computes the time anew, and the monitor decides only while no promotion of its own runs.

--- a/internal/endpoint/rattanfailover/failover_test.go
+++ b/internal/endpoint/rattanfailover/failover_test.go
@@ -1,6 +1,7 @@
 package rattanfailover
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -145,6 +146,7 @@
 			w.cut(inside, w.others(inside...))
 			w.cut(w.others(inside...), inside)
 		}, 1},
+		{"one failure domain does not reach the primary", func(w *world) { w.cut([]string{"a"}, []string{"b1", "b2"}) }, 1},
 		{"both replicas down", func(w *world) { w.kill("b"); w.kill("c") }, 1},
 		{"replica fenced by a coordinator that died", func(w *world) {
 			d := w.daemons["b1"]
@@ -203,9 +205,12 @@
 				tc.prepare(w)
 				d, started := w.daemons["b1"], time.Now()
 				promotion, err := d.coordinator.Promote(d.dead, group, tc.target)
-				if !errorIs(err, tc.err) {
+				if !errors.Is(err, tc.err) {
 					t.Errorf("got %v, want %v", err, tc.err)
 				}
+				if got := w.endpoints["a"].Status(); errors.Is(tc.err, ErrTargetBehind) && got.GetPromisedTerm() != 1 {
+					t.Errorf("a has promised term %d for a target that is behind", got.GetPromisedTerm())
+				}
 				if got := w.endpoints[tc.primary].Status(); got.GetPrimary() != tc.primary && tc.err != ErrNoMajority {
 					t.Errorf("%s follows %q, want it primary", tc.primary, got.GetPrimary())
 				}
--- a/internal/endpoint/rattanfailover/monitor.go
+++ b/internal/endpoint/rattanfailover/monitor.go
@@ -153,11 +153,17 @@
 	if own, news := m.detector.Opinion(); news {
 		m.publish(own)
 	}
-	decision := m.detector.Decide()
-	heal := m.detector.first() && m.tracker.Stranded(m.group) > strandedTime
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.busy || !decision.Failover && !heal || ctx.Err() != nil {
+	if m.busy || ctx.Err() != nil {
+		return
+	}
+	// Both are evaluated while no promotion runs: a result from before the end of
+	// one would start another.
+	decision := m.detector.Decide()
+	primary := m.tracker.View(m.group).Primary
+	heal := primary != "" && m.detector.first() && m.tracker.Stranded(m.group) > strandedTime
+	if !decision.Failover && !heal {
 		return
 	}
 	m.busy = true
@@ -165,7 +171,7 @@
 		if decision.Failover {
 			m.report(m.coordinator.Failover(ctx, m.group, decision.Term))
 		} else {
-			m.report(m.coordinator.Promote(ctx, m.group, m.tracker.View(m.group).Primary))
+			m.report(m.coordinator.Promote(ctx, m.group, primary))
 		}
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/endpoint/rattanfailover/property_test.go
+++ b/internal/endpoint/rattanfailover/property_test.go
@@ -1,7 +1,6 @@
 package rattanfailover
 
 import (
-	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,10 +10,6 @@
 	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
 )
 
-func errorIs(err, target error) bool {
-	return target == nil && err == nil || target != nil && errors.Is(err, target)
-}
-
 // fault is one step of a random plan.
 type fault struct {
 	kind     string
--- a/internal/endpoint/rattanfailover/tracker.go
+++ b/internal/endpoint/rattanfailover/tracker.go
@@ -175,6 +175,7 @@
 		if _, ok := tracked.view.Endpoint(view.Primary); ok {
 			tracked.view.Primary = view.Primary
 		}
+		tracked.observeStranded(t.clock.Now())
 	}
 	for i := range tracked.view.Endpoints {
 		mine := &tracked.view.Endpoints[i]
