Refuse at once behind a long queue and bound the work of an overload

Cause: every request of an overloaded client account waited 25 ms although others before it took all of the refill, and a roster change sorted all members for each share. A pending increase could come into force while loans of a member that had just left another failure domain were in use. Change: the wait and the retry-after count the requests before; the home daemons are selected without a sort; a member's removal restarts the wait before increases.

--- a/internal/limit/rattanbucket/bucket.go
+++ b/internal/limit/rattanbucket/bucket.go
@@ -80,16 +80,18 @@
 	b.clamp()
 }
 
-// Wait returns the time until the bucket holds units thousandths, as of the
-// last Refill. The second result is false when it never will.
-func (b *Bucket) Wait(units int64) (time.Duration, bool) {
-	if units <= b.tokens {
+// Wait returns the time until units thousandths can be taken after others have
+// taken ahead thousandths, as of the last Refill. The second result is false when
+// that is never.
+func (b *Bucket) Wait(units, ahead int64) (time.Duration, bool) {
+	missing := units + ahead - b.tokens
+	if missing <= 0 {
 		return 0, true
 	}
 	if units > b.depth || b.rate == 0 {
 		return 0, false
 	}
-	high, low := bits.Mul64(uint64(units-b.tokens), uint64(time.Second))
+	high, low := bits.Mul64(uint64(missing), uint64(time.Second))
 	low, borrow := bits.Sub64(low, b.fraction, 0)
 	high -= borrow
 	low, carry := bits.Add64(low, uint64(b.rate-1), 0)
--- a/internal/limit/rattanshare/admit.go
+++ b/internal/limit/rattanshare/admit.go
@@ -47,15 +47,15 @@
 }
 
 func (m *Manager) admitWaiting(ctx context.Context, share string) error {
-	w, ok := m.startWaiting(share)
-	if !ok {
+	w, ahead := m.startWaiting(share)
+	if w == nil {
 		return m.refuse(share, 0)
 	}
 	defer m.stopWaiting(share, w)
 	start := m.clock.Now()
 	for {
 		progress, missing := m.look(w)
-		ok, retryAfter := m.ledger.take(share, Unit, false)
+		ok, retryAfter := m.ledger.take(share, Unit, min(ahead, missing-Unit), false)
 		if ok {
 			return nil
 		}
@@ -70,7 +70,7 @@
 		}
 		if !m.ledger.Borrowing(share) && (retryAfter == 0 || retryAfter > left) {
 			// An answer that came since progress was read may have brought tokens.
-			if ok, _ := m.ledger.take(share, Unit, false); ok {
+			if ok, _ := m.ledger.take(share, Unit, 0, false); ok {
 				return nil
 			}
 			return m.refuse(share, retryAfter)
@@ -98,7 +98,9 @@
 	return rattanerr.NewNotRun(rattanv1.Reason_REASON_OVER_RATE, retryAfter, "%s is used up", share)
 }
 
-func (m *Manager) startWaiting(share string) (*wait, bool) {
+// startWaiting counts a request that waits. It returns the units that the requests
+// before it want, in thousandths, and nil when too many wait.
+func (m *Manager) startWaiting(share string) (*wait, int64) {
 	m.waitMu.Lock()
 	defer m.waitMu.Unlock()
 	w, ok := m.waits[share]
@@ -107,10 +109,10 @@
 		m.waits[share] = w
 	}
 	if w.waiting >= maxWaiting {
-		return nil, false
+		return nil, 0
 	}
 	w.waiting++
-	return w, true
+	return w, (w.waiting - 1) * Unit
 }
 
 func (m *Manager) stopWaiting(share string, w *wait) {
--- a/internal/limit/rattanshare/bench_test.go
+++ b/internal/limit/rattanshare/bench_test.go
@@ -89,3 +89,25 @@
 		})
 	}
 }
+
+// BenchmarkSetRoster applies a change of the roster of 110 daemons.
+func BenchmarkSetRoster(b *testing.B) {
+	for _, n := range benchShares {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			shares := make(map[string]Amount, n)
+			for i := range n {
+				shares[AccountShare("shop/dealer-"+strconv.Itoa(i))] = Amount{Rate: Unit, Burst: Unit}
+			}
+			roster := Roster{}
+			for i := range 110 {
+				roster, _ = roster.Join(Member{VM: "vm-" + strconv.Itoa(i), Incarnation: 1})
+			}
+			m := New(rattanclock.System(), "vm-1", 1, "a", noPeers{})
+			m.SetSettings(Settings{Revisions: map[string]uint64{"shop": 1}, Domains: []string{"a", "b"}, Shares: shares})
+			for b.Loop() {
+				roster.Revision++
+				m.SetRoster("a", roster)
+			}
+		})
+	}
+}
--- a/internal/limit/rattanshare/fleet_test.go
+++ b/internal/limit/rattanshare/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	names    []string
 	down     sync.Map // VMs that do not answer
 	cancel   context.CancelFunc
+	// asked is the number of requests for loans.
+	asked atomic.Int64
 }
 
 type fleetPeers struct{ f *fleet }
@@ -29,6 +32,7 @@
 const fleetDelay = time.Millisecond
 
 func (p fleetPeers) Borrow(ctx context.Context, request Request) (Loan, error) {
+	p.f.asked.Add(1)
 	time.Sleep(fleetDelay)
 	if _, down := p.f.down.Load(request.Lender); down {
 		<-ctx.Done()
--- a/internal/limit/rattanshare/home.go
+++ b/internal/limit/rattanshare/home.go
@@ -11,28 +11,32 @@
 // home shares of one share.
 const HomeDaemons = 8
 
-// rank returns names in rendezvous order for key: each name's place depends only
-// on its own hash, so that a name that comes or goes moves no other.
-func rank(key string, names []string) []string {
+// rank returns the first limit names in rendezvous order for key: each name's
+// place depends only on its own hash, so that a name that comes or goes moves no
+// other.
+func rank(key string, names []string, limit int) []string {
 	type scored struct {
 		name  string
 		score uint64
 	}
-	order := make([]scored, 0, len(names))
-	digest := xxhash.New()
+	compare := func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	}
+	first := make([]scored, 0, min(limit, len(names))+1)
+	buffer := make([]byte, 0, 128)
 	for _, name := range names {
-		digest.Reset()
-		// Writing to a digest does not fail. The zero byte separates key and name.
-		_, _ = digest.WriteString(key)
-		_, _ = digest.Write([]byte{0})
-		_, _ = digest.WriteString(name)
-		order = append(order, scored{name: name, score: digest.Sum64()})
+		// The zero byte separates key and name.
+		buffer = append(append(append(buffer[:0], key...), 0), name...)
+		one := scored{name: name, score: xxhash.Sum64(buffer)}
+		if len(first) == limit && compare(one, first[limit-1]) > 0 {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(first, one, compare)
+		first = slices.Insert(first, i, one)
+		first = first[:min(len(first), limit)]
 	}
-	slices.SortFunc(order, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
-	ranked := make([]string, len(order))
-	for i, s := range order {
+	ranked := make([]string, len(first))
+	for i, s := range first {
 		ranked[i] = s.name
 	}
 	return ranked
@@ -45,8 +49,7 @@
 	for i, member := range roster.Members {
 		names[i] = member.VM
 	}
-	ranked := rank(share, names)
-	return ranked[:min(len(ranked), HomeDaemons)]
+	return rank(share, names, HomeDaemons)
 }
 
 // HomeShare returns the part of total that vm of domain holds, when domains are
@@ -54,7 +57,7 @@
 // when vm is not a home daemon of the share.
 func HomeShare(share string, total Amount, domains []string, domain string, roster Roster, vm string) Amount {
 	whole := isWhole(share)
-	ofDomain := total.clamp().part(slices.Index(rank(share, domains), domain), len(domains), whole)
+	ofDomain := total.clamp().part(slices.Index(rank(share, domains, len(domains)), domain), len(domains), whole)
 	homes := Homes(share, roster)
 	return ofDomain.part(slices.Index(homes, vm), len(homes), whole)
 }
--- a/internal/limit/rattanshare/ledger.go
+++ b/internal/limit/rattanshare/ledger.go
@@ -69,11 +69,12 @@
 // the share has too few, it takes nothing and returns the time after which its
 // own refill suffices, or 0 when it never does. A share without SetHome has nothing.
 func (l *Ledger) Take(name string, units int64) (ok bool, retryAfter time.Duration) {
-	return l.take(name, units, true)
+	return l.take(name, units, 0, true)
 }
 
-// take is Take; counted is false when a waiting request tries again.
-func (l *Ledger) take(name string, units int64, counted bool) (ok bool, retryAfter time.Duration) {
+// take is Take for a request behind which others with ahead thousandths wait;
+// counted is false when a waiting request tries again.
+func (l *Ledger) take(name string, units, ahead int64, counted bool) (ok bool, retryAfter time.Duration) {
 	s, ok := l.find(name)
 	if !ok {
 		return false, 0
@@ -92,7 +93,7 @@
 	if s.whole {
 		return false, 0
 	}
-	wait, _ := s.bucket.Wait(units)
+	wait, _ := s.bucket.Wait(units, ahead)
 	return false, wait
 }
 
--- a/internal/limit/rattanshare/manager.go
+++ b/internal/limit/rattanshare/manager.go
@@ -135,6 +135,12 @@
 	m.version.rosters[domain] = roster
 	clear(m.lenders)
 	m.dropConfirmations()
+	for _, member := range old.Members {
+		if !roster.Has(member) {
+			// What the member has lent can still be in use.
+			m.changed = m.clock.Now()
+		}
+	}
 	if domain != m.version.domain {
 		m.confirm()
 		return
--- a/internal/limit/rattanshare/manager_test.go
+++ b/internal/limit/rattanshare/manager_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,3 +182,38 @@
 		})
 	}
 }
+
+// TestOverload guards against a client account that sends five times its rate and
+// gets more than its rate and burst, or much less, and against daemons that ask
+// each other without bound meanwhile.
+func TestOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		whole := Amount{Rate: 200 * Unit, Burst: 400 * Unit}
+		f := newFleet(t, 3, map[string]Amount{testShare: whole})
+		defer f.cancel()
+		random := rand.New(rand.NewPCG(20261204, 2))
+		const seconds, perSecond = 20, 1000
+		var admitted atomic.Int64
+		var running sync.WaitGroup
+		for range seconds * perSecond {
+			time.Sleep(time.Second / perSecond)
+			m := f.managers[f.names[random.IntN(len(f.names))]]
+			running.Go(func() {
+				if m.Admit(t.Context(), testShare) == nil {
+					admitted.Add(1)
+				}
+			})
+		}
+		running.Wait()
+		// The last requests wait for WaitTime at most.
+		most := (whole.Burst + whole.Rate*seconds + whole.Rate*int64(WaitTime)/int64(time.Second)) / Unit
+		asked := f.asked.Load() / int64(seconds*len(f.names))
+		t.Logf("admitted %d of at most %d; each daemon asked %d times per second", admitted.Load(), most, asked)
+		if admitted.Load() > most || admitted.Load() < most*95/100 {
+			t.Errorf("admitted %d, want 95%% to 100%% of %d", admitted.Load(), most)
+		}
+		if asked > 50 {
+			t.Errorf("each daemon asked %d times per second, want at most 50", asked)
+		}
+	})
+}
--- a/internal/limit/rattanshare/version.go
+++ b/internal/limit/rattanshare/version.go
@@ -123,5 +123,5 @@
 		}
 	}
 	key := share + "\x00" + v.vm
-	return append(rank(key, near), rank(key, far)...)
+	return append(rank(key, near, len(near)), rank(key, far, len(far))...)
 }
