rattandaemon: ask the fleet for the work on a failure domain

Cause: an operator who takes a failure domain out saw the work of one daemon only. Change: a peer request for the load on endpoints; GetFleet sums the answers.

--- a/internal/daemon/rattandaemon/operator.go
+++ b/internal/daemon/rattandaemon/operator.go
@@ -12,7 +12,7 @@
 
 // operatorHandler returns the operators' service over this daemon's state.
 func (d *Daemon) operatorHandler() http.Handler {
-	view := &operatorView{daemon: d}
+	view := &operatorView{daemon: d, load: &fleetLoad{clock: d.clock, ask: d.askLoads}}
 	service := rattanoperator.New(rattanoperator.Dependencies{
 		Clock:    d.clock,
 		Store:    d.store,
@@ -28,7 +28,10 @@
 }
 
 // An operatorView shows this daemon's state to the operators' service.
-type operatorView struct{ daemon *Daemon }
+type operatorView struct {
+	daemon *Daemon
+	load   *fleetLoad
+}
 
 var (
 	_ rattanoperator.Settings = (*operatorView)(nil)
@@ -83,7 +86,8 @@
 
 // DomainLoad implements rattanoperator.Fleet.
 func (v *operatorView) DomainLoad(failureDomain string) (running, started uint32) {
-	return v.daemon.domainLoad(failureDomain)
+	load := v.load.domain(failureDomain)
+	return load.running, load.started
 }
 
 // Groups implements rattanoperator.Groups.
--- a/internal/daemon/rattandaemon/peerlink.go
+++ b/internal/daemon/rattandaemon/peerlink.go
@@ -103,6 +103,7 @@
 	server.Handle(rattanlink.KindBorrow, d.handleBorrow)
 	server.Handle(rattanlink.KindReturnLoan, d.handleReturn)
 	server.Handle(rattanlink.KindForward, d.handleForward)
+	server.Handle(rattanlink.KindLoad, d.handleLoad)
 }
 
 func (d *Daemon) handleBorrow(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
--- a/internal/peer/rattanlink/kind.go
+++ b/internal/peer/rattanlink/kind.go
@@ -13,6 +13,7 @@
 	KindBorrow
 	KindReturnLoan
 	KindForward
+	KindLoad
 )
 
 // String returns the snake case name of k.
@@ -26,6 +27,8 @@
 		return "return_loan"
 	case KindForward:
 		return "forward"
+	case KindLoad:
+		return "load"
 	default:
 		return "unknown"
 	}
@@ -42,6 +45,8 @@
 		return KindReturnLoan
 	case *rattanv1.PeerFrame_ForwardRequest:
 		return KindForward
+	case *rattanv1.PeerFrame_LoadRequest:
+		return KindLoad
 	default:
 		return KindUnknown
 	}
