rattanservice: merge the session tokens of concurrent answers

Cause: a caller with concurrent requests holds several tokens, and only the first header was read, so a write of another answer could be missing from a later read. Change: all values of the header are opened and merged by maximum.

--- a/internal/caller/rattanservice/call.go
+++ b/internal/caller/rattanservice/call.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Service) newCall(ctx context.Context, header http.Header, identity Identity, route Route) (*call, error) {
-	session, err := s.sessions.Open(header.Get(SessionHeader), identity.ClientAccount)
+	session, err := s.sessions.Open(header.Values(SessionHeader), identity.ClientAccount)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/caller/rattanservice/dependencies.go
+++ b/internal/caller/rattanservice/dependencies.go
@@ -110,7 +110,9 @@
 
 // Sessions seals and opens session tokens. Its errors are *rattanerr.Refusal.
 type Sessions interface {
-	Open(token, clientAccount string) (Session, error)
+	// Open returns the session of the tokens: a caller with concurrent requests
+	// holds a token of each answer.
+	Open(tokens []string, clientAccount string) (Session, error)
 }
 
 // A Session is an opened session token.
--- a/internal/daemon/rattandaemon/sessions.go
+++ b/internal/daemon/rattandaemon/sessions.go
@@ -19,13 +19,16 @@
 
 // Open implements rattanservice.Sessions. A token that cannot be opened is
 // refused: serving the request without it could break read-your-writes.
-func (s *sessions) Open(token, clientAccount string) (rattanservice.Session, error) {
-	opened, err := s.sealer.OpenFor(token, clientAccount)
-	if err != nil {
-		return nil, rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0, "header %s: %s", rattanservice.SessionHeader, err)
+func (s *sessions) Open(tokens []string, clientAccount string) (rattanservice.Session, error) {
+	merged := rattansession.Token{ClientAccount: clientAccount}
+	for _, token := range tokens {
+		opened, err := s.sealer.OpenFor(token, clientAccount)
+		if err != nil {
+			return nil, rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0, "header %s: %s", rattanservice.SessionHeader, err)
+		}
+		merged = merged.Merge(opened)
 	}
-	opened.ClientAccount = clientAccount
-	return &session{sessions: s, token: opened}, nil
+	return &session{sessions: s, token: merged}, nil
 }
 
 // A session is one caller's opened token.
