rattanexecutor: let reads go on to the next endpoint when a queue is full

Cause: a read was refused as overloaded at the first replica although another had room. Change: a refusal by the daemon's own queue goes on to the next candidate and takes no retry budget; the last one is final at once.

--- a/internal/endpoint/rattanexecutor/read.go
+++ b/internal/endpoint/rattanexecutor/read.go
@@ -30,11 +30,18 @@
 				return answer, nil
 			}
 			last = err
-			if isFinal(err) || ctx.Err() != nil {
+			if ctx.Err() != nil || isFinal(err) && !isOverloaded(err) {
 				return rattanservice.Answer{}, refuse(ctx, err, false)
 			}
-			job.Retry = true
-			e.retries.Add(1)
+			// A refusal by the daemon's own queue has put no load on the
+			// endpoint, so going on to the next one takes no retry budget.
+			if !isOverloaded(err) {
+				job.Retry = true
+				e.retries.Add(1)
+			}
+		}
+		if last != nil && isOverloaded(last) {
+			return rattanservice.Answer{}, refuse(ctx, last, false)
 		}
 		e.views.Refresh(read.Group)
 		if last == nil {
--- a/internal/endpoint/rattanexecutor/refusals.go
+++ b/internal/endpoint/rattanexecutor/refusals.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// isOverloaded reports whether the daemon itself refused because the request
+// cannot get its turn at the endpoint in time.
+func isOverloaded(err error) bool {
+	refusal, ok := rattanerr.AsRefusal(err)
+	return ok && refusal.Reason == rattanv1.Reason_REASON_OVERLOADED && refusal.RunState == rattanerr.NotRun
+}
+
 // refuse returns the refusal for the last error of a request. mayHaveRun says
 // that an earlier attempt may have had an effect, which the last error cannot
 // undo, unless the endpoint looked the request's record up before it refused.
