rattandaemon: hold writes back on all daemons during a planned switch

Cause: a planned switch held writes back on the coordinating daemon only, so under load the target never caught up and the switch could end with ErrTargetBehind. Change: an urgent gossip record holds new writes of the group back for at most 1 s, until the term ends.

--- a/internal/daemon/rattandaemon/groups.go
+++ b/internal/daemon/rattandaemon/groups.go
@@ -47,6 +47,7 @@
 	refreshed map[string]time.Time
 	used      map[string]time.Time
 	monitored map[string]*monitored
+	paused    map[string]pause
 }
 
 // A monitored group has a detector and a monitor on this daemon.
@@ -69,10 +70,12 @@
 		refreshed: make(map[string]time.Time),
 		used:      make(map[string]time.Time),
 		monitored: make(map[string]*monitored),
+		paused:    make(map[string]pause),
 	}
-	g.coordinator = rattanfailover.NewCoordinator(g.self(), g.tracker, g.endpoint, d.clock)
+	g.coordinator = rattanfailover.NewCoordinator(g.self(), g.tracker, g.endpoint, d.clock, rattanfailover.WithPause(g.pauseWrites))
 	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_GROUP, g.termsChanged)
 	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_SUSPICION, g.suspicionsChanged)
+	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_SWITCH, g.switchesBegun)
 	return g
 }
 
@@ -115,7 +118,9 @@
 }
 
 // View implements rattanexecutor.Views.
-func (g *groups) View(group string) rattanmodel.GroupView { return g.tracker.View(group) }
+func (g *groups) View(group string) rattanmodel.GroupView {
+	return g.withPause(g.tracker.View(group))
+}
 
 // Observe implements rattanexecutor.Views.
 func (g *groups) Observe(endpoint string, status *rattanv1.EndpointStatus) {
--- a/internal/peer/rattangossip/record.go
+++ b/internal/peer/rattangossip/record.go
@@ -96,6 +96,7 @@
 		rattanv1.RecordKind_RECORD_KIND_ROSTER,
 		rattanv1.RecordKind_RECORD_KIND_GROUP,
 		rattanv1.RecordKind_RECORD_KIND_SUSPICION,
+		rattanv1.RecordKind_RECORD_KIND_SWITCH,
 		rattanv1.RecordKind_RECORD_KIND_WITHDRAWAL:
 		return true
 	default:
@@ -105,10 +106,13 @@
 
 // lifetime returns how long a record of the kind is kept after its last change,
 // 0 for ever. Records with a lifetime are not compared by digest. A suspicion
-// counts for 1.5 s; it is kept longer so that a late copy is known as old.
+// counts for 1.5 s and a switch for 1 s; they are kept longer so that a late
+// copy is known as old.
 func lifetime(kind rattanv1.RecordKind) time.Duration {
-	if kind == rattanv1.RecordKind_RECORD_KIND_SUSPICION {
+	switch kind {
+	case rattanv1.RecordKind_RECORD_KIND_SUSPICION, rattanv1.RecordKind_RECORD_KIND_SWITCH:
 		return 10 * time.Second
+	default:
+		return 0
 	}
-	return 0
 }
