rattanshare: lend burst out of full buckets

Cause: small client accounts were refused as over_rate within their rate. In the demo each of 8 daemons holds 2 to 3 tokens of an account with burst 20 and sees about 80% of its share as demand; a lender kept burst in proportion to its demand, so it lent nothing although its bucket was full. Ruled out: a split of home shares that loses some (Homes and HomeShare hand out the whole; their tests hold the sum). Lost loan answers were not looked at. Tried and dropped: keeping 1 unit and 250 ms of demand always. Change: a lender whose bucket is at least three quarters full keeps 1 unit and 250 ms of its demand; otherwise it keeps in proportion as before.

--- a/internal/limit/rattanshare/lend.go
+++ b/internal/limit/rattanshare/lend.go
@@ -8,6 +8,18 @@
 	keepDenominator = 4
 )
 
+const (
+	// A bucket that is at least three quarters full has burst that the daemon does
+	// not use at present.
+	fullNumerator   = 3
+	fullDenominator = 4
+	// keepBurstTime is the time for which a lender with a full bucket keeps the
+	// burst of its own demand, beside one unit. Keeping burst in proportion to the
+	// demand refused callers of small client accounts while most of the fleet's
+	// tokens lay idle at other daemons.
+	keepBurstTime = 250 * time.Millisecond
+)
+
 // Lend handles a peer's request. It debits this daemon's share first and then
 // returns what it lends: at most what exceeds 1.25 times its own demand, divided
 // among the peers that ask in proportion to what they want. A request that is
@@ -95,6 +107,9 @@
 	if net.Rate > 0 {
 		keep.Burst = max(scale(net.Burst, keep.Rate, net.Rate), min(net.Burst, Unit))
 	}
+	if s.bucket.Tokens()*fullDenominator >= net.Burst*fullNumerator {
+		keep.Burst = min(keep.Burst, Unit+scale(needed, int64(keepBurstTime), int64(time.Second)))
+	}
 	return keep
 }
 
