rattanmatrix: let timeouts pass at the end of a cell

Cause: one run of the 16 cells of 'domain cut off from both' ended with blocked goroutines; 16 further runs of the same cell did not. A connection that a server accepts while it closes ends with its header timeout only, and time stood still after the cell; the blocked goroutines themselves were not seen. Change: a cell closes all connections and lets a simulated minute pass.

--- a/internal/proof/rattanmatrix/run.go
+++ b/internal/proof/rattanmatrix/run.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return result{}, err
 	}
-	defer w.cluster.Stop()
+	defer w.stop()
 	for _, instance := range w.cluster.Endpoints() {
 		instance.Adjust(func(c *rattanendpoint.Controls) { c.Recording = true })
 	}
@@ -65,6 +65,15 @@
 	return outcome, nil
 }
 
+// stop ends a world. A connection that a server accepted at the moment of its
+// stop ends with its header timeout, so time has to go on for a while.
+func (w *world) stop() {
+	const timeouts = time.Minute
+	w.cluster.Stop()
+	w.network.Close()
+	time.Sleep(timeouts)
+}
+
 // injectAt begins the step's operation and injects the fault when the step is
 // reached. The second result is false when it is not.
 func (w *world) injectAt(f fault, s step) (heal func(), occurred bool) {
--- a/internal/proof/rattannet/network.go
+++ b/internal/proof/rattannet/network.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// Close closes all connections of all hosts.
+func (n *Network) Close() {
+	n.mutex.Lock()
+	open := make([]*conn, 0, len(n.conns))
+	for c := range n.conns {
+		open = append(open, c)
+	}
+	n.mutex.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
 // Revive ends Kill.
 func (n *Network) Revive(host string) {
 	n.mutex.Lock()
