rattanexecutor: answer at once where a majority cannot be reached

Ruled out: slow failover; the others acknowledge again 1.1 s after the cut. Change: with fewer than a majority of the group reachable, a write that waits for a primary is refused as not run after 700 ms, and one that is committed and not acknowledged gets 'unknown' after the first round.

--- a/internal/endpoint/rattanexecutor/executor_test.go
+++ b/internal/endpoint/rattanexecutor/executor_test.go
@@ -145,6 +145,24 @@
 	}
 }
 
+// TestNoMajority guards against a write that is held at a VM that is cut off,
+// although another VM could serve it.
+func TestNoMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := newFakeGroup(time.Now())
+		group.view.Primary = ""
+		group.view.Endpoints[0].Reachable, group.view.Endpoints[1].Reachable = false, false
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		start := time.Now()
+		_, err := New(rattanclock.System(), group, group, "a").Write(ctx, rattanservice.Write{Group: "g", RequestID: "1"})
+		refusal, ok := rattanerr.AsRefusal(err)
+		if took := time.Since(start); !ok || refusal.RunState != rattanerr.NotRun || refusal.RetryAfter == 0 || took > time.Second {
+			t.Errorf("got %v after %s, want a refusal within 1 s", err, took)
+		}
+	})
+}
+
 // TestReadSpills guards against a read that is refused while another endpoint
 // has room, and one that runs again after a wrong statement.
 func TestReadSpills(t *testing.T) {
--- a/internal/endpoint/rattanexecutor/refusals.go
+++ b/internal/endpoint/rattanexecutor/refusals.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
@@ -107,6 +108,11 @@
 	return rattanerr.NewNotRun(rattanv1.Reason_REASON_NO_PRIMARY, retryNoPrimary, "group %s has no primary that takes writes now", group)
 }
 
+func errNoMajority(view rattanmodel.GroupView, reached int) error {
+	return rattanerr.NewNotRun(rattanv1.Reason_REASON_NO_PRIMARY, retryNoPrimary,
+		"this VM reaches %d of %d endpoints of group %s; another VM may reach a majority", reached, len(view.Endpoints), view.Group)
+}
+
 func errNoEndpoint(group string) error {
 	return rattanerr.NewNotRun(rattanv1.Reason_REASON_UNAVAILABLE, retryUnavailable, "no endpoint of group %s can serve the read now", group)
 }
--- a/internal/endpoint/rattanexecutor/write.go
+++ b/internal/endpoint/rattanexecutor/write.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanservice"
@@ -16,6 +18,11 @@
 // group's view changes before.
 const writePause = 50 * time.Millisecond
 
+// majorityWait is how long a write waits for a primary while this daemon reaches
+// fewer than a majority of the group. It covers two status calls. The write then
+// gets its final answer, since another VM may serve it at once.
+const majorityWait = 700 * time.Millisecond
+
 // Write runs a write at most once and returns when it is acknowledged. Attempts
 // repeat the request identifier, whose record at the endpoint keeps a second
 // attempt from running. The error is a *rattanerr.Refusal.
@@ -33,7 +40,7 @@
 			return answer, nil
 		}
 		uncertain = uncertain || mayHaveRun(err)
-		if isFinal(err) || ctx.Err() != nil {
+		if isFinal(err) || ctx.Err() != nil || e.cannotAcknowledge(write.Group, err) {
 			return rattanservice.Answer{}, refuse(ctx, err, uncertain)
 		}
 		e.views.Refresh(write.Group)
@@ -45,6 +52,18 @@
 	}
 }
 
+// cannotAcknowledge reports whether a write was committed by a primary that this
+// daemon reaches together with less than a majority. The primary is probably
+// deposed on the other side of a partition; GetOutcome at another VM finds out.
+func (e *Executor) cannotAcknowledge(group string, err error) bool {
+	var unacknowledged *rattanadapter.UnacknowledgedError
+	if !errors.As(err, &unacknowledged) {
+		return false
+	}
+	view := e.views.View(group)
+	return reachable(view) < view.Majority()
+}
+
 // awaitPrimary returns the group's view as soon as it has a primary that takes writes.
 func (e *Executor) awaitPrimary(ctx context.Context, group string) (rattanmodel.GroupView, error) {
 	start := e.clock.Now()
@@ -63,12 +82,26 @@
 			}
 		}
 		e.views.Refresh(group)
-		if e.clock.Now().Sub(start) >= e.limits.PrimaryWait || !e.pause(ctx, changed, writePause) {
+		waited := e.clock.Now().Sub(start)
+		if reached := reachable(view); reached < view.Majority() && waited >= majorityWait {
+			return view, errNoMajority(view, reached)
+		}
+		if waited >= e.limits.PrimaryWait || !e.pause(ctx, changed, writePause) {
 			return view, errNoPrimary(group)
 		}
 	}
 }
 
+func reachable(view rattanmodel.GroupView) int {
+	count := 0
+	for _, endpoint := range view.Endpoints {
+		if endpoint.Reachable {
+			count++
+		}
+	}
+	return count
+}
+
 func (e *Executor) writeOnce(ctx context.Context, job Job, write rattanservice.Write, view rattanmodel.GroupView) (rattanservice.Answer, error) {
 	endpoint, ok := e.endpoints.Endpoint(view.Primary)
 	if !ok {
