--- a/internal/cmd/rattancmd/accountcmd.go
+++ b/internal/cmd/rattancmd/accountcmd.go
@@ -12,10 +12,10 @@
 func newAccountCmd(c *config) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "account",
-		Short: "Create and change client accounts",
+		Short: "Create, change and list client accounts",
 	}
 	c.addOperatorFlags(cmd)
-	cmd.AddCommand(newAccountCreateCmd(c), newAccountSetCmd(c), newAccountRemoveCmd(c))
+	cmd.AddCommand(newAccountCreateCmd(c), newAccountSetCmd(c), newAccountRemoveCmd(c), newAccountListCmd(c))
 	return cmd
 }
 
@@ -60,11 +60,12 @@
 		Example: "  rattanstream account create --team shop dealer-1 --rate 200 --burst 400 --service orders",
 		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return c.edit(cmd.Context(), flags.edits(cmd, accountSection(args[0])), 0, false)
+			section := accountSection(args[0])
+			return c.editSection(cmd.Context(), section, false, flags.edits(cmd, section))
 		},
 	}
 	flags.add(cmd)
-	for _, name := range []string{"rate", "burst"} {
+	for _, name := range []string{"rate", "burst", "service"} {
 		if err := cmd.MarkFlagRequired(name); err != nil {
 			panic(err)
 		}
@@ -83,7 +84,7 @@
 			if len(edits) == 0 {
 				return usageErrorf("nothing to change: give --rate, --burst, --weight or --service")
 			}
-			return c.edit(cmd.Context(), edits, 0, false)
+			return c.editSection(cmd.Context(), accountSection(args[0]), true, edits)
 		},
 	}
 	flags.add(cmd)
--- a/internal/cmd/rattancmd/change.go
+++ b/internal/cmd/rattancmd/change.go
@@ -17,6 +17,16 @@
 
 // edit changes keys of the team's document and reports how far the change is in force.
 func (c *config) edit(ctx context.Context, edits []*rattanv1.SettingsEdit, expectedRevision uint64, dryRun bool) error {
+	return c.withOperator(ctx, func(ctx context.Context, client rattanv1connect.OperatorServiceClient) error {
+		response, err := c.sendEdits(ctx, client, edits, expectedRevision, dryRun)
+		if err != nil {
+			return err
+		}
+		return c.reportChange(response, dryRun)
+	})
+}
+
+func (c *config) sendEdits(ctx context.Context, client rattanv1connect.OperatorServiceClient, edits []*rattanv1.SettingsEdit, expectedRevision uint64, dryRun bool) (*rattanv1.ApplySettingsResponse, error) {
 	request := &rattanv1.EditSettingsRequest{
 		Team:             c.operator.team,
 		Edits:            edits,
@@ -24,15 +34,13 @@
 		ChangeId:         newChangeID(),
 		DryRun:           dryRun,
 	}
-	return c.withOperator(ctx, func(ctx context.Context, client rattanv1connect.OperatorServiceClient) error {
-		response, err := repeatUnavailable(func() (*connect.Response[rattanv1.ApplySettingsResponse], error) {
-			return client.EditSettings(ctx, connect.NewRequest(request))
-		})
-		if err != nil {
-			return err
-		}
-		return c.reportChange(response.Msg, dryRun)
+	response, err := repeatUnavailable(func() (*connect.Response[rattanv1.ApplySettingsResponse], error) {
+		return client.EditSettings(ctx, connect.NewRequest(request))
 	})
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
 }
 
 // repeatUnavailable calls f again when its answer may have been lost.
--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -19,6 +20,8 @@
 	stdout   io.Writer
 	stderr   io.Writer
 	operator operatorFlags
+	// isRunning is true once the flags and arguments of the command are accepted.
+	isRunning bool
 }
 
 // Main runs the command line and returns the exit code of the process.
@@ -37,7 +40,10 @@
 	cmd.SetOut(stdout)
 	cmd.SetErr(stderr)
 	if err := cmd.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(stderr, "rattanstream:", err)
+		if !c.isRunning {
+			err = usageError{err}
+		}
+		fmt.Fprintln(stderr, "rattanstream:", describe(err))
 		return exitCode(err)
 	}
 	return exitOK
@@ -53,9 +59,9 @@
 	}
 	cmd.PersistentFlags().StringVar(&c.output, "output", outputTable, "format of results: table or json")
 	cmd.PersistentFlags().StringVar(&c.logLevel, "log-level", "", "lowest level that is logged: debug, info, warn or error")
-	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	cmd.AddCommand(
 		newAccountCmd(c),
+		newCheckCmd(c),
 		newDemoCmd(c),
 		newDomainCmd(c),
 		newDumpCmd(c),
@@ -70,9 +76,47 @@
 		newStatusCmd(c),
 		newVersionCmd(c),
 	)
+	cmd.InitDefaultCompletionCmd()
+	c.prepare(cmd)
 	return cmd
 }
 
+// prepare makes all commands below cmd record that they run, and those that only
+// group others refuse to run. cobra prints the help of such a command instead,
+// with the exit code of success.
+func (c *config) prepare(cmd *cobra.Command) {
+	for _, child := range cmd.Commands() {
+		c.prepare(child)
+	}
+	run := cmd.RunE
+	if run == nil && cmd.Run == nil {
+		cmd.Args = cobra.ArbitraryArgs
+		cmd.RunE = func(cmd *cobra.Command, args []string) error { return unknownCommand(cmd, args) }
+		return
+	}
+	if run != nil {
+		cmd.RunE = func(cmd *cobra.Command, args []string) error {
+			c.isRunning = true
+			return run(cmd, args)
+		}
+	}
+}
+
+// unknownCommand returns the error of a command line that ends before a command.
+func unknownCommand(cmd *cobra.Command, args []string) error {
+	var names []string
+	for _, child := range cmd.Commands() {
+		if child.IsAvailableCommand() {
+			names = append(names, child.Name())
+		}
+	}
+	accepted := strings.Join(names, ", ")
+	if len(args) == 0 {
+		return usageErrorf("%s: a command is missing; accepted: %s", cmd.CommandPath(), accepted)
+	}
+	return usageErrorf("%s: unknown command %q; accepted: %s", cmd.CommandPath(), args[0], accepted)
+}
+
 // check refuses values of global flags that no command accepts.
 func (c *config) check() error {
 	switch c.output {
--- a/internal/cmd/rattancmd/domaincmd.go
+++ b/internal/cmd/rattancmd/domaincmd.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -20,29 +20,33 @@
 	}
 	c.addOperatorFlags(cmd)
 	cmd.AddCommand(
-		newDrainCmd(c, "take-out", "Take a failure domain out of service", "failure_domain.", true),
-		newDrainCmd(c, "return", "Return a failure domain to service", "failure_domain.", false),
+		newDrainCmd(c, "take-out", "Take a failure domain out of service", "failure_domain.", true, c.domainProgress),
+		newDrainCmd(c, "return", "Return a failure domain to service", "failure_domain.", false, nil),
 		newDomainListCmd(c),
 	)
 	return cmd
 }
 
-// newDrainCmd returns a command that sets or clears "drained" of a section.
-func newDrainCmd(c *config, name, short, prefix string, drained bool) *cobra.Command {
+// newDrainCmd returns a command that sets or clears "drained" of a section;
+// progress may be nil when it clears.
+func newDrainCmd(c *config, name, short, prefix string, drained bool, progress progressFunc) *cobra.Command {
 	var wait time.Duration
 	cmd := &cobra.Command{
 		Use:   name + " NAME",
 		Short: short,
 		Args:  exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			edit := setEdit(prefix+args[0], "drained", strconv.FormatBool(drained))
-			if err := c.edit(cmd.Context(), []*rattanv1.SettingsEdit{edit}, 0, false); err != nil {
+			section := prefix + args[0]
+			edit := setEdit(section, "drained", strconv.FormatBool(drained))
+			if err := c.editSection(cmd.Context(), section, true, []*rattanv1.SettingsEdit{edit}); err != nil {
 				return err
 			}
-			if !drained || prefix != "failure_domain." {
+			if wait == 0 {
 				return nil
 			}
-			return c.waitDrained(cmd.Context(), args[0], wait)
+			return c.waitDrained(cmd.Context(), strings.TrimSuffix(prefix, ".")+" "+args[0], wait, func(ctx context.Context) (drainProgress, error) {
+				return progress(ctx, args[0])
+			})
 		},
 	}
 	if drained {
@@ -51,31 +55,6 @@
 	return cmd
 }
 
-// waitDrained reports how much runs in the failure domain until nothing does.
-func (c *config) waitDrained(ctx context.Context, name string, wait time.Duration) error {
-	const interval = 500 * time.Millisecond
-	client, err := c.operator.client()
-	if err != nil {
-		return err
-	}
-	for deadline := time.Now().Add(wait); time.Now().Before(deadline); time.Sleep(interval) {
-		response, err := client.GetFleet(ctx, connect.NewRequest(&rattanv1.GetFleetRequest{}))
-		if err != nil {
-			return err
-		}
-		for _, domain := range response.Msg.GetFailureDomains() {
-			if domain.GetName() != name {
-				continue
-			}
-			fmt.Fprintf(c.stdout, "%s: %d running, %d started in the last second\n", name, domain.GetRunning(), domain.GetStarted())
-			if domain.GetRunning() == 0 && domain.GetStarted() == 0 {
-				return nil
-			}
-		}
-	}
-	return nil
-}
-
 func newDomainListCmd(c *config) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
--- a/internal/cmd/rattancmd/endpointcmd.go
+++ b/internal/cmd/rattancmd/endpointcmd.go
@@ -9,8 +9,8 @@
 	}
 	c.addOperatorFlags(cmd)
 	cmd.AddCommand(
-		newDrainCmd(c, "take-out", "Take an endpoint out of service", "endpoint.", true),
-		newDrainCmd(c, "return", "Return an endpoint to service", "endpoint.", false),
+		newDrainCmd(c, "take-out", "Take an endpoint out of service", "endpoint.", true, c.endpointProgress),
+		newDrainCmd(c, "return", "Return an endpoint to service", "endpoint.", false, nil),
 	)
 	return cmd
 }
--- a/internal/cmd/rattancmd/exitcode.go
+++ b/internal/cmd/rattancmd/exitcode.go
@@ -30,7 +30,7 @@
 // Unwrap returns the wrapped error.
 func (e usageError) Unwrap() error { return e.err }
 
-// An invalidError is a fault of the process settings.
+// An invalidError is a fault of a file: process settings, settings or a certificate.
 type invalidError struct{ err error }
 
 // Error implements the error interface.
@@ -50,6 +50,7 @@
 	var usage usageError
 	var pending pendingError
 	var invalid invalidError
+	var unavailable unavailableError
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
@@ -57,13 +58,15 @@
 		return exitPending
 	case errors.As(err, &invalid):
 		return exitInvalid
+	case errors.As(err, &unavailable):
+		return exitUnavailable
 	}
 	switch connect.CodeOf(err) {
 	case connect.CodeAborted:
 		return exitConflict
 	case connect.CodeUnauthenticated, connect.CodePermissionDenied:
 		return exitDenied
-	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeFailedPrecondition:
+	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeFailedPrecondition, connect.CodeAlreadyExists:
 		return exitInvalid
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
 		return exitUnavailable
@@ -71,3 +74,13 @@
 		return exitFailure
 	}
 }
+
+// describe returns the message of an error without the Connect code in front,
+// which the exit code already tells.
+func describe(err error) string {
+	var answer *connect.Error
+	if errors.As(err, &answer) && answer.Message() != "" {
+		return answer.Message()
+	}
+	return err.Error()
+}
--- a/internal/cmd/rattancmd/operator.go
+++ b/internal/cmd/rattancmd/operator.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -53,6 +54,9 @@
 }
 
 func (o operatorFlags) client() (rattanv1connect.OperatorServiceClient, error) {
+	if err := o.checkURL(); err != nil {
+		return nil, err
+	}
 	credential, err := o.credential()
 	if err != nil {
 		return nil, err
@@ -71,14 +75,31 @@
 }
 
 func (o operatorFlags) credential() (string, error) {
-	if o.credentialFile == "" {
-		return os.Getenv(credentialVariable), nil
+	credential := os.Getenv(credentialVariable)
+	if o.credentialFile != "" {
+		text, err := os.ReadFile(o.credentialFile)
+		if err != nil {
+			return "", invalidError{errors.Wrap(err, "read --credential-file")}
+		}
+		credential = strings.TrimSpace(string(text))
 	}
-	text, err := os.ReadFile(o.credentialFile)
-	if err != nil {
-		return "", errors.Wrap(err, "read --credential-file")
+	if credential == "" {
+		return "", usageErrorf("no credential; accepted: --credential-file or the variable %s with rst_<team>_<secret>", credentialVariable)
+	}
+	return credential, nil
+}
+
+// checkURL refuses addresses that no request can be sent to, and an authority
+// that a request without TLS would not use.
+func (o operatorFlags) checkURL() error {
+	parsed, err := url.Parse(o.url)
+	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
+		return usageErrorf("--url %q: accepted is an address such as http://127.0.0.1:7201 or https://127.0.0.1:7201", o.url)
+	}
+	if o.authority != "" && parsed.Scheme != "https" {
+		return usageErrorf("--url %q: --tls-authority needs an address that begins with https://", o.url)
 	}
-	return strings.TrimSpace(string(text)), nil
+	return nil
 }
 
 func (o operatorFlags) httpClient() (*http.Client, error) {
@@ -87,11 +108,11 @@
 	}
 	pem, err := os.ReadFile(o.authority)
 	if err != nil {
-		return nil, errors.Wrap(err, "read --tls-authority")
+		return nil, invalidError{errors.Wrap(err, "read --tls-authority")}
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("--tls-authority %s holds no certificate", o.authority)
+		return nil, invalidError{errors.Errorf("--tls-authority %s holds no certificate", o.authority)}
 	}
 	transport := &http.Transport{
 		TLSClientConfig:   &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13},
--- a/internal/cmd/rattancmd/output.go
+++ b/internal/cmd/rattancmd/output.go
@@ -1,6 +1,7 @@
 package rattancmd
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"text/tabwriter"
@@ -21,14 +22,25 @@
 	if c.output == outputJSON {
 		return c.printJSON(message)
 	}
+	return c.printTable(header, rows())
+}
+
+func (c *config) printTable(header []string, rows [][]string) error {
 	writer := tabwriter.NewWriter(c.stdout, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(writer, strings.Join(header, "\t"))
-	for _, row := range rows() {
+	for _, row := range rows {
 		fmt.Fprintln(writer, strings.Join(row, "\t"))
 	}
 	return errors.Wrap(writer.Flush(), "write output")
 }
 
+// printValue writes a value that is no message as JSON.
+func (c *config) printValue(value any) error {
+	encoder := json.NewEncoder(c.stdout)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "write output")
+}
+
 func (c *config) printJSON(message proto.Message) error {
 	text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true, Indent: "  "}.Marshal(message)
 	if err != nil {
--- a/internal/cmd/rattancmd/routecmd.go
+++ b/internal/cmd/rattancmd/routecmd.go
@@ -14,7 +14,7 @@
 		Short: "Declare which reads may be stale and which routes are open",
 	}
 	c.addOperatorFlags(cmd)
-	cmd.AddCommand(newRouteStaleCmd(c), newRouteOpenCmd(c))
+	cmd.AddCommand(newRouteStaleCmd(c), newRouteOpenCmd(c), newRouteCloseCmd(c))
 	return cmd
 }
 
@@ -53,4 +53,18 @@
 	return cmd
 }
 
+func newRouteCloseCmd(c *config) *cobra.Command {
+	return &cobra.Command{
+		Use:   "close SERVICE ROUTE",
+		Short: "Close a route to callers without a key",
+		Args:  exactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			section := routeSection(args)
+			noAccount := &rattanv1.SettingsEdit{Section: section, Key: "client_account", Remove: true}
+			edits := []*rattanv1.SettingsEdit{setEdit(section, "open", "false"), noAccount}
+			return c.edit(cmd.Context(), edits, 0, false)
+		},
+	}
+}
+
 func routeSection(args []string) string { return "route." + args[0] + "." + args[1] }
--- a/internal/cmd/rattancmd/settingscmd.go
+++ b/internal/cmd/rattancmd/settingscmd.go
@@ -65,8 +65,11 @@
 	var revision uint64
 	var dryRun bool
 	cmd := &cobra.Command{
-		Use:     "set SECTION/KEY=VALUE...",
-		Short:   "Set single keys; an empty value removes the key",
+		Use:   "set SECTION/KEY=VALUE...",
+		Short: "Set single keys; an empty value removes the key",
+		Long: "Set single keys of the team's document, all or none. An empty value removes the key.\n" +
+			"There is no command that starts an editor: get the document, change the file, and\n" +
+			"apply it with --expect-revision.",
 		Example: "  rattanstream settings set --team shop client_account.dealer-1/rate=300",
 		Args:    minimumArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -110,7 +113,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
-				return errors.Wrap(err, "read settings")
+				return invalidError{errors.Wrap(err, "read settings")}
 			}
 			return c.apply(cmd.Context(), string(text), revision, dryRun)
 		},
@@ -201,6 +204,9 @@
 			AfterRevision: revision,
 			MaxWaitMs:     uint32(wait.Milliseconds()),
 		}))
+		if ctx.Err() != nil {
+			return nil // an interrupt is the ordinary end of a watch
+		}
 		if err != nil {
 			return err
 		}
