--- a/internal/cmd/rattancmd/call_test.go
+++ b/internal/cmd/rattancmd/call_test.go
@@ -51,7 +51,7 @@
 	session := ""
 	if file := flags["-session"]; file != "" {
 		if text, err := os.ReadFile(ts.MkAbs(file)); err == nil {
-			session = string(text)
+			session = strings.TrimSpace(string(text))
 		}
 	}
 	response, err := post(client, args[0], args[1], flags["-key"], session, args[2])
