Count only statements as signs of a healthy endpoint

An endpoint that opened connections and failed every statement reset the breaker's consecutive failures with each new connection, so only the rule of 50% of 20 opened it.

Opening a connection is now neutral to the breaker. The tests gained cases that fail when the code they guard is changed: deadlines of one account, a restarted endpoint, use of a connection after its request, connections that are still closing, a limit of pins per account, uneven costs, and requests that were certainly sent or not sent.

--- a/internal/endpoint/rattanadapter/client_test.go
+++ b/internal/endpoint/rattanadapter/client_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -109,13 +111,44 @@
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, late := client.Status(ended)
-	for name, err := range map[string]error{"dial refused": refused, "context ended": late} {
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	// The transport goes on dialling after the request has ended.
+	done := make(chan struct{})
+	defer close(done)
+	stuckDial := &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		<-done
+		return nil, net.ErrClosed
+	}}}
+	_, undialled := Dial(stuckDial, listener.Addr().String(), "vm-1", 0).Status(short)
+	for name, err := range map[string]error{"dial refused": refused, "context ended": late, "dial stuck": undialled} {
 		if err == nil || RunState(err) != rattanerr.NotRun {
 			t.Errorf("%s: %v is %s", name, err, RunState(err))
 		}
 	}
 }
 
+// TestSent guards against a deadline that passes for proof that a request, which
+// the endpoint has received, did not run.
+func TestSent(t *testing.T) {
+	received := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(received)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-received
+		cancel()
+	}()
+	_, err := Dial(server.Client(), server.Listener.Addr().String(), "vm-1", 0).Status(ctx)
+	if err == nil || RunState(err) != rattanerr.Unknown {
+		t.Errorf("%v is %s", err, RunState(err))
+	}
+}
+
 type replica struct{ err error }
 
 func (r replica) WaitPosition(ctx context.Context, _ rattanmodel.Position) (*rattanv1.EndpointStatus, error) {
--- a/internal/endpoint/rattanpool/connections.go
+++ b/internal/endpoint/rattanpool/connections.go
@@ -73,9 +73,11 @@
 		p.openFailed(ctx, start, err)
 		return
 	}
-	p.observeCall(ctx, start, nil, nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// The breaker does not count it: an endpoint that opens connections and fails
+	// every statement on them is not healthy.
+	p.lastAnswer = p.clock.Now()
 	p.connections.opening--
 	p.connections.refused = 0
 	p.giveBack(conn)
--- a/internal/endpoint/rattanpool/fake_test.go
+++ b/internal/endpoint/rattanpool/fake_test.go
@@ -29,14 +29,20 @@
 	// slotCount is the capacity of slots, which is made in the test's bubble.
 	slotCount int
 
-	mu       sync.Mutex
-	opened   int
-	open     map[string]bool
-	waiting  int
-	down     error
-	silent   bool
-	crossed  bool
-	statuses int
+	// costs replaces service for single client accounts.
+	costs map[string]time.Duration
+
+	mu      sync.Mutex
+	opened  int
+	peak    int
+	open    map[string]bool
+	waiting int
+	down    error
+	silent  bool
+	answers int
+	// crossEvery is the number of answers of which one is crossed; 0 means none.
+	crossEvery int
+	statuses   int
 }
 
 func newFakeEndpoint(slots int, service time.Duration) *fakeEndpoint {
@@ -71,10 +77,12 @@
 	f.opened++
 	name := fmt.Sprintf("c%d", f.opened)
 	f.open[name] = true
+	f.peak = max(f.peak, len(f.open))
 	return connect.NewResponse(&rattanv1.OpenConnectionResponse{Connection: name}), nil
 }
 
 func (f *fakeEndpoint) CloseConnection(ctx context.Context, request *connect.Request[rattanv1.CloseConnectionRequest]) (*connect.Response[rattanv1.CloseConnectionResponse], error) {
+	time.Sleep(10 * time.Millisecond)
 	if err := f.fault(ctx); err != nil {
 		return nil, err
 	}
@@ -96,24 +104,46 @@
 	if err := f.fault(ctx); err != nil {
 		return nil, err
 	}
+	if !f.holds(request.Msg.GetConnection()) {
+		return nil, connectionUnknown()
+	}
+	service := f.service
+	if cost, ok := f.costs[request.Msg.GetClientAccount()]; ok {
+		service = cost
+	}
 	f.set(func(f *fakeEndpoint) { f.waiting++ })
 	f.slots <- struct{}{}
 	f.set(func(f *fakeEndpoint) { f.waiting-- })
-	time.Sleep(f.service)
+	time.Sleep(service)
 	<-f.slots
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	call := request.Msg.GetCall()
-	if f.crossed {
+	f.answers++
+	if f.crossEvery > 0 && f.answers%f.crossEvery == 0 {
 		call--
 	}
 	return connect.NewResponse(&rattanv1.RunStatementsResponse{
 		Call:      call,
-		ServiceUs: uint64(f.service.Microseconds()),
+		ServiceUs: uint64(service.Microseconds()),
 		Status:    &rattanv1.EndpointStatus{Queued: uint32(f.waiting)},
 	}), nil
 }
 
+func (f *fakeEndpoint) holds(connection string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open[connection]
+}
+
+func connectionUnknown() error {
+	err := connect.NewError(connect.CodeNotFound, nil)
+	if detail, detailErr := connect.NewErrorDetail(&rattanv1.EndpointFault{}); detailErr == nil {
+		err.AddDetail(detail)
+	}
+	return err
+}
+
 // inPool runs test with a pool of endpoint in simulated time.
 func inPool(t *testing.T, endpoint *fakeEndpoint, limits Limits, test func(t *testing.T, p *Pool), options ...Option) {
 	t.Helper()
--- a/internal/endpoint/rattanpool/pool_test.go
+++ b/internal/endpoint/rattanpool/pool_test.go
@@ -9,19 +9,26 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
-// TestDo guards against a request that does not run, or a connection that is
-// opened again for each request.
+// TestDo guards against a request that does not run, a connection that is opened
+// again for each request, and one that is used after its request has ended.
 func TestDo(t *testing.T) {
 	endpoint := newFakeEndpoint(3, time.Millisecond)
 	inPool(t, endpoint, Limits{Connections: 4, Slots: 3}, func(t *testing.T, p *Pool) {
+		var kept *Conn
 		for range 10 {
-			if err := p.Do(t.Context(), Job{Account: "a"}, single); err != nil {
+			err := p.Do(t.Context(), Job{Account: "a"}, func(ctx context.Context, conn *Conn) error {
+				kept = conn
+				return single(ctx, conn)
+			})
+			if err != nil {
 				t.Fatal(err)
 			}
 		}
+		assertEqual(t, "use after the request", single(t.Context(), kept), rattanadapter.ErrClosed)
 		opened, _, _ := endpoint.counts()
 		assertEqual(t, "connections opened", opened, 2)
 	})
@@ -64,16 +71,28 @@
 // TestWeight guards against a weight or a cost without effect: both accounts ask
 // for more than there is.
 func TestWeight(t *testing.T) {
-	endpoint := newFakeEndpoint(1, 10*time.Millisecond)
-	inPool(t, endpoint, Limits{Connections: 2, Slots: 1}, func(t *testing.T, p *Pool) {
-		load := newLoad(t, p, 500*time.Millisecond, 10*time.Second)
-		load.send(Job{Account: "light", Weight: 1}, 200)
-		load.send(Job{Account: "heavy", Weight: 3}, 200)
-		load.wait()
-		if ratio := load.served["heavy"] / load.served["light"]; ratio < 2.5 || ratio > 3.5 {
-			t.Errorf("served %v, ratio %.2f, want about 3", load.served, ratio)
-		}
-	})
+	for _, tc := range []struct {
+		name   string
+		weight int
+		cost   time.Duration
+	}{
+		{"three times the weight", 3, 30 * time.Millisecond},
+		{"a third of the cost", 1, 10 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			endpoint := newFakeEndpoint(1, 30*time.Millisecond)
+			endpoint.costs = map[string]time.Duration{"favoured": tc.cost}
+			inPool(t, endpoint, Limits{Connections: 2, Slots: 1}, func(t *testing.T, p *Pool) {
+				load := newLoad(t, p, 500*time.Millisecond, 20*time.Second)
+				load.send(Job{Account: "other"}, 100)
+				load.send(Job{Account: "favoured", Weight: tc.weight}, 100)
+				load.wait()
+				if ratio := load.served["favoured"] / load.served["other"]; ratio < 2.5 || ratio > 3.5 {
+					t.Errorf("served %v, ratio %.2f, want about 3", load.served, ratio)
+				}
+			})
+		})
+	}
 }
 
 // TestRefusesAtOnce guards against a refusal that is held back until the
@@ -111,7 +130,7 @@
 		fault func(f *fakeEndpoint)
 	}{
 		{"lost", func(f *fakeEndpoint) { f.down = errors.New("connection reset") }},
-		{"crossed", func(f *fakeEndpoint) { f.crossed = true }},
+		{"crossed", func(f *fakeEndpoint) { f.crossEvery = 1 }},
 		{"silent", func(f *fakeEndpoint) { f.silent = true }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -127,7 +146,7 @@
 				if _, refused := rattanerr.AsRefusal(err); err == nil || refused {
 					t.Errorf("got %v, want the connection's error", err)
 				}
-				endpoint.set(func(f *fakeEndpoint) { f.down, f.crossed, f.silent = nil, false, false })
+				endpoint.set(func(f *fakeEndpoint) { f.down, f.crossEvery, f.silent = nil, 0, false })
 				time.Sleep(2 * time.Second)
 				if err := p.Do(t.Context(), Job{Account: "a"}, single); err != nil {
 					t.Error(err)
@@ -185,23 +204,44 @@
 	})
 }
 
-// TestShortDeadlines guards against a breaker that one account opens for all by
-// sending deadlines that no request can meet.
-func TestShortDeadlines(t *testing.T) {
-	endpoint := newFakeEndpoint(1, 50*time.Millisecond)
-	inPool(t, endpoint, Limits{Connections: 1, Slots: 1}, func(t *testing.T, p *Pool) {
-		for range 30 {
-			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-			p.Do(ctx, Job{Account: "a"}, func(ctx context.Context, conn *Conn) error {
-				endpoint.set(func(f *fakeEndpoint) { f.silent = true })
-				defer endpoint.set(func(f *fakeEndpoint) { f.silent = false })
-				return single(ctx, conn)
-			})
-			cancel()
-			time.Sleep(time.Second)
-			assertEqual(t, "breaker", p.Breaker(), BreakerClosed)
+// TestOneAccountsDeadlines guards against a breaker that one account opens for
+// all, by deadlines that no request can meet or by statements that run too long
+// while the endpoint answers others.
+func TestOneAccountsDeadlines(t *testing.T) {
+	for _, deadline := range []time.Duration{20 * time.Millisecond, 500 * time.Millisecond} {
+		endpoint := newFakeEndpoint(1, 50*time.Millisecond)
+		inPool(t, endpoint, Limits{Connections: 1, Slots: 1}, func(t *testing.T, p *Pool) {
+			for range 30 {
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				time.AfterFunc(400*time.Millisecond, func() { p.Observe(&rattanv1.EndpointStatus{}) })
+				p.Do(ctx, Job{Account: "a"}, func(ctx context.Context, conn *Conn) error {
+					endpoint.set(func(f *fakeEndpoint) { f.silent = true })
+					defer endpoint.set(func(f *fakeEndpoint) { f.silent = false })
+					return single(ctx, conn)
+				})
+				cancel()
+				assertEqual(t, "breaker", p.Breaker(), BreakerClosed)
+				time.Sleep(time.Second)
+			}
+		})
+	}
+}
+
+// TestRestart guards against one failed request for each connection that a
+// restarted endpoint no longer knows.
+func TestRestart(t *testing.T) {
+	endpoint := newFakeEndpoint(3, time.Millisecond)
+	inPool(t, endpoint, Limits{Connections: 4, Slots: 3}, func(t *testing.T, p *Pool) {
+		time.Sleep(time.Second)
+		endpoint.set(func(f *fakeEndpoint) { clear(f.open) })
+		err := p.Do(t.Context(), Job{Account: "a"}, single)
+		assertEqual(t, "run state", rattanadapter.RunState(err), rattanerr.NotRun)
+		for range 4 {
+			if err := p.Do(t.Context(), Job{Account: "a"}, single); err != nil {
+				t.Error(err)
+			}
 		}
-	})
+	}, WithAhead(4))
 }
 
 // TestLimitAdapts guards against an in-flight limit that ignores the queue which
@@ -248,7 +288,7 @@
 		<-pinned.Lost()
 		step := runOnce(rattanv1.TransactionStep_TRANSACTION_STEP_COMMIT)
 		assertRefused(t, pinned.Do(t.Context(), step), rattanv1.Reason_REASON_TRANSACTION_LOST)
-		synctest.Wait()
+		time.Sleep(20 * time.Millisecond)
 		assertEqual(t, "connections open while drained", endpoint.connections(), 0)
 		p.SetDrained(false)
 		assertEqual(t, "limit on return", p.Stats().InFlightLimit, 1)
@@ -264,16 +304,21 @@
 func TestPinned(t *testing.T) {
 	endpoint := newFakeEndpoint(3, time.Millisecond)
 	inPool(t, endpoint, Limits{Connections: 5, Slots: 3}, func(t *testing.T, p *Pool) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
 		var all []*Pinned
 		for _, account := range []string{"a", "a", "b", "b"} {
+			if len(all) == 2 {
+				if _, err := p.Pin(ctx, Job{Account: "a"}); err == nil {
+					t.Error("one account holds more than half")
+				}
+			}
 			pinned, err := p.Pin(t.Context(), Job{Account: account})
 			if err != nil {
 				t.Fatal(err)
 			}
 			all = append(all, pinned)
 		}
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
 		if _, err := p.Pin(ctx, Job{Account: "c"}); err == nil {
 			t.Error("transactions hold every connection")
 		}
@@ -295,7 +340,7 @@
 }
 
 // TestLimits guards against more connections than the daemon's share, counted
-// at the endpoint, when the share changes under load.
+// at the endpoint, when the share changes under load and connections break.
 func TestLimits(t *testing.T) {
 	endpoint := newFakeEndpoint(8, 5*time.Millisecond)
 	inPool(t, endpoint, Limits{Connections: 8, Slots: 8}, func(t *testing.T, p *Pool) {
@@ -304,12 +349,14 @@
 		for _, limit := range []int{3, 8, 1, 5} {
 			p.SetLimits(Limits{Connections: limit, Slots: 8})
 			time.Sleep(100 * time.Millisecond)
-			for range 50 {
-				time.Sleep(10 * time.Millisecond)
-				if open := endpoint.connections(); open > limit {
-					t.Fatalf("%d connections are open, the limit is %d", open, limit)
+			endpoint.set(func(f *fakeEndpoint) { f.peak, f.crossEvery = len(f.open), 7 })
+			time.Sleep(500 * time.Millisecond)
+			endpoint.set(func(f *fakeEndpoint) {
+				f.crossEvery = 0
+				if f.peak > limit {
+					t.Errorf("%d connections were open, the limit is %d", f.peak, limit)
 				}
-			}
+			})
 		}
 		p.SetLimits(Limits{Slots: 8})
 		assertRefused(t, p.Do(t.Context(), Job{Account: "a"}, single), rattanv1.Reason_REASON_OVERLOADED)
@@ -344,7 +391,11 @@
 func (l *load) once(job Job) {
 	ctx, cancel := context.WithTimeout(l.t.Context(), l.deadline)
 	defer cancel()
-	if l.pool.Do(ctx, job, single) == nil {
+	err := l.pool.Do(ctx, job, func(ctx context.Context, conn *Conn) error {
+		_, err := conn.Run(ctx, &rattanv1.RunStatementsRequest{ClientAccount: job.Account})
+		return err
+	})
+	if err == nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.served[job.Account]++
