--- a/internal/daemon/rattandaemon/daemon.go
+++ b/internal/daemon/rattandaemon/daemon.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"connectrpc.com/grpchealth"
 	"github.com/charmbracelet/log"
@@ -23,9 +22,12 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/config/rattanstore"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanendpoints"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattangroups"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanlisten"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanroster"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanexecutor"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfailover"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpool"
 	"github.com/rattanstream/rattanstream/internal/limit/rattanshare"
 	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
@@ -58,10 +60,10 @@
 	members       *rattanmember.Registry
 	ring          *rattankey.Ring
 	store         *rattanstore.Store
-	shares        *shares
+	roster        *rattanroster.Keeper
 	peers         *peerLink
 	endpoints     *rattanendpoints.Set
-	groups        *groups
+	groups        *rattangroups.Groups
 	executor      *rattanexecutor.Executor
 	transactions  *rattantransaction.Registry
 	callers       *rattanservice.Service
@@ -207,7 +209,7 @@
 	if !contact.InSync {
 		return // the peer may know of withdrawals that are not known here yet
 	}
-	d.shares.contacted(contact.VM)
+	d.roster.Contacted(contact.VM)
 	d.ring.Freshness().Peer(contact.FailureDomain, contact.Sent, contact.FreshAge, contact.FreshKnown)
 }
 
@@ -232,21 +234,16 @@
 }
 
 func (d *Daemon) newShares() {
-	d.shares = &shares{
-		clock:   d.clock,
-		logger:  d.logger,
-		self:    d.self,
-		manager: rattanshare.New(d.clock, d.self.VM, d.self.Incarnation, d.self.FailureDomain, d.peers, d.options.shares...),
-		gossip:  d.gossip,
-		store:   d.store,
-		members: d.members,
-		rosters: make(map[string]rattanshare.Roster),
-
-		freshness: d.ring.Freshness(),
-		contacts:  make(map[string]time.Time),
-		started:   d.clock.Now(),
-	}
-	d.shares.register()
+	d.roster = rattanroster.New(rattanroster.Dependencies{
+		Clock:     d.clock,
+		Logger:    d.logger,
+		Self:      d.self,
+		Manager:   rattanshare.New(d.clock, d.self.VM, d.self.Incarnation, d.self.FailureDomain, d.peers, d.options.shares...),
+		Gossip:    d.gossip,
+		Store:     d.store,
+		Members:   d.members,
+		Freshness: d.ring.Freshness(),
+	})
 }
 
 func (d *Daemon) newEndpoints() {
@@ -254,16 +251,27 @@
 		HTTPClient:   rattanadapter.NewHTTPClient(d.options.network.DialContext),
 		Daemon:       d.name(),
 		MessageBytes: d.process.Limits().MessageBytes(),
-		Share:        d.shares.connections,
+		Share:        d.roster.Connections,
 		PoolOptions:  d.options.pool,
 	})
-	d.groups = newGroups(d)
+	d.groups = rattangroups.New(rattangroups.Dependencies{
+		Clock:  d.clock,
+		Logger: d.logger,
+		Self: rattanfailover.Daemon{
+			Name:          d.self.VM,
+			Incarnation:   d.self.Incarnation,
+			FailureDomain: d.self.FailureDomain,
+		},
+		Gossip:    d.gossip,
+		Endpoints: d.endpoints,
+		Members:   d.members,
+	})
 	d.executor = rattanexecutor.New(d.clock, d.groups, d.endpoints, d.self.FailureDomain, d.options.executor...)
 	d.configuration.listen(func(snapshot *rattansettings.Snapshot) {
 		d.ring.Update(snapshot)
-		d.shares.apply(snapshot)
+		d.roster.Apply(snapshot)
 		d.endpoints.Apply(snapshot)
-		d.groups.apply(snapshot)
+		d.groups.Apply(snapshot)
 	})
 }
 
@@ -279,7 +287,7 @@
 	d.callers = rattanservice.New(rattanservice.Dependencies{
 		Keyring:      &keyring{ring: d.ring},
 		Catalog:      d.catalog,
-		Admitter:     d.shares,
+		Admitter:     d.roster,
 		Executor:     d.executor,
 		Sessions:     &sessions{clock: d.clock, sealer: sealer},
 		Transactions: d.transactions,
--- a/internal/daemon/rattandaemon/dump.go
+++ b/internal/daemon/rattandaemon/dump.go
@@ -168,7 +168,7 @@
 	return members
 }
 
-func (d *Daemon) dumpShares() rattanshare.Snapshot { return d.shares.manager.Snapshot() }
+func (d *Daemon) dumpShares() rattanshare.Snapshot { return d.roster.Manager().Snapshot() }
 
 func (d *Daemon) dumpGroups() []dumpGroup {
 	groups := []dumpGroup{}
@@ -179,7 +179,7 @@
 			Term:      view.Term,
 			Primary:   view.Primary,
 			Lineage:   view.Lineage,
-			Monitored: d.groups.monitors(view.Group),
+			Monitored: d.groups.Monitors(view.Group),
 		}
 		for _, endpoint := range view.Endpoints {
 			group.Endpoints = append(group.Endpoints, d.dumpEndpoint(endpoint))
--- a/internal/daemon/rattandaemon/operator.go
+++ b/internal/daemon/rattandaemon/operator.go
@@ -133,7 +133,7 @@
 
 // Switch implements rattanoperator.Groups.
 func (v *operatorView) Switch(ctx context.Context, group, endpoint string) (rattanoperator.Switched, error) {
-	promotion, err := v.daemon.groups.switchPrimary(ctx, group, endpoint)
+	promotion, err := v.daemon.groups.Switch(ctx, group, endpoint)
 	if err != nil {
 		return rattanoperator.Switched{}, err
 	}
--- a/internal/daemon/rattandaemon/peerlink.go
+++ b/internal/daemon/rattandaemon/peerlink.go
@@ -108,7 +108,7 @@
 
 func (d *Daemon) handleBorrow(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	wire := frame.GetBorrowRequest()
-	loan := d.shares.manager.HandleBorrow(rattanshare.Request{
+	loan := d.roster.Manager().HandleBorrow(rattanshare.Request{
 		VM:          wire.GetFromVm(),
 		Incarnation: wire.GetFromIncarnation(),
 		Share:       wire.GetShare(),
@@ -130,7 +130,7 @@
 
 func (d *Daemon) handleReturn(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	wire := frame.GetReturnLoanRequest()
-	d.shares.manager.HandleReturn(rattanshare.Return{
+	d.roster.Manager().HandleReturn(rattanshare.Return{
 		VM:          wire.GetFromVm(),
 		Incarnation: wire.GetFromIncarnation(),
 		Share:       wire.GetShare(),
--- a/internal/daemon/rattandaemon/run.go
+++ b/internal/daemon/rattandaemon/run.go
@@ -76,11 +76,11 @@
 		service{"settings watch", d.newWatcher(settingsPrefix).run},
 		service{"roster watch", d.newWatcher(rosterPrefix).run})
 	d.addPart(root, spec, "shares",
-		service{"share manager", d.shares.manager.Run},
-		service{"share confirmation", d.shares.confirm},
-		service{"roster", d.shares.maintain},
+		service{"share manager", d.roster.Manager().Run},
+		service{"share confirmation", d.roster.Confirm},
+		service{"roster", d.roster.Maintain},
 		service{"connection shares", d.updateConnections})
-	d.addPart(root, spec, "groups", service{"group monitors", d.groups.run})
+	d.addPart(root, spec, "groups", service{"group monitors", d.groups.Run})
 	return root
 }
 
@@ -199,7 +199,7 @@
 	d.endpoints.Close(ctx)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
-	if err := d.shares.leave(leaveCtx); err != nil {
+	if err := d.roster.Leave(leaveCtx); err != nil {
 		d.logger.Warn("shares were not given back; they stay unused until the VM is gone from the platform's list", "error", err)
 	}
 }
--- a/internal/daemon/rattandaemon/watches.go
+++ b/internal/daemon/rattandaemon/watches.go
@@ -11,9 +11,9 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattankey"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/config/rattanstore"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanroster"
 	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
 	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
-	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 // The platform's key prefixes that daemons watch.
@@ -79,7 +79,7 @@
 		return // documents are never deleted; a missing one must not revert settings
 	}
 	if domain, ok := strings.CutPrefix(entry.Key, rosterPrefix); ok {
-		w.gossip.Offer(rosterRecord(domain, entry.Value, entry.Revision))
+		w.gossip.Offer(rattanroster.Record(domain, entry.Value, entry.Revision))
 		return
 	}
 	team, ok := rattansettings.TeamOfPath(entry.Key)
@@ -105,12 +105,3 @@
 func (w *watcher) Interrupt(err error) {
 	w.logger.Warn("watch is interrupted", "prefix", w.prefix, "error", err)
 }
-
-func rosterRecord(domain string, value []byte, revision uint64) rattangossip.Record {
-	return rattangossip.Record{
-		Kind:    rattanv1.RecordKind_RECORD_KIND_ROSTER,
-		Name:    domain,
-		Version: revision,
-		Value:   value,
-	}
-}
--- a/internal/daemon/rattandaemon/failoverendpoint.go
+++ b/internal/daemon/rattangroups/failoverendpoint.go
@@ -1,4 +1,4 @@
-package rattandaemon
+package rattangroups
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // endpoint implements rattanfailover.Endpoints.
-func (g *groups) endpoint(name string) rattanfailover.Endpoint {
+func (g *Groups) endpoint(name string) rattanfailover.Endpoint {
 	return &failoverEndpoint{groups: g, name: name}
 }
 
@@ -24,13 +24,13 @@
 // A failoverEndpoint is an endpoint as failover calls it. It is looked up at
 // each call, since its address may change.
 type failoverEndpoint struct {
-	groups *groups
+	groups *Groups
 	name   string
 }
 
 // do makes a call and takes the status into the pool and the view.
 func (e *failoverEndpoint) do(call func(*rattanadapter.Client) (*rattanv1.EndpointStatus, error)) (*rattanv1.EndpointStatus, error) {
-	endpoint, ok := e.groups.daemon.endpoints.Find(e.name)
+	endpoint, ok := e.groups.endpoints.Find(e.name)
 	if !ok {
 		return nil, errUnknownEndpoint
 	}
--- a/internal/daemon/rattandaemon/groups.go
+++ b/internal/daemon/rattangroups/groups.go
@@ -1,4 +1,6 @@
-package rattandaemon
+// Package rattangroups keeps a daemon's views of groups and runs the monitors,
+// failovers and planned switches that fall to it.
+package rattangroups
 
 import (
 	"context"
@@ -7,13 +9,17 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanendpoints"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanexecutor"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfailover"
 	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
@@ -33,10 +39,33 @@
 	heardWithin = time.Second
 )
 
-// groups keeps the views of all groups, monitors those that fall to this
-// daemon, and moves primaries out of drained failure domains.
-type groups struct {
-	daemon      *Daemon
+// Dependencies are the parts that Groups works with.
+type Dependencies struct {
+	Clock  rattanclock.Clock
+	Logger *log.Logger
+	// Self is this daemon; its incarnation must differ for each start.
+	Self      rattanfailover.Daemon
+	Gossip    *rattangossip.Store
+	Endpoints *rattanendpoints.Set
+	Members   Members
+}
+
+// Members tells which daemons are live.
+type Members interface {
+	Live() []rattanmember.Member
+}
+
+// Groups keeps the views of all groups, monitors those that fall to this daemon,
+// and moves primaries out of drained failure domains. It is safe for concurrent use.
+type Groups struct {
+	clock     rattanclock.Clock
+	logger    *log.Logger
+	self      rattanfailover.Daemon
+	gossip    *rattangossip.Store
+	endpoints *rattanendpoints.Set
+	members   Members
+	// settings is the digest of the settings in force.
+	settings    atomic.Uint64
 	tracker     *rattanfailover.Tracker
 	coordinator *rattanfailover.Coordinator
 
@@ -63,12 +92,18 @@
 	switching    atomic.Bool
 }
 
-var _ rattanexecutor.Views = (*groups)(nil)
+var _ rattanexecutor.Views = (*Groups)(nil)
 
-func newGroups(d *Daemon) *groups {
-	g := &groups{
-		daemon:    d,
-		tracker:   rattanfailover.NewTracker(d.clock),
+// New returns Groups without any group, which Apply adds.
+func New(d Dependencies) *Groups {
+	g := &Groups{
+		clock:     d.Clock,
+		logger:    d.Logger,
+		self:      d.Self,
+		gossip:    d.Gossip,
+		endpoints: d.Endpoints,
+		members:   d.Members,
+		tracker:   rattanfailover.NewTracker(d.Clock),
 		changed:   make(map[string]chan struct{}),
 		published: make(map[string]rattangossip.Record),
 		refreshed: make(map[string]time.Time),
@@ -76,20 +111,16 @@
 		monitored: make(map[string]*monitored),
 		paused:    make(map[string]pause),
 	}
-	g.coordinator = rattanfailover.NewCoordinator(g.self(), g.tracker, g.endpoint, d.clock, rattanfailover.WithPause(g.pauseWrites))
-	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_GROUP, g.termsChanged)
-	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_SUSPICION, g.suspicionsChanged)
-	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_SWITCH, g.switchesBegun)
+	g.coordinator = rattanfailover.NewCoordinator(g.self, g.tracker, g.endpoint, d.Clock, rattanfailover.WithPause(g.pauseWrites))
+	g.gossip.Register(rattanv1.RecordKind_RECORD_KIND_GROUP, g.termsChanged)
+	g.gossip.Register(rattanv1.RecordKind_RECORD_KIND_SUSPICION, g.suspicionsChanged)
+	g.gossip.Register(rattanv1.RecordKind_RECORD_KIND_SWITCH, g.switchesBegun)
 	return g
 }
 
-func (g *groups) self() rattanfailover.Daemon {
-	self := g.daemon.self
-	return rattanfailover.Daemon{Name: self.VM, Incarnation: self.Incarnation, FailureDomain: self.FailureDomain}
-}
-
-// apply takes the groups of new settings over.
-func (g *groups) apply(snapshot *rattansettings.Snapshot) {
+// Apply takes the groups of new settings over.
+func (g *Groups) Apply(snapshot *rattansettings.Snapshot) {
+	g.settings.Store(snapshot.Digest())
 	var names []string
 	for _, group := range snapshot.Groups() {
 		members := make([]rattanfailover.Member, 0, len(group.Endpoints()))
@@ -122,16 +153,16 @@
 }
 
 // View implements rattanexecutor.Views.
-func (g *groups) View(group string) rattanmodel.GroupView {
+func (g *Groups) View(group string) rattanmodel.GroupView {
 	return g.withPause(g.tracker.View(group))
 }
 
 // Observe implements rattanexecutor.Views.
-func (g *groups) Observe(endpoint string, status *rattanv1.EndpointStatus) {
+func (g *Groups) Observe(endpoint string, status *rattanv1.EndpointStatus) {
 	if status == nil {
 		return
 	}
-	found, ok := g.daemon.endpoints.Find(endpoint)
+	found, ok := g.endpoints.Find(endpoint)
 	if !ok {
 		return
 	}
@@ -142,7 +173,7 @@
 }
 
 // compare wakes waiting requests and publishes the term when the view has changed.
-func (g *groups) compare(group string, before rattanmodel.GroupView) {
+func (g *Groups) compare(group string, before rattanmodel.GroupView) {
 	after := g.tracker.View(group)
 	g.publish(after)
 	if after.Term != before.Term || after.Primary != before.Primary || reachable(after) > reachable(before) {
@@ -161,10 +192,10 @@
 }
 
 // Changed implements rattanexecutor.Views.
-func (g *groups) Changed(group string) <-chan struct{} {
+func (g *Groups) Changed(group string) <-chan struct{} {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.used[group] = g.daemon.clock.Now()
+	g.used[group] = g.clock.Now()
 	channel, ok := g.changed[group]
 	if !ok {
 		channel = make(chan struct{})
@@ -173,7 +204,7 @@
 	return channel
 }
 
-func (g *groups) notify(group string) {
+func (g *Groups) notify(group string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if channel, ok := g.changed[group]; ok {
@@ -183,9 +214,9 @@
 }
 
 // Refresh implements rattanexecutor.Views.
-func (g *groups) Refresh(group string) {
+func (g *Groups) Refresh(group string) {
 	g.mutex.Lock()
-	now := g.daemon.clock.Now()
+	now := g.clock.Now()
 	if now.Sub(g.refreshed[group]) < refreshInterval {
 		g.mutex.Unlock()
 		return
@@ -198,8 +229,8 @@
 }
 
 // ask takes the status of one endpoint into its group's view.
-func (g *groups) ask(name string) {
-	endpoint, ok := g.daemon.endpoints.Find(name)
+func (g *Groups) ask(name string) {
+	endpoint, ok := g.endpoints.Find(name)
 	if !ok {
 		return
 	}
@@ -215,7 +246,7 @@
 }
 
 // publish spreads a term by gossip when it is news.
-func (g *groups) publish(view rattanmodel.GroupView) {
+func (g *Groups) publish(view rattanmodel.GroupView) {
 	if view.Term == 0 {
 		return
 	}
@@ -238,18 +269,18 @@
 		Lineage: view.Lineage.Wire(),
 	})
 	if err != nil {
-		g.daemon.logger.Error("group term cannot be encoded", "group", view.Group, "error", err)
+		g.logger.Error("group term cannot be encoded", "group", view.Group, "error", err)
 		return
 	}
 	record.Value = value
-	g.daemon.gossip.Offer(record)
+	g.gossip.Offer(record)
 }
 
-func (g *groups) termsChanged(records []rattangossip.Record) {
+func (g *Groups) termsChanged(records []rattangossip.Record) {
 	for _, record := range records {
 		var term rattanv1.GroupTerm
 		if err := proto.Unmarshal(record.Value, &term); err != nil {
-			g.daemon.logger.Error("group term cannot be read", "group", record.Name, "error", err)
+			g.logger.Error("group term cannot be read", "group", record.Name, "error", err)
 			continue
 		}
 		before := g.tracker.View(term.GetGroup())
@@ -266,11 +297,11 @@
 	}
 }
 
-func (g *groups) suspicionsChanged(records []rattangossip.Record) {
+func (g *Groups) suspicionsChanged(records []rattangossip.Record) {
 	for _, record := range records {
 		suspicion, err := rattanfailover.SuspicionFromRecord(record.Wire())
 		if err != nil {
-			g.daemon.logger.Error("suspicion cannot be read", "error", err)
+			g.logger.Error("suspicion cannot be read", "error", err)
 			continue
 		}
 		g.mutex.Lock()
--- a/internal/daemon/rattandaemon/monitors.go
+++ b/internal/daemon/rattangroups/monitors.go
@@ -1,4 +1,4 @@
-package rattandaemon
+package rattangroups
 
 import (
 	"context"
@@ -23,8 +23,9 @@
 	switchTimeout = 5 * time.Second
 )
 
-// run monitors the groups that fall to this daemon until ctx ends.
-func (g *groups) run(ctx context.Context) error {
+// Run monitors the groups that fall to this daemon until ctx ends, and returns
+// ctx's error.
+func (g *Groups) Run(ctx context.Context) error {
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
@@ -33,16 +34,16 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-g.daemon.clock.After(monitorInterval):
+		case <-g.clock.After(monitorInterval):
 		}
 	}
 }
 
 // refreshUsed asks the endpoints of groups in use that this daemon does not
 // monitor, so that it knows which of them it can reach.
-func (g *groups) refreshUsed() {
+func (g *Groups) refreshUsed() {
 	g.mutex.Lock()
-	now := g.daemon.clock.Now()
+	now := g.clock.Now()
 	var due []string
 	for _, group := range g.names {
 		used := now.Sub(g.used[group]) < usedTime
@@ -65,9 +66,9 @@
 
 // choose starts and stops monitors as live daemons and groups change, and tells
 // the running ones who was heard from.
-func (g *groups) choose(ctx context.Context, running *sync.WaitGroup) {
+func (g *Groups) choose(ctx context.Context, running *sync.WaitGroup) {
 	live := g.liveDaemons()
-	if key := choiceKey(live, g.daemon.configuration.snapshot().Digest()); key != g.chosenFor {
+	if key := choiceKey(live, g.settings.Load()); key != g.chosenFor {
 		g.chosenFor = key
 		g.chooseAll(ctx, running, live)
 	}
@@ -88,7 +89,7 @@
 
 // chooseAll chooses the monitors of all groups. It costs a hash per group and
 // live daemon, so it runs only when daemons or settings have changed.
-func (g *groups) chooseAll(ctx context.Context, running *sync.WaitGroup, live []rattanfailover.Daemon) {
+func (g *Groups) chooseAll(ctx context.Context, running *sync.WaitGroup, live []rattanfailover.Daemon) {
 	g.mutex.Lock()
 	names := slices.Clone(g.names)
 	g.mutex.Unlock()
@@ -96,7 +97,7 @@
 	for _, group := range names {
 		domains := hostingDomains(g.tracker.View(group))
 		monitors := rattanfailover.Monitors(group, domains, live, rattanfailover.MonitorsPerDomain)
-		own := slices.ContainsFunc(monitors, func(d rattanfailover.Daemon) bool { return d.Name == g.daemon.self.VM })
+		own := slices.ContainsFunc(monitors, func(d rattanfailover.Daemon) bool { return d.Name == g.self.Name })
 		g.choices[group] = choice{domains: domains, monitors: monitors, own: own}
 		if m := g.setMonitored(ctx, running, group, own); m != nil {
 			m.detector.SetMonitors(domains, monitors)
@@ -116,14 +117,14 @@
 }
 
 // setMonitored starts or stops the monitor of a group and returns the running one.
-func (g *groups) setMonitored(ctx context.Context, running *sync.WaitGroup, group string, chosen bool) *monitored {
+func (g *Groups) setMonitored(ctx context.Context, running *sync.WaitGroup, group string, chosen bool) *monitored {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	m := g.monitored[group]
 	switch {
 	case chosen && m == nil:
 		monitorCtx, cancel := context.WithCancel(ctx)
-		m = &monitored{detector: rattanfailover.NewDetector(group, g.self(), g.daemon.clock), cancel: cancel}
+		m = &monitored{detector: rattanfailover.NewDetector(group, g.self, g.clock), cancel: cancel}
 		g.monitored[group] = m
 		monitor := rattanfailover.NewMonitor(m.detector, g.coordinator,
 			rattanfailover.WithPublish(g.publishSuspicion),
@@ -138,7 +139,7 @@
 }
 
 // stopRemoved stops the monitors of groups that the settings do not have any more.
-func (g *groups) stopRemoved(names []string) {
+func (g *Groups) stopRemoved(names []string) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for group, m := range g.monitored {
@@ -149,9 +150,9 @@
 	}
 }
 
-func (g *groups) liveDaemons() []rattanfailover.Daemon {
+func (g *Groups) liveDaemons() []rattanfailover.Daemon {
 	var live []rattanfailover.Daemon
-	for _, member := range g.daemon.members.Live() {
+	for _, member := range g.members.Live() {
 		live = append(live, rattanfailover.Daemon{
 			Name:          member.VM,
 			Incarnation:   member.Incarnation,
@@ -162,9 +163,9 @@
 }
 
 // heardDaemons returns the names of the daemons with a recent heartbeat.
-func (g *groups) heardDaemons() []string {
+func (g *Groups) heardDaemons() []string {
 	var heard []string
-	for _, member := range g.daemon.members.Live() {
+	for _, member := range g.members.Live() {
 		if member.Heard && member.Silent < heardWithin {
 			heard = append(heard, member.VM)
 		}
@@ -183,40 +184,40 @@
 	return domains
 }
 
-func (g *groups) publishSuspicion(suspicion rattanfailover.Suspicion) {
+func (g *Groups) publishSuspicion(suspicion rattanfailover.Suspicion) {
 	record, err := suspicion.Record()
 	if err != nil {
-		g.daemon.logger.Error("suspicion cannot be encoded", "error", err)
+		g.logger.Error("suspicion cannot be encoded", "error", err)
 		return
 	}
-	g.daemon.gossip.Offer(rattangossip.RecordFromWire(record))
+	g.gossip.Offer(rattangossip.RecordFromWire(record))
 }
 
 // report logs the outcome of a change of primary and wakes waiting requests.
-func (g *groups) report(group string, promotion rattanfailover.Promotion, err error) {
+func (g *Groups) report(group string, promotion rattanfailover.Promotion, err error) {
 	g.notify(group)
 	g.publish(g.tracker.View(group))
 	if err != nil {
-		g.daemon.logger.Warn("primary was not changed", "group", group, "error", err)
+		g.logger.Warn("primary was not changed", "group", group, "error", err)
 		return
 	}
-	g.daemon.logger.Info("primary changed", "group", group, "primary", promotion.Primary, "previous", promotion.Previous,
+	g.logger.Info("primary changed", "group", group, "primary", promotion.Primary, "previous", promotion.Previous,
 		"term", promotion.Term, "took", promotion.Took)
 }
 
 // moveDrained starts a planned switch when the primary is drained and another
 // endpoint can take over. The monitors try one after the other, by rank.
-func (g *groups) moveDrained(ctx context.Context, running *sync.WaitGroup, m *monitored, view rattanmodel.GroupView, monitors []rattanfailover.Daemon) {
+func (g *Groups) moveDrained(ctx context.Context, running *sync.WaitGroup, m *monitored, view rattanmodel.GroupView, monitors []rattanfailover.Daemon) {
 	primary, ok := view.Endpoint(view.Primary)
 	if !ok || !primary.Drained {
 		m.drainedSince = time.Time{}
 		return
 	}
-	now := g.daemon.clock.Now()
+	now := g.clock.Now()
 	if m.drainedSince.IsZero() {
 		m.drainedSince = now
 	}
-	rank := rattanfailover.Rank(view.Group, view.Term, monitors, g.daemon.self.VM)
+	rank := rattanfailover.Rank(view.Group, view.Term, monitors, g.self.Name)
 	target := switchTarget(view)
 	if target == "" || m.switching.Load() || now.Sub(m.drainedSince) < time.Duration(rank)*switchDelay {
 		return
@@ -249,8 +250,10 @@
 // errNoTarget is the error of a planned switch without an endpoint to promote.
 var errNoTarget = errors.New("no other endpoint of the group is in service and reachable")
 
-// switchPrimary moves the primary of a group by an operator's order.
-func (g *groups) switchPrimary(ctx context.Context, group, target string) (rattanfailover.Promotion, error) {
+// Switch makes target the primary of a group; an empty target lets the daemon
+// choose. The error is that of rattanfailover.Coordinator.Promote, or says that
+// no other endpoint is in service.
+func (g *Groups) Switch(ctx context.Context, group, target string) (rattanfailover.Promotion, error) {
 	if target == "" {
 		if target = switchTarget(g.tracker.View(group)); target == "" {
 			return rattanfailover.Promotion{}, errNoTarget
@@ -261,8 +264,8 @@
 	return promotion, err
 }
 
-// monitors reports whether this daemon monitors the group.
-func (g *groups) monitors(group string) bool {
+// Monitors reports whether this daemon monitors the group.
+func (g *Groups) Monitors(group string) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.monitored[group] != nil
--- a/internal/daemon/rattandaemon/pause.go
+++ b/internal/daemon/rattangroups/pause.go
@@ -1,4 +1,4 @@
-package rattandaemon
+package rattangroups
 
 import (
 	"context"
@@ -25,9 +25,9 @@
 
 // pauseWrites tells all daemons to hold new writes of the group back, so that
 // the target of a planned switch can catch up under load.
-func (g *groups) pauseWrites(ctx context.Context, group string) (resume func()) {
-	now := g.daemon.clock.Now()
-	g.daemon.gossip.Offer(rattangossip.Record{
+func (g *Groups) pauseWrites(ctx context.Context, group string) (resume func()) {
+	now := g.clock.Now()
+	g.gossip.Offer(rattangossip.Record{
 		Kind:    rattanv1.RecordKind_RECORD_KIND_SWITCH,
 		Name:    group,
 		Epoch:   g.tracker.View(group).Term,
@@ -35,7 +35,7 @@
 	})
 	select {
 	case <-ctx.Done():
-	case <-g.daemon.clock.After(pauseSpread):
+	case <-g.clock.After(pauseSpread):
 	}
 	return func() {
 		g.mutex.Lock()
@@ -45,24 +45,24 @@
 	}
 }
 
-func (g *groups) switchesBegun(records []rattangossip.Record) {
+func (g *Groups) switchesBegun(records []rattangossip.Record) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, record := range records {
-		g.paused[record.Name] = pause{term: record.Epoch, until: g.daemon.clock.Now().Add(pauseTime)}
+		g.paused[record.Name] = pause{term: record.Epoch, until: g.clock.Now().Add(pauseTime)}
 	}
 }
 
 // withPause returns the view with its primary out of service while a planned
 // switch holds writes back.
-func (g *groups) withPause(view rattanmodel.GroupView) rattanmodel.GroupView {
+func (g *Groups) withPause(view rattanmodel.GroupView) rattanmodel.GroupView {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	paused, ok := g.paused[view.Group]
 	if !ok {
 		return view
 	}
-	if paused.term != view.Term || !g.daemon.clock.Now().Before(paused.until) {
+	if paused.term != view.Term || !g.clock.Now().Before(paused.until) {
 		delete(g.paused, view.Group)
 		return view
 	}
--- /dev/null
+++ b/internal/daemon/rattanroster/confirmation.go
@@ -0,0 +1,71 @@
+package rattanroster
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanstream/rattanstream/internal/limit/rattanshare"
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+)
+
+// confirmInterval is how often a daemon publishes what its shares follow.
+const confirmInterval = 200 * time.Millisecond
+
+func (k *Keeper) confirmed(record rattangossip.Record) {
+	var wire rattanv1.ShareConfirmation
+	if err := proto.Unmarshal(record.Value, &wire); err != nil {
+		k.logger.Error("share confirmation cannot be read", "vm", record.Name, "error", err)
+		return
+	}
+	member := rattanshare.Member{VM: record.Name, Incarnation: record.Epoch}
+	k.manager.SetConfirmation(member, rattanshare.Confirmation{Settings: wire.GetSettings(), Rosters: wire.GetRosters()})
+}
+
+// Confirm publishes what this daemon's shares follow whenever it changes.
+func (k *Keeper) Confirm(ctx context.Context) error {
+	for {
+		k.publish()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-k.clock.After(confirmInterval):
+		}
+	}
+}
+
+func (k *Keeper) publish() {
+	confirmation := k.manager.Confirmation()
+	if sameConfirmation(confirmation, k.sent) {
+		return
+	}
+	k.sent = confirmation
+	k.version++
+	wire := &rattanv1.ShareConfirmation{Settings: confirmation.Settings, Rosters: confirmation.Rosters}
+	value, err := proto.Marshal(wire)
+	if err != nil {
+		k.logger.Error("share confirmation cannot be encoded", "error", err)
+		return
+	}
+	k.gossip.Offer(rattangossip.Record{
+		Kind:    rattanv1.RecordKind_RECORD_KIND_SHARES,
+		Name:    k.self.VM,
+		Epoch:   k.self.Incarnation,
+		Version: k.version,
+		Value:   value,
+	})
+}
+
+func sameConfirmation(a, b rattanshare.Confirmation) bool {
+	if a.Settings != b.Settings || len(a.Rosters) != len(b.Rosters) {
+		return false
+	}
+	for domain, revision := range a.Rosters {
+		if b.Rosters[domain] != revision {
+			return false
+		}
+	}
+	return true
+}
