--- a/internal/load/rattanload/accounts.go
+++ b/internal/load/rattanload/accounts.go
@@ -67,7 +67,7 @@
 	if account.Send == 0 {
 		account.Send = defaultSendPart * account.Rate
 	}
-	if account.Key == "" || account.Rate <= 0 || account.Burst < 1 || account.Send <= 0 {
+	if account.Key == "" || !account.valid() {
 		return Account{}, errors.New("accepted are a key, rate and send over 0, and a burst of at least 1")
 	}
 	return account, nil
--- a/internal/load/rattanload/config.go
+++ b/internal/load/rattanload/config.go
@@ -40,6 +40,14 @@
 	FloodFrom, FloodUntil time.Duration
 }
 
+// valid reports whether all numbers are in range. The comparisons are false for
+// NaN, and the upper limit excludes infinity.
+func (a Account) valid() bool {
+	const most = 1e9
+	return a.Rate > 0 && a.Rate <= most && a.Burst >= 1 && a.Burst <= most &&
+		a.Send > 0 && a.Send <= most && a.Flood >= 0 && a.Flood <= most
+}
+
 // sendRate returns the mean number of requests per second at a time of the run.
 func (a Account) sendRate(at time.Duration) float64 {
 	if a.Flood > 0 && at >= a.FloodFrom && at < a.FloodUntil {
@@ -138,7 +146,7 @@
 		}
 	}
 	for _, account := range c.Accounts {
-		if account.Name == "" || account.Rate <= 0 || account.Burst < 1 || account.Send <= 0 || account.Flood < 0 {
+		if account.Name == "" || !account.valid() {
 			return &ConfigError{fmt.Sprintf("client account %q", account.Name), "a name, Rate and Send over 0, Burst of at least 1, Flood of at least 0"}
 		}
 	}
--- a/internal/load/rattanload/measures.go
+++ b/internal/load/rattanload/measures.go
@@ -132,7 +132,7 @@
 		allowed += within(own)
 		m.RefusedWithinRate += wrongful(own)
 		if !account.Flooded {
-			m.OverRateWithinRate += account.Refusals["over_rate"]
+			m.OverRateWithinRate += count(own, func(s sample) bool { return s.withinRate && s.reason == "over_rate" })
 		}
 	}
 	if allowed > 0 {
--- a/internal/load/rattanload/text.go
+++ b/internal/load/rattanload/text.go
@@ -57,7 +57,7 @@
 		{"worst served share during the flood", fmt.Sprintf("%.2f %% (%s)", 100*m.WorstServedShare, m.Worst)},
 		{"worst p99 during the flood", fmt.Sprintf("%.1f ms (%s)", m.WorstP99Ms, m.WorstP99)},
 		{"refused within the rate", fmt.Sprintf("%d (%.2f %%)", m.RefusedWithinRate, 100*m.RefusedWithinRateShare)},
-		{"of these as over_rate", fmt.Sprint(m.OverRateWithinRate)},
+		{"of these as over_rate, without the flooding one", fmt.Sprint(m.OverRateWithinRate)},
 		{"served while a failure domain is out and returns", fmt.Sprintf("%.2f %% (%d not)", 100*m.DomainServedShare, m.DomainRefused)},
 		{"reads without the session's last write", fmt.Sprint(m.WrongValues)},
 		{"client accounts over rate and burst", fmt.Sprint(len(m.OverRateAccounts))},
