rattanshare: wait for calls to peers at the end of a test

Cause: TestWrongfulRefusals ended now and then with 'blocked goroutines remain'. The goroutine dump shows a loan call of the test's own peers that sleeps 1 ms while simulated time stands still after the test. Ruled out: a leak of the Manager; it waits for that call. Change: the fleet of the tests waits until all managers have ended.

--- a/internal/limit/rattanshare/fleet_test.go
+++ b/internal/limit/rattanshare/fleet_test.go
@@ -54,7 +54,13 @@
 func newFleet(t *testing.T, perDomain int, shares map[string]Amount, options ...Option) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &fleet{managers: make(map[string]*Manager), cancel: cancel}
+	f := &fleet{managers: make(map[string]*Manager)}
+	var running sync.WaitGroup
+	// Calls to peers end in simulated time, so the test waits for them.
+	f.cancel = func() {
+		cancel()
+		running.Wait()
+	}
 	domains := []string{"a", "b", "c"}
 	rosters := make(map[string]Roster)
 	for _, domain := range domains {
@@ -72,7 +78,7 @@
 		for domain, roster := range rosters {
 			m.SetRoster(domain, roster)
 		}
-		go func() { _ = m.Run(ctx) }()
+		running.Go(func() { _ = m.Run(ctx) })
 	}
 	f.confirm()
 	// The buckets fill up.
