Revert "rattanshare: try to keep one unit of burst at idle lenders"

Cause: TestWaitForLoan fails with it: a client account that meets one daemon would not get its whole burst there, which section 6.3 of the design promises.

--- a/internal/limit/rattanshare/lend.go
+++ b/internal/limit/rattanshare/lend.go
@@ -97,11 +97,6 @@
 func (s *share) keep(net Amount, now time.Time) Amount {
 	demand := min(s.wanted(now), maxAmount/keepNumerator)
 	if demand == 0 {
-		// A daemon without any burst of its own has to borrow for the first request
-		// of a caller that comes to it.
-		if !s.whole && net.Burst >= 2*Unit {
-			return Amount{Burst: Unit}
-		}
 		return Amount{}
 	}
 	needed := demand * keepNumerator / keepDenominator
