--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -62,6 +62,7 @@
 	cmd.AddCommand(
 		newAccountCmd(c),
 		newCheckCmd(c),
+		newCredentialCmd(c),
 		newDemoCmd(c),
 		newDomainCmd(c),
 		newDumpCmd(c),
--- a/internal/cmd/rattancmd/fleet_test.go
+++ b/internal/cmd/rattancmd/fleet_test.go
@@ -1,15 +1,11 @@
 package rattancmd
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"os"
 	"path/filepath"
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
-
-	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 )
 
 // The machines of every script: VMs and endpoints by their failure domain.
@@ -53,13 +49,13 @@
 	env.Setenv("GOMAXPROCS", "2")
 	// A program with the race detector otherwise sleeps for 1 s before it exits.
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
-	env.Setenv("SEAL_KEY", randomHex())
-	for name, prefix := range map[string]string{"BOOTSTRAP": "rst_root_", "ROOT": "rst_root_", "SHOP": "rst_shop_"} {
-		secret := randomHex()
-		env.Setenv(name, prefix+secret)
-		env.Setenv(name+"_SHA256", rattansettings.HashSecret(secret).Hex())
+	env.Setenv("SEAL_KEY", makeCredential("seal").SHA256)
+	for name, team := range map[string]string{"BOOTSTRAP": "root", "ROOT": "root", "SHOP": "shop"} {
+		made := makeCredential(team)
+		env.Setenv(name, made.Credential)
+		env.Setenv(name+"_SHA256", made.SHA256)
 		path := filepath.Join(env.WorkDir, strings.ToLower(name)+".credential")
-		if err := os.WriteFile(path, []byte(prefix+secret+"\n"), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(made.Credential+"\n"), 0o600); err != nil {
 			return err
 		}
 	}
@@ -116,12 +112,6 @@
 	return nil
 }
 
-func randomHex() string {
-	var secret [32]byte
-	_, _ = rand.Read(secret[:]) // crypto/rand.Read never returns an error
-	return hex.EncodeToString(secret[:])
-}
-
 // cmdExpand replaces $NAME in files by the script's environment variables.
 func cmdExpand(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
