rattansettings: do not redact burst_milli in dumps

The pattern of keys and credentials matched rst_milli inside burst_milli, so dump showed "bu(hidden)" in place of the name of every burst. Prefixes now match at the start of a word only. Secrets within a longer word are still covered as long hexadecimal digits.

--- a/internal/config/rattansettings/redact.go
+++ b/internal/config/rattansettings/redact.go
@@ -14,7 +14,7 @@
 
 // secretPattern matches keys, team credentials and long hexadecimal digits,
 // which are hashes or seal keys. It also covers secrets pasted in a wrong place.
-var secretPattern = regexp.MustCompile(`(?i)rs[kt]_[0-9a-z_-]*|[0-9a-f]{32,}`)
+var secretPattern = regexp.MustCompile(`(?i)\brs[kt]_[0-9a-z_-]*|[0-9a-f]{32,}`)
 
 // Redact returns text with everything that looks like a secret replaced.
 func Redact(text string) string {
