rattancmd: let scripts repeat what a new client account is refused

A new client account gets its share at each daemon some seconds after its settings; until then its requests are refused with over_rate. It now repeats a refused request as callers do and judges the first answer that is not refused.

--- a/internal/cmd/rattancmd/accountcmd.go
+++ b/internal/cmd/rattancmd/accountcmd.go
@@ -94,7 +94,9 @@
 func newAccountRemoveCmd(c *config) *cobra.Command {
 	return &cobra.Command{
 		Use:   "remove NAME",
-		Short: "Remove a client account; its keys have to be removed first",
+		Short: "Remove a client account that has no keys",
+		Long: "Remove a client account that has no keys. Withdrawn keys stay in the document for good,\n" +
+			"and so does their client account.",
 		Args:  exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			edit := &rattanv1.SettingsEdit{Section: accountSection(args[0]), Remove: true}
--- a/internal/cmd/rattancmd/fleet_test.go
+++ b/internal/cmd/rattancmd/fleet_test.go
@@ -199,6 +199,10 @@
 	ts.Setenv("KEY", keyPattern.FindString(ts.ReadFile("stdout")))
 	ts.Setenv("KEY_ID", keyIDPattern.FindString(ts.Getenv("KEY"))[4:])
 	await(ts, "", []string{"call", ts.Getenv("A1"), "Execute", `{"service":"orders","request_id":"table","statement":{"text":"CREATE TABLE items (id TEXT, amount INTEGER)"}}`})
+	// A new client account gets its share at each daemon within seconds.
+	for _, vm := range fleetVMs {
+		await(ts, "", []string{"call", ts.Getenv(variable(vm.name)), "Execute", `{"service":"orders","statement":{"text":"SELECT id FROM items"}}`})
+	}
 }
 
 // awaitVMs waits until each daemon knows all, so that a change counts all.
