--- a/internal/cmd/rattancmd/accountcmd.go
+++ b/internal/cmd/rattancmd/accountcmd.go
@@ -97,7 +97,7 @@
 		Short: "Remove a client account that has no keys",
 		Long: "Remove a client account that has no keys. Withdrawn keys stay in the document for good,\n" +
 			"and so does their client account.",
-		Args:  exactArgs(1),
+		Args: exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			edit := &rattanv1.SettingsEdit{Section: accountSection(args[0]), Remove: true}
 			return c.edit(cmd.Context(), []*rattanv1.SettingsEdit{edit}, 0, false)
