rattanmatrix: judge every cell by a replayed trace as well

The matrix judged its runs by its own checks only, and rattanchecker had seen no trace of a run. Every cell now also makes a trace of what callers, operators and endpoints saw: a tap on the network in memory reads the calls to the endpoints, and the log of the last primary says which writes were committed. rattanchecker judges the trace beside the checks. -matrix.traces DIR keeps the traces.

--- a/internal/proof/rattanmatrix/caller.go
+++ b/internal/proof/rattanmatrix/caller.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		e.state = runState(err)
 	}
+	if !e.lost && isLost(err) {
+		e.lost, e.lostAt = true, e.end
+	}
 	c.world.record.add(e)
 }
 
@@ -88,8 +91,11 @@
 			Arguments: []*rattanv1.Value{text(e.id), integer(int64(c.session))},
 		},
 	})
+	e.whole = response.GetRequestId() == e.id
 	if err != nil && runState(err) == rattanerr.Unknown {
+		e.lost, e.lostAt = isLost(err), time.Now()
 		err = c.resolve(e.id, err)
+		e.whole = err == nil
 	}
 	if err == nil {
 		e.endpoint = response.GetEndpoint()
@@ -129,6 +135,7 @@
 		},
 	})
 	e.endpoint = response.GetEndpoint()
+	e.whole = response.GetResult() != nil
 	for _, row := range response.GetResult().GetRows() {
 		e.ids = append(e.ids, row.GetValues()[0].GetText())
 	}
@@ -143,6 +150,7 @@
 	})
 	e.endpoint = response.GetEndpoint()
 	if err == nil {
+		e.whole = len(response.GetResult().GetRows()) == 1
 		e.sum = response.GetResult().GetRows()[0].GetValues()[0].GetInteger()
 	}
 	c.finish(e, err)
@@ -154,7 +162,9 @@
 	e := c.begin(kindTransfer, c.vm())
 	c.next++
 	e.id = fmt.Sprintf("t%d-%d", c.session, c.next)
-	c.finish(e, c.runTransfer(e.id))
+	err := c.runTransfer(e.id)
+	e.whole = err == nil
+	c.finish(e, err)
 }
 
 func (c *caller) runTransfer(id string) error {
@@ -197,7 +207,8 @@
 			request := &rattanv1.ExecuteRequest{
 				Service: service, ReadOnly: true, Statement: &rattanv1.Statement{Text: "SELECT COUNT(*) FROM pair"},
 			}
-			_, _, err := send(vm, c.world.cluster.Key(c.account), "", rattanv1connect.CallerServiceClient.Execute, request, c.world)
+			response, _, err := send(vm, c.world.cluster.Key(c.account), "", rattanv1connect.CallerServiceClient.Execute, request, c.world)
+			e.whole = isPairCount(response)
 			c.finish(e, err)
 		})
 		time.Sleep(interval)
@@ -242,6 +253,23 @@
 	return rattanerr.Unknown
 }
 
+// isLost reports whether the caller got no answer: the connection ended, or the
+// caller stopped waiting.
+func isLost(err error) bool {
+	if err == nil || wireRefusal(err) != nil || isDialError(err) {
+		return false
+	}
+	_, refused := rattanerr.AsRefusal(err)
+	return !refused
+}
+
+// isPairCount reports whether an answer is that to a count of the pair's rows.
+func isPairCount(response *rattanv1.ExecuteResponse) bool {
+	const rows = 2
+	got := response.GetResult().GetRows()
+	return len(got) == 1 && len(got[0].GetValues()) == 1 && got[0].GetValues()[0].GetInteger() == rows
+}
+
 func text(s string) *rattanv1.Value {
 	return &rattanv1.Value{Kind: &rattanv1.Value_Text{Text: s}}
 }
--- a/internal/proof/rattanmatrix/checks.go
+++ b/internal/proof/rattanmatrix/checks.go
@@ -18,8 +18,10 @@
 // and a failover is over.
 const inForceTime = 8 * time.Second
 
-// check judges a run by the promises and returns every violation.
-func (w *world) check(f fault, s step) []error {
+// check judges a run by the promises and returns every violation, and the
+// inserts that are there after the run with their number, nil when they could
+// not be read.
+func (w *world) check(f fault, s step) ([]error, map[string]int) {
 	events := w.record.all()
 	violations := []error{w.reverted, w.failure}
 	final, err := w.finalIDs()
@@ -40,14 +42,15 @@
 	if f.name == "none" {
 		violations = append(violations, w.checkGraceful(events, s)...)
 	}
-	return slices.DeleteFunc(violations, func(err error) bool { return err == nil })
+	return slices.DeleteFunc(violations, func(err error) bool { return err == nil }), final
 }
 
 // finalIDs reads all inserted identifiers after the run, by a session that has
 // written, so that the read sees everything acknowledged.
 func (w *world) finalIDs() (map[string]int, error) {
 	const attempts = 10
-	reader := w.newCaller(200, "packing")
+	w.auditedAt = time.Now()
+	reader := w.newCaller(200, auditAccount)
 	var err error
 	for range attempts {
 		vm := reader.vm()
--- a/internal/proof/rattanmatrix/faults.go
+++ b/internal/proof/rattanmatrix/faults.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+	"github.com/rattanstream/rattanstream/internal/proof/rattanchecker"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
@@ -124,6 +125,7 @@
 // killDaemon ends the process and starts a new one when it heals.
 func killDaemon(w *world, vm *rattancluster.VM) func() {
 	w.network.Kill(vm.Host())
+	w.noteDaemon(vm, rattanchecker.Crash)
 	stopped := make(chan struct{})
 	go func() {
 		// The process is cut off from everything, so its stop has no effect.
@@ -136,6 +138,7 @@
 		if err := vm.Start(); err != nil {
 			w.fail(err)
 		}
+		w.noteDaemon(vm, rattanchecker.Start)
 	}
 }
 
--- a/internal/proof/rattanmatrix/matrix_test.go
+++ b/internal/proof/rattanmatrix/matrix_test.go
@@ -14,6 +14,7 @@
 var (
 	seeds   = flag.Int("matrix.seeds", 1, "number of seeds of each cell")
 	logs    = flag.Bool("matrix.logs", false, "write the daemons' logs to standard error")
+	traces  = flag.String("matrix.traces", "", "directory to keep the trace of each cell in")
 	stepOf  = flag.String("matrix.step", "", "run the cells of this step only")
 	faultOf = flag.String("matrix.fault", "", "run the cells of this fault only")
 )
@@ -61,7 +62,7 @@
 		if *logs {
 			w = os.Stderr
 		}
-		outcome, err := run(f, s, seed, w)
+		outcome, err := run(f, s, seed, w, *traces)
 		sum.mutex.Lock()
 		defer sum.mutex.Unlock()
 		sum.cells++
--- a/internal/proof/rattanmatrix/record.go
+++ b/internal/proof/rattanmatrix/record.go
@@ -34,6 +34,11 @@
 	// state is the run state of a refusal; lost answers are unknown.
 	state rattanerr.RunState
 	err   error
+	// lost is true when the caller got no answer to its first attempt, at lostAt.
+	lost   bool
+	lostAt time.Time
+	// whole is true when the answer has everything that was asked for.
+	whole bool
 	// ids are the identifiers that a read returned, sum the result of a sum.
 	ids []string
 	sum int64
--- a/internal/proof/rattanmatrix/run.go
+++ b/internal/proof/rattanmatrix/run.go
@@ -34,12 +34,15 @@
 
 // run runs one cell: load, the step's operation, the fault at the step, its
 // healing, more load, and the checks.
-func run(f fault, s step, seed uint64, logs io.Writer) (result, error) {
+// The trace is kept in the directory traces, unless that is empty.
+func run(f fault, s step, seed uint64, logs io.Writer, traces string) (result, error) {
 	w, err := newWorld(seed, logs)
 	if err != nil {
 		return result{}, err
 	}
 	defer w.cluster.Stop()
+	w.fault = f
+	w.noteSetup()
 	for _, instance := range w.cluster.Endpoints() {
 		instance.Adjust(func(c *rattanendpoint.Controls) { c.Recording = true })
 	}
@@ -55,7 +58,12 @@
 	time.Sleep(settleTime)
 	cancel()
 	w.running.Wait()
-	outcome := result{occurred: occurred, violations: w.check(f, s), gap: w.gap}
+	violations, final := w.check(f, s)
+	replayed, err := w.replay(final, traces, f.name+"/"+s.name)
+	if err != nil {
+		return result{}, err
+	}
+	outcome := result{occurred: occurred, violations: append(violations, replayed...), gap: w.gap}
 	for _, e := range w.record.all() {
 		outcome.events++
 		if e.ok {
@@ -72,7 +80,7 @@
 		if s.begin != nil {
 			s.begin(w)
 		}
-		return f.inject(w, w.cluster.VMs()[0]), true
+		return w.inject(f, w.cluster.VMs()[0]), true
 	}
 	reached := make(chan func(), 1)
 	armed := make(chan struct{}, 1)
@@ -83,7 +91,7 @@
 		}
 		select {
 		case <-armed:
-			reached <- f.inject(w, w.vmOf(call.From))
+			reached <- w.inject(f, w.vmOf(call.From))
 		default:
 		}
 	})
--- a/internal/proof/rattanmatrix/steps.go
+++ b/internal/proof/rattanmatrix/steps.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+	"github.com/rattanstream/rattanstream/internal/proof/rattanchecker"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
@@ -100,6 +101,7 @@
 		if err != nil {
 			return // not accepted, so there is nothing to hold
 		}
+		w.noteRate("dealers", 90, 200)
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		w.changed, w.revision = time.Now(), response.GetRevision()
@@ -107,15 +109,16 @@
 }
 
 func withdrawKey(w *world) {
-	keyID, _, _ := strings.Cut(strings.TrimPrefix(w.cluster.Key(withdrawAccount), "rsk_"), "_")
+	id := keyID(w.cluster.Key(withdrawAccount))
 	w.running.Go(func() {
 		const timeout = 15 * time.Second
 		for range 3 {
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			response, err := w.cluster.Operator(w.cluster.VMs()[1], rattancluster.Team).WithdrawKey(ctx, connect.NewRequest(
-				&rattanv1.WithdrawKeyRequest{Team: rattancluster.Team, KeyId: keyID, ChangeId: "withdrawal", MaxWaitMs: 8000}))
+				&rattanv1.WithdrawKeyRequest{Team: rattancluster.Team, KeyId: id, ChangeId: "withdrawal", MaxWaitMs: 8000}))
 			cancel()
 			if err == nil && response.Msg.GetAccepted() {
+				w.noteChange(rattanchecker.Event{Action: rattanchecker.WithdrawKey, Target: id})
 				w.mutex.Lock()
 				w.withdrawnAt = time.Now()
 				w.mutex.Unlock()
@@ -140,6 +143,7 @@
 	for range attempts {
 		_, err := w.edit(vm, team, &rattanv1.SettingsEdit{Section: section, Key: "drained", Value: value})
 		if err == nil {
+			w.noteDrained(section, drained)
 			w.mutex.Lock()
 			defer w.mutex.Unlock()
 			if drained {
@@ -159,12 +163,15 @@
 	w.stopped = vm.Name()
 	w.mutex.Unlock()
 	w.running.Go(func() {
+		w.noteStop(vm, rattanchecker.StopBegin)
 		vm.Stop()
+		w.noteStop(vm, rattanchecker.StopEnd)
 		const pause = time.Second
 		time.Sleep(pause)
 		if err := vm.Start(); err != nil {
 			w.fail(err)
 		}
+		w.noteDaemon(vm, rattanchecker.Start)
 	})
 }
 
--- a/internal/proof/rattanmatrix/world.go
+++ b/internal/proof/rattanmatrix/world.go
@@ -15,8 +15,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattandaemon"
 	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+	"github.com/rattanstream/rattanstream/internal/proof/rattanchecker"
 	"github.com/rattanstream/rattanstream/internal/proof/rattannet"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
@@ -33,6 +35,8 @@
 	floodAccount = "reports"
 	// withdrawAccount is the account whose key is withdrawn.
 	withdrawAccount = "support"
+	// auditAccount reads everything after the run.
+	auditAccount = "packing"
 	// setupTimeout bounds the start of a world.
 	setupTimeout = 30 * time.Second
 )
@@ -40,8 +44,11 @@
 // A world is one run of the matrix.
 type world struct {
 	network *rattannet.Network
+	tap     *tap
 	cluster *rattancluster.Cluster
+	fault   fault
 	record  *record
+	trace   *tracer
 	random  *rand.Rand
 	running sync.WaitGroup
 
@@ -60,6 +67,8 @@
 	reverted error
 	failure  error
 	gap      time.Duration
+	// auditedAt is when the read at the end began.
+	auditedAt time.Time
 }
 
 // scenario is the deployment of every run: three failure domains, two VMs in the
@@ -77,14 +86,16 @@
 	w := &world{
 		network: rattannet.New(linkLatency),
 		record:  &record{},
+		trace:   &tracer{start: time.Now()},
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		clocks:  make(map[string]*vmClock),
 		drained: make(map[string]time.Time),
 	}
+	w.tap = newTap(w.network)
 	ctx, cancel := context.WithTimeout(context.Background(), setupTimeout)
 	defer cancel()
 	options := []rattancluster.Option{
-		rattancluster.WithNetwork(w.network),
+		rattancluster.WithNetwork(w.tap),
 		rattancluster.WithClock(w.clock),
 		rattancluster.WithCallObserver(w.observe),
 		rattancluster.WithHostOptions(func(host string) []rattandaemon.Option {
@@ -156,12 +167,13 @@
 	withdrawn := w.newCaller(101, withdrawAccount)
 	w.running.Go(func() {
 		for ctx.Err() == nil {
-			e := withdrawn.begin(kindWithdraw, withdrawn.vm())
-			vms := w.cluster.VMs()
-			_, _, err := send(vms[withdrawn.random.IntN(len(vms))], w.cluster.Key(withdrawAccount), "",
+			vm := withdrawn.vm()
+			e := withdrawn.begin(kindWithdraw, vm)
+			response, _, err := send(vm, w.cluster.Key(withdrawAccount), "",
 				rattanv1connect.CallerServiceClient.Execute, &rattanv1.ExecuteRequest{
 					Service: service, ReadOnly: true, Statement: &rattanv1.Statement{Text: "SELECT COUNT(*) FROM pair"},
 				}, w)
+			e.whole = isPairCount(response)
 			withdrawn.finish(e, err)
 			time.Sleep(200 * time.Millisecond)
 		}
@@ -178,11 +190,19 @@
 	}
 }
 
-// watchRevisions notes a daemon whose settings go back.
+// watchRevisions notes which revisions daemons have in force, and a daemon whose
+// settings go back.
 func (w *world) watchRevisions(ctx context.Context) {
 	highest := make(map[*rattancluster.VM]uint64)
+	noted := make(map[string]uint64)
 	for ctx.Err() == nil {
 		for _, vm := range w.cluster.VMs() {
+			for _, team := range []string{rattancluster.Team, rattansettings.RootTeam} {
+				if revision := vm.Revision(team); revision != noted[vm.Name()+team] {
+					noted[vm.Name()+team] = revision
+					w.noteInForce(vm, team, revision)
+				}
+			}
 			revision := vm.Revision(rattancluster.Team)
 			if revision < highest[vm] && revision != 0 {
 				w.reverted = errors.Errorf("%s went back from revision %d to %d", vm.Name(), highest[vm], revision)
@@ -236,5 +256,6 @@
 	if err != nil {
 		return nil, err
 	}
+	w.noteChange(rattanchecker.Event{Action: rattanchecker.Apply, Target: team, Revision: response.Msg.GetRevision()})
 	return response.Msg, nil
 }
