rattanlisten, rattankey: refuse large messages as promised; observers without the lock

Cause: a message over the limit was answered by Connect itself without the refusal that callers are promised. A withdrawal called its observer under the key ring's lock, and the observer leads back to the ring; the daemon then hung. Change: the size is checked before Connect, with a refusal in the request's protocol; the ring calls observers after it has unlocked, so the call in a goroutine of its own is gone. Refusals over the rate name the client account; dumps have snake case names.

--- a/internal/base/rattanmodel/lineage.go
+++ b/internal/base/rattanmodel/lineage.go
@@ -4,8 +4,8 @@
 
 // A TermStart says at which index a term began.
 type TermStart struct {
-	Term       uint64
-	StartIndex uint64
+	Term       uint64 `json:"term"`
+	StartIndex uint64 `json:"start_index"`
 }
 
 // A Lineage lists the terms of a log with the index at which each began, oldest
--- a/internal/caller/rattanservice/service.go
+++ b/internal/caller/rattanservice/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -100,6 +101,18 @@
 	return response, nil
 }
 
+// WriteRefusal answers a request that cannot reach the service with a refusal,
+// in the protocol of the request.
+func (s *Service) WriteRefusal(w http.ResponseWriter, r *http.Request, refusal *rattanerr.Refusal) {
+	err := s.refused(refusal)
+	writer := connect.NewErrorWriter()
+	if !writer.IsSupported(r) {
+		http.Error(w, refusal.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	_ = writer.Write(w, r, err) // the caller is gone
+}
+
 func (s *Service) refused(err error) error {
 	s.counters.countRefusal(err)
 	return connectError(err)
--- a/internal/config/rattankey/ring.go
+++ b/internal/config/rattankey/ring.go
@@ -50,7 +50,7 @@
 type Option func(*Ring)
 
 // WithObserver adds a function that is called once with the full name of each
-// newly withdrawn key, for gossip. It must not call the Ring.
+// newly withdrawn key, for gossip. It may call the Ring.
 func WithObserver(observe func(keyID string)) Option {
 	return func(r *Ring) { r.observers = append(r.observers, observe) }
 }
@@ -77,8 +77,14 @@
 // stays withdrawn whatever later settings say. Calls also end whose key is gone
 // or now belongs to another client account or secret.
 func (r *Ring) Update(settings *rattansettings.Snapshot) {
+	r.tell(r.update(settings))
+}
+
+// update returns the newly withdrawn keys.
+func (r *Ring) update(settings *rattansettings.Snapshot) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var added []string
 	before := r.settings
 	r.settings = settings
 	r.domains = r.domains[:0:0]
@@ -86,8 +92,8 @@
 		r.domains = append(r.domains, domain.Name())
 	}
 	for _, key := range settings.Keys() {
-		if key.Withdrawn() {
-			r.withdraw(key.Name())
+		if key.Withdrawn() && r.withdraw(key.Name()) {
+			added = append(added, key.Name())
 		}
 	}
 	for keyID := range r.calls {
@@ -95,6 +101,7 @@
 			r.endCalls(keyID)
 		}
 	}
+	return added
 }
 
 func sameKey(before, after *rattansettings.Snapshot, keyID string) bool {
@@ -105,22 +112,33 @@
 
 // Withdraw adds withdrawals learned from another daemon, by full name.
 func (r *Ring) Withdraw(keyIDs ...string) {
+	var added []string
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, keyID := range keyIDs {
-		r.withdraw(keyID)
+		if r.withdraw(keyID) {
+			added = append(added, keyID)
+		}
+	}
+	r.mu.Unlock()
+	r.tell(added)
+}
+
+// tell calls the observers without the lock, since they may lead back to Withdraw.
+func (r *Ring) tell(keyIDs []string) {
+	for _, keyID := range keyIDs {
+		for _, observe := range r.observers {
+			observe(keyID)
+		}
 	}
 }
 
-func (r *Ring) withdraw(keyID string) {
+func (r *Ring) withdraw(keyID string) bool {
 	if r.withdrawn[keyID] {
-		return
+		return false
 	}
 	r.withdrawn[keyID] = true
 	r.endCalls(keyID)
-	for _, observe := range r.observers {
-		observe(keyID)
-	}
+	return true
 }
 
 func (r *Ring) endCalls(keyID string) {
--- a/internal/daemon/rattandaemon/daemon.go
+++ b/internal/daemon/rattandaemon/daemon.go
@@ -155,7 +155,7 @@
 	d.catalog = newCatalog()
 	d.configuration = newConfiguration(d.logger, d.catalog, d.gossip)
 	// The ring holds its lock while it calls the observer, and Offer calls back into the ring.
-	d.ring = rattankey.New(d.clock, d.self.FailureDomain, rattankey.WithObserver(func(keyID string) { go d.offerWithdrawal(keyID) }))
+	d.ring = rattankey.New(d.clock, d.self.FailureDomain, rattankey.WithObserver(d.offerWithdrawal))
 	d.gossip.Register(rattanv1.RecordKind_RECORD_KIND_WITHDRAWAL, d.withdrawalsChanged)
 	d.members = rattanmember.New(d.self, d.gossip, d.clock,
 		rattanmember.WithRunning(d.running),
--- a/internal/daemon/rattandaemon/servers.go
+++ b/internal/daemon/rattandaemon/servers.go
@@ -7,7 +7,9 @@
 	"connectrpc.com/connect"
 	"connectrpc.com/grpchealth"
 
+	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanlisten"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
 )
 
@@ -33,10 +35,22 @@
 	}
 }
 
+// envelopeBytes is what gRPC puts in front of a message.
+const envelopeBytes = 5
+
+// refuseTooLarge answers a request whose message is over the limit. Connect
+// itself would refuse it without the refusal that callers are promised.
+func (d *Daemon) refuseTooLarge(w http.ResponseWriter, r *http.Request) {
+	refusal := rattanerr.NewNotRun(rattanv1.Reason_REASON_TOO_LARGE, 0,
+		"message is larger than %d bytes, the limit of VM %s", d.process.Limits().MessageBytes(), d.self.VM)
+	d.callers.WriteRefusal(w, r, refusal)
+}
+
 func (d *Daemon) callerHandler() http.Handler {
+	limit := d.process.Limits().MessageBytes()
 	mux := http.NewServeMux()
-	mux.Handle(rattanv1connect.NewCallerServiceHandler(d.callers,
-		connect.WithReadMaxBytes(d.process.Limits().MessageBytes())))
+	path, callers := rattanv1connect.NewCallerServiceHandler(d.callers, connect.WithReadMaxBytes(limit))
+	mux.Handle(path, rattanlisten.LimitBody(callers, limit+envelopeBytes, d.refuseTooLarge))
 	mux.Handle(grpchealth.NewHandler(d.health))
 	return mux
 }
--- a/internal/limit/rattanshare/admit.go
+++ b/internal/limit/rattanshare/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
@@ -95,7 +96,8 @@
 	}
 	// The wire has whole milliseconds; rounding up keeps the retry from being early.
 	retryAfter = (retryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
-	return rattanerr.NewNotRun(rattanv1.Reason_REASON_OVER_RATE, retryAfter, "%s is used up", share)
+	return rattanerr.NewNotRun(rattanv1.Reason_REASON_OVER_RATE, retryAfter,
+		"the share of %s at this VM is used up", strings.TrimPrefix(share, accountPrefix))
 }
 
 // startWaiting counts a request that waits. It returns the units that the requests
