rattanmatrix: note revisions again after the start of a daemon

The trace has the daemon's start and no in_force event after it, because its revision was the same as before the stop when it was polled next. Ruled out: a daemon that starts without the settings; it reports revision 15 within 100 ms of its start. Change: the poll keeps what it has noted per start of a daemon.

--- a/internal/load/rattancluster/vm.go
+++ b/internal/load/rattancluster/vm.go
@@ -24,6 +24,7 @@
 	cancel context.CancelFunc
 	done   chan error
 	client *http.Client
+	starts int
 }
 
 // CallerHost is the machine of all callers and operators.
@@ -85,9 +86,17 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	v.daemon, v.cancel, v.done = daemon, cancel, done
+	v.starts++
 	return nil
 }
 
+// Starts returns how many daemons have been started on the VM.
+func (v *VM) Starts() int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.starts
+}
+
 // Revision returns the revision of the team's settings in force on the VM.
 func (v *VM) Revision(team string) uint64 {
 	v.mutex.Lock()
--- a/internal/proof/rattanmatrix/world.go
+++ b/internal/proof/rattanmatrix/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -200,8 +201,10 @@
 	for ctx.Err() == nil {
 		for _, vm := range w.cluster.VMs() {
 			for _, team := range []string{rattancluster.Team, rattansettings.RootTeam} {
-				if revision := vm.Revision(team); revision != noted[vm.Name()+team] {
-					noted[vm.Name()+team] = revision
+				// A restarted daemon has to take the revision into force again.
+				key := fmt.Sprintf("%s/%s/%d", vm.Name(), team, vm.Starts())
+				if revision := vm.Revision(team); revision != noted[key] {
+					noted[key] = revision
 					w.noteInForce(vm, team, revision)
 				}
 			}
