rattandaemon: answer a refused switch of primary as unavailable

Cause: a switch whose target is behind came back with the code unknown and exit code 1. Change: the code is unavailable, so that the command ends with 6 and may be repeated.

--- a/internal/daemon/rattandaemon/operator.go
+++ b/internal/daemon/rattandaemon/operator.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"connectrpc.com/connect"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattanoperator"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
@@ -135,7 +137,8 @@
 func (v *operatorView) Switch(ctx context.Context, group, endpoint string) (rattanoperator.Switched, error) {
 	promotion, err := v.daemon.groups.Switch(ctx, group, endpoint)
 	if err != nil {
-		return rattanoperator.Switched{}, err
+		// The group keeps a primary, so the operator may try again.
+		return rattanoperator.Switched{}, connect.NewError(connect.CodeUnavailable, err)
 	}
 	return rattanoperator.Switched{Term: promotion.Term, Primary: promotion.Primary, Gap: promotion.Took}, nil
 }
