--- /dev/null
+++ b/internal/load/rattancapacity/connection.go
@@ -0,0 +1,198 @@
+package rattancapacity
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
+)
+
+// Names of the figures of connections. The caller's side of a connection is in
+// the figures too; it is a bare TCP connection without goroutine or buffer.
+const (
+	figureIdleHeap  = "idle_heap_bytes_per_connection"
+	figureIdleStack = "idle_stack_bytes_per_connection"
+	figureBusyHeap  = "busy_heap_bytes_per_connection"
+	figureBusyStack = "busy_stack_bytes_per_connection"
+	figureBusy      = "busy_requests"
+)
+
+// MeasureConnections measures the memory of callers' connections at one daemon:
+// idle ones after one request, and those with a request that waits for an
+// endpoint. Connections speak HTTP/1.1 without TLS.
+func MeasureConnections(ctx context.Context, idle, busy int, plan Plan) ([]Figures, error) {
+	f, err := startFleet(ctx, oneDaemon)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	var runs []Figures
+	for run := range plan.Windows {
+		if run > 0 {
+			if err := f.awaitPools(ctx); err != nil {
+				return nil, err
+			}
+		}
+		figures := make(Figures)
+		if err := f.idleConnections(ctx, idle, figures); err != nil {
+			return nil, err
+		}
+		if err := f.busyConnections(ctx, busy, figures); err != nil {
+			return nil, err
+		}
+		runs = append(runs, figures)
+	}
+	return runs, nil
+}
+
+// awaitPools waits until the daemon's pools are as before the endpoints hung: the
+// hung calls have opened circuit breakers, and a pool is slow for 5 s after its
+// breaker closes.
+func (f *fleet) awaitPools(ctx context.Context) error {
+	if err := f.touch(ctx); err != nil {
+		return err
+	}
+	wait(ctx, recoverTime)
+	return nil
+}
+
+// idleConnections measures connections that have had one answer each.
+func (f *fleet) idleConnections(ctx context.Context, count int, figures Figures) error {
+	conns, err := f.dialCallers(ctx, count)
+	defer closeAll(conns)
+	if err != nil {
+		return err
+	}
+	// The first request on a connection allocates its server goroutine, so the
+	// connections are measured against the state after all of them are closed.
+	for _, conn := range conns {
+		if err := f.ask(conn); err != nil {
+			return err
+		}
+		if err := readAnswer(conn); err != nil {
+			return err
+		}
+	}
+	heap, stack := usedMemory()
+	closeAll(conns)
+	wait(ctx, closeTime)
+	heapAfter, stackAfter := usedMemory()
+	figures[figureIdleHeap] = (float64(heap) - float64(heapAfter)) / float64(count)
+	figures[figureIdleStack] = (float64(stack) - float64(stackAfter)) / float64(count)
+	return nil
+}
+
+// recoverTime is longer than a pool's slow start.
+const recoverTime = 6 * time.Second
+
+// closeTime is long enough for the daemon to see that connections have closed.
+const closeTime = time.Second
+
+// busyConnections measures connections with a request that waits, while all
+// endpoints are frozen.
+func (f *fleet) busyConnections(ctx context.Context, count int, figures Figures) error {
+	f.freeze(true)
+	defer f.freeze(false)
+	heapBefore, stackBefore := usedMemory()
+	conns, err := f.dialCallers(ctx, count)
+	defer closeAll(conns)
+	if err != nil {
+		return err
+	}
+	for _, conn := range conns {
+		if err := f.ask(conn); err != nil {
+			return err
+		}
+	}
+	wait(ctx, closeTime)
+	running, err := f.running()
+	if err != nil {
+		return err
+	}
+	heap, stack := usedMemory()
+	figures[figureBusy] = running
+	figures[figureBusyHeap] = (float64(heap) - float64(heapBefore)) / float64(count)
+	figures[figureBusyStack] = (float64(stack) - float64(stackBefore)) / float64(count)
+	return nil
+}
+
+func (f *fleet) freeze(frozen bool) {
+	for _, endpoint := range f.Endpoints() {
+		endpoint.Adjust(func(controls *rattanendpoint.Controls) { controls.Frozen = frozen })
+	}
+}
+
+// running returns the number of requests that run in the first daemon.
+func (f *fleet) running() (float64, error) {
+	response, err := http.Get(f.VMs()[0].DebugURL() + "/debug/vars")
+	if err != nil {
+		return 0, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var metrics struct {
+		Daemon struct {
+			Running float64 `json:"running"`
+		} `json:"daemon"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&metrics); err != nil {
+		return 0, errors.Wrap(err, "read metrics")
+	}
+	return metrics.Daemon.Running, nil
+}
+
+func (f *fleet) dialCallers(ctx context.Context, count int) ([]net.Conn, error) {
+	target, err := url.Parse(f.VMs()[0].CallerURL())
+	if err != nil {
+		return nil, errors.Wrap(err, "address of the daemon")
+	}
+	conns := make([]net.Conn, 0, count)
+	for range count {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", target.Host)
+		if err != nil {
+			return conns, errors.Wrap(err, "connect to the daemon")
+		}
+		conns = append(conns, conn)
+	}
+	return conns, nil
+}
+
+// ask sends a read.
+func (f *fleet) ask(conn net.Conn) error {
+	body := fmt.Sprintf(`{"service": %q, "statement": {"text": %q}, "readOnly": true}`,
+		rattancluster.Team+"/"+f.Scenario().Services[0], readText)
+	_, err := fmt.Fprintf(conn, "POST /rattanstream.v1.CallerService/Execute HTTP/1.1\r\nHost: daemon\r\n"+
+		"Content-Type: application/json\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		f.Key(f.Scenario().Accounts[0].Name), len(body), body)
+	return errors.Wrap(err, "send request")
+}
+
+func readAnswer(conn net.Conn) error {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("answer has status %s", response.Status)
+	}
+	return nil
+}
+
+func closeAll(conns []net.Conn) {
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/load/rattancapacity/cpu.go
@@ -0,0 +1,183 @@
+package rattancapacity
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"io"
+	"runtime/pprof"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Roles that goroutines are labelled with. A goroutine inherits the label of the
+// one that starts it.
+const (
+	roleLabel   = "role"
+	roleDaemon  = "daemon"
+	roleStandin = "standin"
+	roleCaller  = "caller"
+)
+
+// setRole labels the calling goroutine and those that it starts from now on.
+func setRole(role string) {
+	pprof.SetGoroutineLabels(pprof.WithLabels(context.Background(), pprof.Labels(roleLabel, role)))
+}
+
+// withRole runs do on a goroutine of the role and waits for it.
+func withRole(role string, do func() error) error {
+	done := make(chan error, 1)
+	go func() {
+		setRole(role)
+		done <- do()
+	}()
+	return <-done
+}
+
+// processCPU returns the processor time that the process has used.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// A cpuWindow is the processor time of a time span by role. What has no role,
+// such as garbage collection, is divided in the proportion of the others.
+type cpuWindow struct {
+	profile bytes.Buffer
+	started time.Duration
+}
+
+func startCPU() (*cpuWindow, error) {
+	w := &cpuWindow{started: processCPU()}
+	if err := pprof.StartCPUProfile(&w.profile); err != nil {
+		return nil, errors.Wrap(err, "start processor profile")
+	}
+	return w, nil
+}
+
+// stop returns the processor time of each role since the start, none of a role
+// without a sample in the profile.
+func (w *cpuWindow) stop() (map[string]time.Duration, error) {
+	pprof.StopCPUProfile()
+	used := processCPU() - w.started
+	samples, err := samplesByLabel(w.profile.Bytes(), roleLabel)
+	if err != nil {
+		return nil, err
+	}
+	delete(samples, "")
+	var labelled int64
+	for _, count := range samples {
+		labelled += count
+	}
+	parts := make(map[string]time.Duration)
+	for role, count := range samples {
+		parts[role] = time.Duration(float64(used) * float64(count) / float64(labelled))
+	}
+	return parts, nil
+}
+
+// Field numbers of the profile format, github.com/google/pprof/proto/profile.proto.
+const (
+	profileSample      = 2
+	profileStringTable = 6
+	sampleValue        = 2
+	sampleLabel        = 3
+	labelKey           = 1
+	labelString        = 2
+)
+
+// samplesByLabel returns the number of samples of a compressed profile by the
+// value of a label, "" for samples without it.
+func samplesByLabel(profile []byte, label string) (map[string]int64, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(profile))
+	if err != nil {
+		return nil, errors.Wrap(err, "read profile")
+	}
+	data, err := io.ReadAll(reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "read profile")
+	}
+	var texts []string
+	var samples [][]byte
+	if err := eachField(data, func(number protowire.Number, value []byte, _ uint64) {
+		switch number {
+		case profileStringTable:
+			texts = append(texts, string(value))
+		case profileSample:
+			samples = append(samples, value)
+		}
+	}); err != nil {
+		return nil, err
+	}
+	counts := make(map[string]int64)
+	for _, sample := range samples {
+		name, count, err := readSample(sample, texts, label)
+		if err != nil {
+			return nil, err
+		}
+		counts[name] += count
+	}
+	return counts, nil
+}
+
+// readSample returns the value of a sample's label and its first count.
+func readSample(sample []byte, texts []string, label string) (name string, count int64, err error) {
+	var labelErr error
+	counted := false
+	err = eachField(sample, func(number protowire.Number, value []byte, integer uint64) {
+		switch {
+		case number == sampleValue && !counted:
+			// The runtime writes the two values of a processor profile, number
+			// of samples and nanoseconds, as single fields.
+			count, counted = int64(integer), true
+		case number == sampleLabel:
+			var key, text uint64
+			labelErr = eachField(value, func(number protowire.Number, _ []byte, integer uint64) {
+				switch number {
+				case labelKey:
+					key = integer
+				case labelString:
+					text = integer
+				}
+			})
+			if key < uint64(len(texts)) && text < uint64(len(texts)) && texts[key] == label {
+				name = texts[text]
+			}
+		}
+	})
+	if err == nil {
+		err = labelErr
+	}
+	return name, count, err
+}
+
+// eachField calls visit with the fields of a protobuf message.
+func eachField(message []byte, visit func(number protowire.Number, value []byte, integer uint64)) error {
+	for len(message) > 0 {
+		number, kind, n := protowire.ConsumeTag(message)
+		if n < 0 {
+			return errors.Wrap(protowire.ParseError(n), "read profile")
+		}
+		message = message[n:]
+		size := protowire.ConsumeFieldValue(number, kind, message)
+		if size < 0 {
+			return errors.Wrap(protowire.ParseError(size), "read profile")
+		}
+		switch kind {
+		case protowire.BytesType:
+			value, _ := protowire.ConsumeBytes(message)
+			visit(number, value, 0)
+		case protowire.VarintType:
+			integer, _ := protowire.ConsumeVarint(message)
+			visit(number, nil, integer)
+		}
+		message = message[size:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/rattancapacity/fleet.go
@@ -0,0 +1,167 @@
+// Package rattancapacity measures what daemons cost: control work against the
+// size of the fleet, requests, and connections. docs/CAPACITY.md is worked out
+// from its figures.
+package rattancapacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/daemon/rattandaemon"
+	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
+)
+
+// A Size is the size of a deployment that is measured.
+type Size struct {
+	Daemons  int
+	Domains  int
+	Groups   int
+	Accounts int
+}
+
+// String returns the size as a table shows it.
+func (s Size) String() string {
+	return fmt.Sprintf("%d daemons, %d domains, %d groups, %d accounts", s.Daemons, s.Domains, s.Groups, s.Accounts)
+}
+
+// accountRate is high enough that no request of a measurement is refused.
+const (
+	accountRate  = 1_000_000
+	accountBurst = 10_000_000
+)
+
+// scenario returns a deployment of the size, with endpoints that answer at once.
+func (s Size) scenario() rattancluster.Scenario {
+	scenario := rattancluster.Scenario{
+		Name:        s.String(),
+		VMs:         make([]int, s.Domains),
+		Slots:       256,
+		Connections: 1024,
+	}
+	for i := range s.Daemons {
+		scenario.VMs[i%s.Domains]++
+	}
+	for i := range s.Groups {
+		scenario.Services = append(scenario.Services, fmt.Sprintf("group%d", i))
+	}
+	for i := range s.Accounts {
+		scenario.Accounts = append(scenario.Accounts, rattancluster.Account{
+			Name: fmt.Sprintf("account%d", i), Rate: accountRate, Burst: accountBurst, Weight: 1,
+		})
+	}
+	return scenario
+}
+
+// A fleet is a running deployment with its counters.
+type fleet struct {
+	*rattancluster.Cluster
+	size    Size
+	traffic *traffic
+	calls   *calls
+	// started is the time from the first start to the last daemon ready.
+	started time.Duration
+}
+
+func startFleet(ctx context.Context, size Size) (*fleet, error) {
+	f := &fleet{size: size, traffic: newTraffic(), calls: newCalls()}
+	begin := time.Now()
+	err := withRole(roleStandin, func() error {
+		var err error
+		f.Cluster, err = rattancluster.Start(ctx, size.scenario(),
+			rattancluster.WithNetwork(f.traffic),
+			rattancluster.WithCallObserver(f.calls.observe),
+			// The cluster asks for a host's options just before it starts the
+			// goroutines of its daemon, which inherit the label.
+			rattancluster.WithHostOptions(func(string) []rattandaemon.Option {
+				setRole(roleDaemon)
+				return nil
+			}))
+		return err
+	})
+	f.started = time.Since(begin)
+	return f, err
+}
+
+// hosts returns the addresses of the daemons' VMs.
+func (f *fleet) hosts() []string {
+	hosts := make([]string, 0, len(f.VMs()))
+	for _, vm := range f.VMs() {
+		hosts = append(hosts, vm.Host())
+	}
+	return hosts
+}
+
+// touch sends one read of every group through every daemon, after which the
+// daemons count the groups as in use.
+func (f *fleet) touch(ctx context.Context) error {
+	return withRole(roleCaller, func() error {
+		for _, vm := range f.VMs() {
+			client := f.Caller(vm)
+			for _, service := range f.Scenario().Services {
+				if err := f.answered(ctx, client, service); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// answerTime is how long a daemon may refuse reads: one that has just started
+// has no share of the client accounts' rates yet.
+const answerTime = 20 * time.Second
+
+// answered sends a read until it is answered.
+func (f *fleet) answered(ctx context.Context, client rattanv1connect.CallerServiceClient, service string) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	for {
+		_, err := client.Execute(ctx, f.read(service))
+		if err == nil || ctx.Err() != nil {
+			return errors.Wrapf(err, "read of service %s", service)
+		}
+		wait(ctx, pollInterval)
+	}
+}
+
+// readText is a read that costs an endpoint little: the table is empty.
+const readText = "SELECT COUNT(*) FROM items"
+
+func (f *fleet) read(service string) *connect.Request[rattanv1.ExecuteRequest] {
+	request := connect.NewRequest(&rattanv1.ExecuteRequest{
+		Service:   rattancluster.Team + "/" + service,
+		Statement: &rattanv1.Statement{Text: readText},
+		ReadOnly:  true,
+	})
+	request.Header().Set("Authorization", "Bearer "+f.Key(f.Scenario().Accounts[0].Name))
+	return request
+}
+
+func (f *fleet) write(service, id string) *connect.Request[rattanv1.ExecuteRequest] {
+	request := connect.NewRequest(&rattanv1.ExecuteRequest{
+		Service: rattancluster.Team + "/" + service,
+		Statement: &rattanv1.Statement{
+			Text:      "UPDATE items SET amount = ? WHERE id = 'x'",
+			Arguments: []*rattanv1.Value{{Kind: &rattanv1.Value_Integer{Integer: 1}}},
+		},
+		RequestId: id,
+	})
+	request.Header().Set("Authorization", "Bearer "+f.Key(f.Scenario().Accounts[0].Name))
+	return request
+}
+
+// usedMemory returns the bytes of live heap and stacks after a collection.
+func usedMemory() (heap, stack uint64) {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc, stats.StackInuse
+}
--- /dev/null
+++ b/internal/load/rattancapacity/scarce.go
@@ -0,0 +1,58 @@
+package rattancapacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
+)
+
+// Names of the figures of endpoints with fewer connections than daemons.
+const (
+	figureOpenCalls = "open_connection_calls_per_s_per_daemon_and_endpoint"
+	figureReady     = "every_daemon_serves"
+)
+
+const (
+	// scarceSettle is longer than the pools' backoff takes to reach its highest.
+	scarceSettle = 8 * time.Second
+	scarceWindow = 10 * time.Second
+	scarceSlots  = 3
+)
+
+// MeasureScarceConnections measures how often daemons ask endpoints for
+// connections when each endpoint allows that many to the whole fleet, and
+// whether every daemon can serve a write of every group.
+func MeasureScarceConnections(ctx context.Context, size Size, connections int) (Figures, error) {
+	scenario := size.scenario()
+	scenario.Slots, scenario.Connections = scarceSlots, connections
+	counted := newCalls()
+	ctx, cancel := context.WithTimeout(ctx, scarceSettle+scarceWindow+time.Second)
+	defer cancel()
+	figures := Figures{figureReady: 1}
+	done := make(chan error, 1)
+	go func() {
+		cluster, err := rattancluster.Start(ctx, scenario,
+			rattancluster.WithNetwork(newTraffic()),
+			rattancluster.WithCallObserver(counted.observe))
+		if err != nil && ctx.Err() != nil {
+			figures[figureReady] = 0
+			err = nil // the start has waited in vain for a daemon to serve
+		}
+		if cluster != nil {
+			<-ctx.Done()
+			cluster.Stop()
+		}
+		done <- err
+	}()
+	wait(ctx, scarceSettle)
+	before := counted.all("OpenConnection")
+	wait(ctx, scarceWindow)
+	calls := counted.all("OpenConnection") - before
+	if err := <-done; err != nil {
+		return nil, err
+	}
+	pairs := float64(size.Daemons * len(scenario.Services) * instancesPerGroup)
+	figures[figureOpenCalls] = float64(calls) / scarceWindow.Seconds() / pairs
+	return figures, nil
+}
--- /dev/null
+++ b/internal/load/rattancapacity/target.go
@@ -0,0 +1,199 @@
+package rattancapacity
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfailover"
+	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
+)
+
+// Target is the design target with three instances for each of 1,100 databases
+// and a thousand client accounts.
+var Target = Size{Daemons: 770, Domains: 7, Groups: 1100, Accounts: 1000}
+
+// Names of the figures of parts of the control work, each done alone.
+const (
+	figureMonitors  = "choose_monitors_us_per_group"
+	figureLive      = "list_live_daemons_us"
+	figurePeers     = "list_live_peers_us"
+	figureChoose    = "choose_watchers_us"
+	figureVector    = "heartbeat_vector_bytes"
+	figureBuild     = "build_heartbeats_us"
+	figureMerge     = "merge_heartbeats_us"
+	figureDocument  = "settings_bytes_all_teams"
+	figureParse     = "parse_one_team_ms"
+	figureSnapshot  = "build_snapshot_ms"
+	figureSettings  = "settings_heap_bytes"
+	figureInstances = "instances"
+)
+
+// repeat returns the mean time of do, which runs for at least the time span.
+func repeat(span time.Duration, do func()) time.Duration {
+	begin := processCPU()
+	count := 0
+	for end := time.Now().Add(span); count == 0 || time.Now().Before(end); count++ {
+		do()
+	}
+	return (processCPU() - begin) / time.Duration(count)
+}
+
+func microseconds(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1e3 }
+
+func milliseconds(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1e6 }
+
+func domainName(i, domains int) string { return string(rune('a' + i%domains)) }
+
+// MeasureMonitors measures the choice of one group's monitors, which every
+// daemon makes for every group.
+func MeasureMonitors(size Size, span time.Duration) Figures {
+	daemons := make([]rattanfailover.Daemon, size.Daemons)
+	for i := range daemons {
+		daemons[i] = rattanfailover.Daemon{Name: fmt.Sprintf("vm-%d", i), Incarnation: 1, FailureDomain: domainName(i, size.Domains)}
+	}
+	domains := []string{"a", "b", "c"}
+	n := 0
+	took := repeat(span, func() {
+		n++
+		rattanfailover.Monitors(fmt.Sprintf("shop/group%d", n%size.Groups), domains, daemons, rattanfailover.MonitorsPerDomain)
+	})
+	return Figures{figureMonitors: microseconds(took)}
+}
+
+// MeasureMembership measures a daemon's work on the list of daemons.
+func MeasureMembership(size Size, span time.Duration) Figures {
+	own, others := newMembership(size)
+	peer := rattangossip.Peer{VM: "vm-1", Incarnation: 1, FailureDomain: domainName(1, size.Domains)}
+	for range 2 * size.Domains {
+		for _, other := range others {
+			own.Merge(other.Answer(peer, own.Outgoing(peer)))
+		}
+	}
+	var vectors []rattangossip.Record
+	figures := Figures{
+		figureLive:   microseconds(repeat(span, func() { own.Live() })),
+		figurePeers:  microseconds(repeat(span, func() { own.LivePeers() })),
+		figureChoose: microseconds(repeat(span, func() { own.Watches("settings/", rattanmember.WatchersPerDomain) })),
+		figureBuild:  microseconds(repeat(span, func() { vectors = own.Outgoing(peer) })),
+	}
+	figures[figureMerge] = microseconds(repeat(span, func() { own.Merge(vectors) }))
+	for _, vector := range vectors {
+		figures[figureVector] += float64(len(vector.Value))
+	}
+	return figures
+}
+
+// stoppedClock stands still, so that daemons stay live during a measurement.
+type stoppedClock struct {
+	rattanclock.Clock
+	now time.Time
+}
+
+// Now implements rattanclock.Clock.
+func (c stoppedClock) Now() time.Time { return c.now }
+
+// newMembership returns a registry that knows all daemons of the size, and the
+// registries of the other daemons, which know only themselves.
+func newMembership(size Size) (*rattanmember.Registry, []*rattanmember.Registry) {
+	clock := stoppedClock{rattanclock.System(), time.Now()}
+	ownStore := rattangossip.NewStore(clock)
+	var own *rattanmember.Registry
+	var others []*rattanmember.Registry
+	for i := range size.Daemons {
+		identity := rattanmember.Identity{
+			VM:            fmt.Sprintf("vm-%d", i),
+			Incarnation:   1,
+			FailureDomain: domainName(i, size.Domains),
+			Addresses:     rattanmember.Addresses{Caller: "10.0.0.1:7101", Operator: "10.0.0.1:7201", Peer: fmt.Sprintf("10.0.%d.%d:7301", i/250, i%250)},
+		}
+		if i == 0 {
+			own = rattanmember.New(identity, ownStore, clock)
+			continue
+		}
+		store := rattangossip.NewStore(clock)
+		others = append(others, rattanmember.New(identity, store, clock))
+		exchange := rattangossip.NewExchange(rattangossip.Peer{VM: identity.VM}, store)
+		for _, record := range exchange.Request(rattangossip.Peer{}).GetRecords() {
+			ownStore.Offer(rattangossip.RecordFromWire(record))
+		}
+	}
+	return own, others
+}
+
+// settingsTeams is the number of teams that the settings are divided between: one
+// document holds at most 512 KiB, which the target's settings exceed.
+const settingsTeams = 2
+
+// MeasureSettings measures the settings of a deployment, divided equally between
+// teams. The time of parsing is that of one team's document.
+func MeasureSettings(size Size, span time.Duration) (Figures, error) {
+	var texts []string
+	for team := range settingsTeams {
+		part := size
+		part.Groups = (size.Groups + team) / settingsTeams
+		part.Accounts = (size.Accounts + team) / settingsTeams
+		texts = append(texts, settingsText(part))
+	}
+	before, _ := usedMemory()
+	documents, err := parseTexts(texts)
+	if err != nil {
+		return nil, err
+	}
+	snapshot := rattansettings.NewSnapshot(documents...)
+	after, _ := usedMemory()
+	figures := Figures{
+		figureInstances: float64(len(snapshot.Endpoints())),
+		figureSettings:  float64(after) - float64(before),
+		figureParse:     milliseconds(repeat(span, func() { _, err = parseTexts(texts[:1]) })),
+		figureSnapshot:  milliseconds(repeat(span, func() { rattansettings.NewSnapshot(documents...) })),
+	}
+	for _, text := range texts {
+		figures[figureDocument] += float64(len(text))
+	}
+	return figures, err
+}
+
+// parseTexts returns the documents of teams named team0, team1, and so on.
+func parseTexts(texts []string) ([]*rattansettings.Document, error) {
+	var documents []*rattansettings.Document
+	for i, text := range texts {
+		document, err := rattansettings.ParseDocument(fmt.Sprintf("team%d", i), text)
+		if err != nil {
+			return nil, err
+		}
+		documents = append(documents, document)
+	}
+	return documents, nil
+}
+
+// settingsText returns one team's document with the sections of a deployment.
+func settingsText(size Size) string {
+	var b strings.Builder
+	for i := range size.Groups {
+		var names []string
+		for n := range instancesPerGroup {
+			name := fmt.Sprintf("group%d-%s", i, domainName(i+n, size.Domains))
+			names = append(names, name)
+			fmt.Fprintf(&b, "[endpoint.%s]\naddress = 10.%d.%d.%d:8001\nfailure_domain = %s\nconnections = 30\nslots = 3\ndrained = false\n\n",
+				name, n, i/250, i%250, domainName(i+n, size.Domains))
+		}
+		fmt.Fprintf(&b, "[group.group%d]\nendpoints = %s\n\n", i, strings.Join(names, ", "))
+		fmt.Fprintf(&b, "[service.service%d]\ngroup = group%d\nacknowledge = majority\n\n", i, i)
+		fmt.Fprintf(&b, "[route.service%d.browse]\nmax_age = 2s\n\n", i)
+	}
+	for i := range size.Accounts {
+		fmt.Fprintf(&b, "[client_account.account%d]\nrate = 20\nburst = 40\nweight = 1\nservices = service0\n\n", i)
+		fmt.Fprintf(&b, "[key.k%d]\nclient_account = account%d\nsecret_sha256 = %s\nwithdrawn = false\n\n", i, i, strings.Repeat("0", hashDigits))
+	}
+	return b.String()
+}
+
+const (
+	instancesPerGroup = 3
+	// hashDigits is the length of a SHA-256 in hexadecimal digits.
+	hashDigits = 64
+)
