--- a/internal/load/rattancapacity/control.go
+++ b/internal/load/rattancapacity/control.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"os"
-	"path/filepath"
 	"runtime"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/rattanstream/rattanstream/internal/load/rattancluster"
 )
 
@@ -43,7 +39,7 @@
 	// Window is the time of one measurement, Windows their number.
 	Window  time.Duration
 	Windows int
-	// Profile is a directory for the processor profiles of the windows without
+	// Profile is a directory for processor profiles of idle windows and of
 	// requests, "" for none. Their samples carry the label "role".
 	Profile string
 }
@@ -97,6 +93,39 @@
 	return control, nil
 }
 
+// MeasureOutage measures what it costs each daemon per second when no endpoint
+// of one group answers, so that its monitors suspect the primary all the time.
+func MeasureOutage(ctx context.Context, size Size, plan Plan) (Figures, error) {
+	f, err := startFleet(ctx, size)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	wait(ctx, plan.Settle)
+	before, err := f.window(ctx, plan.Window, "")
+	if err != nil {
+		return nil, err
+	}
+	prefix := rattancluster.Team + "/" + f.Scenario().Services[0] + "-"
+	for name := range f.Endpoints() {
+		if strings.HasPrefix(name, prefix) {
+			f.SetKilled(name, true)
+		}
+	}
+	wait(ctx, suspectTime)
+	after, err := f.window(ctx, plan.Window, "")
+	if err != nil {
+		return nil, err
+	}
+	return Figures{
+		figurePeer: after[figurePeer] - before[figurePeer],
+		figureCPU:  after[figureCPU] - before[figureCPU],
+	}, nil
+}
+
+// suspectTime is longer than the monitors take to suspect a primary.
+const suspectTime = 2 * time.Second
+
 // startFigures sets what the start of the whole deployment has cost so far.
 func (f *fleet) startFigures(events Figures) {
 	daemons := float64(f.size.Daemons)
@@ -139,11 +168,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if profile != "" {
-		name := filepath.Join(profile, strings.NewReplacer(" ", "-", ",", "").Replace(f.size.String())+".pprof")
-		if err := os.WriteFile(name, cpu.profile.Bytes(), 0o600); err != nil {
-			return nil, errors.Wrap(err, "write processor profile")
-		}
+	if err := cpu.write(profile, f.size.String()); err != nil {
+		return nil, err
 	}
 	daemons := float64(f.size.Daemons)
 	seconds := after.at.Sub(before.at).Seconds()
--- a/internal/load/rattancapacity/cpu.go
+++ b/internal/load/rattancapacity/cpu.go
@@ -5,7 +5,10 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"os"
+	"path/filepath"
 	"runtime/pprof"
+	"strings"
 	"syscall"
 	"time"
 
@@ -82,6 +85,17 @@
 	return parts, nil
 }
 
+// write keeps the profile of a window that has ended as a file in directory,
+// unless that is "".
+func (w *cpuWindow) write(directory, name string) error {
+	if directory == "" {
+		return nil
+	}
+	name = strings.NewReplacer(" ", "-", ",", "").Replace(name) + ".pprof"
+	err := os.WriteFile(filepath.Join(directory, name), w.profile.Bytes(), 0o600)
+	return errors.Wrap(err, "write processor profile")
+}
+
 // Field numbers of the profile format, github.com/google/pprof/proto/profile.proto.
 const (
 	profileSample      = 2
--- a/internal/load/rattancapacity/harness_test.go
+++ b/internal/load/rattancapacity/harness_test.go
@@ -73,6 +73,13 @@
 	if settings[figureInstances] != 15 {
 		t.Errorf("%v instances in the settings, want 15", settings[figureInstances])
 	}
+	pools, err := MeasureConnectionShares(Size{Daemons: 20, Domains: 4, Groups: 4}, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if pools[figureInstances] != 12 {
+		t.Errorf("%v endpoints have a pool, want 12", pools[figureInstances])
+	}
 }
 
 // TestSamplesByLabel guards against a reader that loses the samples' labels.
@@ -83,7 +90,7 @@
 			t.Fatal(err)
 		}
 		_ = withRole(roleCaller, func() error {
-			repeat(100*time.Millisecond, func() { settingsText(base) })
+			repeat(100*time.Millisecond, func() { settingsText(base, 0) })
 			return nil
 		})
 		used, err := cpu.stop()
--- a/internal/load/rattancapacity/report.go
+++ b/internal/load/rattancapacity/report.go
@@ -28,7 +28,8 @@
 }
 
 // Report measures the named series, separated by commas, and writes tables. The
-// series are daemons, domains, groups, accounts, request, connection, scarce and target.
+// series are daemons, domains, groups, accounts, request, connection, scarce, outage and
+// target.
 func Report(ctx context.Context, w io.Writer, plan Plan, names string) error {
 	wanted := strings.Split(names, ",")
 	for _, v := range variations {
@@ -42,7 +43,7 @@
 	for _, part := range []struct {
 		name   string
 		report func(context.Context, io.Writer, Plan) error
-	}{{"request", reportRequests}, {"connection", reportConnections}, {"scarce", reportScarce}, {"target", reportTarget}} {
+	}{{"request", reportRequests}, {"connection", reportConnections}, {"scarce", reportScarce}, {"outage", reportOutage}, {"target", reportTarget}} {
 		if !slices.Contains(wanted, part.name) {
 			continue
 		}
@@ -100,6 +101,21 @@
 	return nil
 }
 
+func reportOutage(ctx context.Context, w io.Writer, plan Plan) error {
+	outage := Series{Name: "outage/daemons"}
+	for _, daemons := range []int{6, 12, 24} {
+		size := base
+		size.Daemons = daemons
+		figures, err := MeasureOutage(ctx, size, plan)
+		if err != nil {
+			return err
+		}
+		outage.add(daemons, 1, func() Figures { return figures })
+	}
+	outage.write(w)
+	return nil
+}
+
 // reportTarget measures single parts of the control work at the target's size,
 // each alone, and at smaller sizes.
 func reportTarget(_ context.Context, w io.Writer, plan Plan) error {
@@ -125,6 +141,17 @@
 		})
 	}
 	settings.write(w)
+	pools := Series{Name: "pools/groups"}
+	for _, groups := range []int{100, 366, Target.Groups} {
+		size := Target
+		size.Groups = groups
+		pools.add(groups, plan.Windows, func() Figures {
+			figures, err := MeasureConnectionShares(size, span)
+			failed = cmp.Or(failed, err)
+			return figures
+		})
+	}
+	pools.write(w)
 	return failed
 }
 
--- a/internal/load/rattancapacity/request.go
+++ b/internal/load/rattancapacity/request.go
@@ -123,7 +123,7 @@
 	request := Request{Kind: kind, Callers: callers}
 	var sequence atomic.Uint64
 	for run := range plan.Windows + 1 {
-		figures, err := sendWindow(ctx, callers, plan.Window, &sequence, senders)
+		figures, err := sendWindow(ctx, kind, callers, plan, &sequence, senders)
 		if err != nil {
 			return request, errors.Wrapf(err, "measure %s with %d callers", kind, callers)
 		}
@@ -134,7 +134,7 @@
 	return request, nil
 }
 
-func sendWindow(ctx context.Context, callers int, span time.Duration, sequence *atomic.Uint64, senders func(caller int) sender) (Figures, error) {
+func sendWindow(ctx context.Context, kind string, callers int, plan Plan, sequence *atomic.Uint64, senders func(caller int) sender) (Figures, error) {
 	cpu, err := startCPU()
 	if err != nil {
 		return nil, err
@@ -142,7 +142,7 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	usedBefore, begin := processCPU(), time.Now()
-	count, err := sendAll(ctx, callers, span, sequence, senders)
+	count, err := sendAll(ctx, callers, plan.Window, sequence, senders)
 	seconds := time.Since(begin).Seconds()
 	process := processCPU() - usedBefore
 	runtime.ReadMemStats(&after)
@@ -153,6 +153,9 @@
 	if cpuErr != nil {
 		return nil, cpuErr
 	}
+	if err := cpu.write(plan.Profile, fmt.Sprintf("%s %d callers", kind, callers)); err != nil {
+		return nil, err
+	}
 	requests := float64(count)
 	figures := Figures{
 		figureProcessCPU: float64(process.Microseconds()) / requests,
--- a/internal/load/rattancapacity/slopes_test.go
+++ b/internal/load/rattancapacity/slopes_test.go
@@ -12,7 +12,7 @@
 	windows  = flag.Int("windows", 3, "number of measurements at each size")
 	window   = flag.Duration("window", 3*time.Second, "time of one measurement")
 	profile  = flag.String("profile_dir", "", "directory for processor profiles of control work")
-	series   = flag.String("series", "daemons,domains,groups,accounts,request,connection,scarce,target", "what to measure")
+	series   = flag.String("series", "daemons,domains,groups,accounts,request,connection,scarce,outage,target", "what to measure")
 )
 
 // TestSlopes measures what docs/CAPACITY.md states, and prints the tables.
--- a/internal/load/rattancapacity/target.go
+++ b/internal/load/rattancapacity/target.go
@@ -1,13 +1,19 @@
 package rattancapacity
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanendpoints"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfailover"
+	"github.com/rattanstream/rattanstream/internal/limit/rattanshare"
 	"github.com/rattanstream/rattanstream/internal/peer/rattangossip"
 	"github.com/rattanstream/rattanstream/internal/peer/rattanmember"
 )
@@ -136,7 +142,7 @@
 		part := size
 		part.Groups = (size.Groups + team) / settingsTeams
 		part.Accounts = (size.Accounts + team) / settingsTeams
-		texts = append(texts, settingsText(part))
+		texts = append(texts, settingsText(part, team))
 	}
 	before, _ := usedMemory()
 	documents, err := parseTexts(texts)
@@ -170,16 +176,57 @@
 	return documents, nil
 }
 
-// settingsText returns one team's document with the sections of a deployment.
-func settingsText(size Size) string {
+// figureUpdateShares is the time in which the pools of all endpoints take the
+// daemon's present connection shares, which happens 20 times a second.
+const figureUpdateShares = "update_connection_shares_us"
+
+// noEndpoints is an HTTP client that reaches nothing.
+type noEndpoints struct{}
+
+// Do implements connect.HTTPClient.
+func (noEndpoints) Do(*http.Request) (*http.Response, error) { return nil, errors.New("no endpoint") }
+
+// MeasureConnectionShares measures the work on the connection shares of all
+// endpoints. The endpoints' address is in no use.
+func MeasureConnectionShares(size Size, span time.Duration) (Figures, error) {
+	part := size
+	part.Accounts = 0
+	part.Groups = size.Groups / settingsTeams
+	texts := []string{settingsText(part, 0), settingsText(part, 1)}
+	documents, err := parseTexts(texts)
+	if err != nil {
+		return nil, err
+	}
+	snapshot := rattansettings.NewSnapshot(documents...)
+	clock := rattanclock.System()
+	ledger := rattanshare.New(clock, "vm-0", 1, "a", nil)
+	endpoints := rattanendpoints.New(clock, rattanendpoints.Config{
+		HTTPClient:   noEndpoints{},
+		MessageBytes: maxAnswerBytes,
+		Share: func(endpoint string, _ int) int {
+			_, _ = ledger.Share(rattanshare.ConnectionShare(endpoint))
+			return 1
+		},
+	})
+	endpoints.Apply(snapshot)
+	took := repeat(span, endpoints.UpdateShares)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	endpoints.Close(ctx)
+	return Figures{figureInstances: float64(len(endpoints.All())), figureUpdateShares: microseconds(took)}, nil
+}
+
+// settingsText returns one team's document with the sections of a deployment. No
+// two teams have an address in common.
+func settingsText(size Size, team int) string {
 	var b strings.Builder
 	for i := range size.Groups {
 		var names []string
 		for n := range instancesPerGroup {
 			name := fmt.Sprintf("group%d-%s", i, domainName(i+n, size.Domains))
 			names = append(names, name)
-			fmt.Fprintf(&b, "[endpoint.%s]\naddress = 10.%d.%d.%d:8001\nfailure_domain = %s\nconnections = 30\nslots = 3\ndrained = false\n\n",
-				name, n, i/250, i%250, domainName(i+n, size.Domains))
+			fmt.Fprintf(&b, "[endpoint.%s]\naddress = 10.%d.%d.%d:%d\nfailure_domain = %s\nconnections = 30\nslots = 3\ndrained = false\n\n",
+				name, n, i/250, i%250, firstPort+team, domainName(i+n, size.Domains))
 		}
 		fmt.Fprintf(&b, "[group.group%d]\nendpoints = %s\n\n", i, strings.Join(names, ", "))
 		fmt.Fprintf(&b, "[service.service%d]\ngroup = group%d\nacknowledge = majority\n\n", i, i)
@@ -194,6 +241,7 @@
 
 const (
 	instancesPerGroup = 3
+	firstPort         = 8001
 	// hashDigits is the length of a SHA-256 in hexadecimal digits.
 	hashDigits = 64
 )
