rattanmatrix: notice withdrawals that do not spread and stops without drain

Two mechanisms could be switched off and no cell failed. A cut of a failure domain always hit the VM that made the change, so that the change was not accepted before the cut healed; and a fault of 6 s ends before the limit of 8 s. The new fault "another domain cut off from both" hits another failure domain, and faults at the step of the withdrawal last 12 s. At a planned stop the daemon had no request running; now it has 12.

--- a/internal/proof/rattanmatrix/faults.go
+++ b/internal/proof/rattanmatrix/faults.go
@@ -22,6 +22,9 @@
 	stopsWrites bool
 	// stopsChanges says that settings may not spread while the fault lasts.
 	stopsChanges bool
+	// elsewhere says that the fault hits a failure domain other than that of
+	// the VM that takes the step, so that the step's change is accepted.
+	elsewhere bool
 }
 
 // faults lists the faults of the matrix.
@@ -36,6 +39,7 @@
 		{name: "domain cut off from domains", inject: cutDomain(true, false)},
 		{name: "domain cut off from platform", inject: cutDomain(false, true)},
 		{name: "domain cut off from both", inject: cutDomain(true, true)},
+		{name: "another domain cut off from both", inject: cutDomain(true, true), elsewhere: true},
 		{name: "primary killed", inject: controlPrimary(func(c *rattanendpoint.Controls) { c.Killed = true })},
 		{name: "primary frozen", inject: controlPrimary(func(c *rattanendpoint.Controls) { c.Frozen = true })},
 		{name: "primary cut off", inject: cutPrimary},
--- a/internal/proof/rattanmatrix/record.go
+++ b/internal/proof/rattanmatrix/record.go
@@ -17,6 +17,7 @@
 	kindSum      kind = "sum"
 	kindFlood    kind = "flood"
 	kindWithdraw kind = "withdraw"
+	kindBusy     kind = "busy"
 	kindIntrude  kind = "intrude"
 )
 
--- a/internal/proof/rattanmatrix/run.go
+++ b/internal/proof/rattanmatrix/run.go
@@ -52,7 +52,7 @@
 	time.Sleep(warmTime)
 	heal, occurred := w.injectAt(f, s)
 	if occurred {
-		time.Sleep(faultTime)
+		time.Sleep(max(faultTime, s.lasts))
 		heal()
 	}
 	time.Sleep(settleTime)
--- a/internal/proof/rattanmatrix/steps.go
+++ b/internal/proof/rattanmatrix/steps.go
@@ -11,6 +11,7 @@
 	"github.com/rattanstream/rattanstream/internal/proof/rattanchecker"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
 )
 
 // A step is a moment of a protocol at which a fault is injected.
@@ -21,6 +22,9 @@
 	// reached reports whether a call to a stand-in is the step. nil means that
 	// the fault is injected right after begin.
 	reached func(call rattancluster.Call) bool
+	// lasts is how long a fault lasts at the step when faultTime is too short
+	// to show a change that does not come into force.
+	lasts time.Duration
 }
 
 // steps lists the steps of the matrix: those that write state down or pass a
@@ -38,7 +42,7 @@
 		{name: "planned switch fences", begin: switchPrimary, reached: arrival("", "Fence")},
 		{name: "settings reach the platform", begin: changeSettings, reached: arrival("platform", "Put")},
 		{name: "settings are stored and not spread", begin: changeSettings, reached: answered("platform", "Put")},
-		{name: "withdrawal is stored and not spread", begin: withdrawKey, reached: answered("platform", "Put")},
+		{name: "withdrawal is stored and not spread", begin: withdrawKey, reached: answered("platform", "Put"), lasts: inForceTime + 4*time.Second},
 		{name: "failure domain is taken out", begin: takeOutDomain, reached: answered("platform", "Put")},
 		{name: "daemon leaves the roster", begin: stopDaemon, reached: arrival("platform", "Put")},
 		{name: "daemon joins the roster", begin: restartDaemon, reached: answered("platform", "Put")},
@@ -163,6 +167,7 @@
 	w.stopped = vm.Name()
 	w.mutex.Unlock()
 	w.running.Go(func() {
+		w.keepBusy(vm)
 		w.noteStop(vm, rattanchecker.StopBegin)
 		vm.Stop()
 		w.noteStop(vm, rattanchecker.StopEnd)
@@ -175,6 +180,23 @@
 	})
 }
 
+// keepBusy sends requests to a VM and returns while they run.
+func (w *world) keepBusy(vm *rattancluster.VM) {
+	const requests, underWay = 12, 3 * time.Millisecond
+	for session := range requests {
+		c := w.newCaller(300+session, busyAccount)
+		w.running.Go(func() {
+			e := c.begin(kindBusy, vm)
+			response, err := call(c, vm, rattanv1connect.CallerServiceClient.Execute, &rattanv1.ExecuteRequest{
+				Service: service, ReadOnly: true, Statement: &rattanv1.Statement{Text: "SELECT COUNT(*) FROM pair"},
+			})
+			e.whole = isPairCount(response)
+			c.finish(e, err)
+		})
+	}
+	time.Sleep(underWay)
+}
+
 // restartDaemon stops a daemon and starts a new one, which joins the roster.
 func restartDaemon(w *world) { stopDaemon(w) }
 
--- a/internal/proof/rattanmatrix/trace.go
+++ b/internal/proof/rattanmatrix/trace.go
@@ -115,6 +115,9 @@
 // inject injects the cell's fault and notes whom it touches. The returned
 // function heals it and notes the end.
 func (w *world) inject(f fault, vm *rattancluster.VM) func() {
+	if f.elsewhere {
+		vm = w.vmElsewhere(vm)
+	}
 	begin := time.Since(w.trace.start)
 	targets := w.faultTargets(f, vm, w.primary())
 	heal := f.inject(w, vm)
@@ -132,6 +135,12 @@
 	}
 }
 
+// vmElsewhere returns a VM of another failure domain.
+func (w *world) vmElsewhere(vm *rattancluster.VM) *rattancluster.VM {
+	vms := w.cluster.VMs()
+	return vms[slices.IndexFunc(vms, func(other *rattancluster.VM) bool { return other.FailureDomain() != vm.FailureDomain() })]
+}
+
 // replay writes the trace of a run to dir, unless that is empty, and returns the
 // violations that rattanchecker finds in it.
 func (w *world) replay(final map[string]int, dir, name string) ([]error, error) {
--- a/internal/proof/rattanmatrix/world.go
+++ b/internal/proof/rattanmatrix/world.go
@@ -37,6 +37,8 @@
 	withdrawAccount = "support"
 	// intruderAccount tries to use the transactions of other accounts.
 	intruderAccount = "returns"
+	// busyAccount has requests running when a daemon stops.
+	busyAccount = "prices"
 	// auditAccount reads everything after the run.
 	auditAccount = "packing"
 	// setupTimeout bounds the start of a world.
