rattancluster: start replication when all addresses are known

Cause: a data race that 5 of 7 race runs of rattancapacity reported: an endpoint's replication read the addresses while later endpoints were still added; a pause of 50 ms stood in for synchronisation. Change: replication of all endpoints starts after the last one listens. Measured: go test -race ./internal/load/rattancluster passes once.

--- a/internal/load/rattancluster/cluster.go
+++ b/internal/load/rattancluster/cluster.go
@@ -218,6 +218,10 @@
 			}
 		}
 	}
+	// Replication starts when the addresses of all endpoints are known.
+	for _, instance := range c.endpoints {
+		c.running.Go(func() { instance.Run(c.ctx) })
+	}
 	return nil
 }
 
@@ -250,17 +254,9 @@
 	}
 	c.endpoints[name] = instance
 	c.endpointAddresses[name] = endpointAddress
-	c.running.Go(func() {
-		// The other endpoints' addresses are known once all of them listen.
-		time.Sleep(startDelay)
-		instance.Run(c.ctx)
-	})
 	return nil
 }
 
-// startDelay is the time from the start of an endpoint to its replication.
-const startDelay = 50 * time.Millisecond
-
 // withSender names the sender of an instance's calls, for cuts between two of them.
 func withSender(name string) connect.ClientOption {
 	return connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
