rattanmatrix: judge P12 by replay while an endpoint leaves

The trace called every primary touched by the cell's fault, also by "endpoint leaving", which moved the limit of P12 behind the end of the cell. Only faults of the primary do that now.

--- a/internal/proof/rattanmatrix/steps.go
+++ b/internal/proof/rattanmatrix/steps.go
@@ -143,11 +143,17 @@
 	if drained {
 		value = "true"
 	}
+	if !drained {
+		// Work may come back before the operator is told of the acceptance.
+		w.noteDrained(section, false)
+	}
 	const attempts = 4
 	for range attempts {
 		_, err := w.edit(vm, team, &rattanv1.SettingsEdit{Section: section, Key: "drained", Value: value})
 		if err == nil {
-			w.noteDrained(section, drained)
+			if drained {
+				w.noteDrained(section, true)
+			}
 			w.mutex.Lock()
 			defer w.mutex.Unlock()
 			if drained {
--- a/internal/proof/rattanmatrix/trace.go
+++ b/internal/proof/rattanmatrix/trace.go
@@ -105,7 +105,10 @@
 			targets = append(targets, name)
 		}
 	}
-	return append(targets, primary)
+	if strings.Contains(f.name, "primary ") {
+		targets = append(targets, primary)
+	}
+	return targets
 }
 
 func (w *world) noteInForce(vm *rattancluster.VM, team string, revision uint64) {
