--- a/internal/proof/rattanmatrix/trace.go
+++ b/internal/proof/rattanmatrix/trace.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -28,6 +29,31 @@
 
 	mutex  sync.Mutex
 	events []rattanchecker.Event
+	// inForce has the last revision noted of each team on each daemon.
+	inForce map[inForceKey]uint64
+}
+
+type inForceKey struct{ daemon, team string }
+
+// noteInForce notes the revision of a team's settings that a daemon has in
+// force, unless it is the last one noted.
+func (t *tracer) noteInForce(daemon, team string, revision uint64) {
+	key := inForceKey{daemon, team}
+	t.mutex.Lock()
+	changed := t.inForce[key] != revision
+	t.inForce[key] = revision
+	t.mutex.Unlock()
+	if changed {
+		t.note(rattanchecker.Event{Type: rattanchecker.InForce, Daemon: daemon, Target: team, Revision: revision})
+	}
+}
+
+// forget makes the next revisions of a daemon be noted even if they are the
+// last ones noted, as a daemon that starts again has to reach them anew.
+func (t *tracer) forget(daemon string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	maps.DeleteFunc(t.inForce, func(key inForceKey, _ uint64) bool { return key.daemon == daemon })
 }
 
 // note adds an event that happens now.
@@ -41,6 +67,9 @@
 // noteDaemon notes a change in a daemon's life.
 func (w *world) noteDaemon(vm *rattancluster.VM, action string) {
 	w.trace.note(rattanchecker.Event{Type: rattanchecker.Daemon, Daemon: vm.Name(), Action: action})
+	if action == rattanchecker.Start {
+		w.trace.forget(vm.Name())
+	}
 }
 
 // noteStop notes the begin or end of a planned stop. Beside another fault P13
@@ -111,10 +140,6 @@
 	return targets
 }
 
-func (w *world) noteInForce(vm *rattancluster.VM, team string, revision uint64) {
-	w.trace.note(rattanchecker.Event{Type: rattanchecker.InForce, Daemon: vm.Name(), Target: team, Revision: revision})
-}
-
 // inject injects the cell's fault and notes whom it touches. The returned
 // function heals it and notes the end.
 func (w *world) inject(f fault, vm *rattancluster.VM) func() {
--- a/internal/proof/rattanmatrix/world.go
+++ b/internal/proof/rattanmatrix/world.go
@@ -90,7 +90,7 @@
 	w := &world{
 		network: rattannet.New(linkLatency),
 		record:  &record{},
-		trace:   &tracer{start: time.Now()},
+		trace:   &tracer{start: time.Now(), inForce: make(map[inForceKey]uint64)},
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		clocks:  make(map[string]*vmClock),
 		drained: make(map[string]time.Time),
@@ -198,14 +198,10 @@
 // settings go back.
 func (w *world) watchRevisions(ctx context.Context) {
 	highest := make(map[*rattancluster.VM]uint64)
-	noted := make(map[string]uint64)
 	for ctx.Err() == nil {
 		for _, vm := range w.cluster.VMs() {
 			for _, team := range []string{rattancluster.Team, rattansettings.RootTeam} {
-				if revision := vm.Revision(team); revision != noted[vm.Name()+team] {
-					noted[vm.Name()+team] = revision
-					w.noteInForce(vm, team, revision)
-				}
+				w.trace.noteInForce(vm.Name(), team, vm.Revision(team))
 			}
 			revision := vm.Revision(rattancluster.Team)
 			if revision < highest[vm] && revision != 0 {
