--- a/internal/cmd/rattancmd/process_test.go
+++ b/internal/cmd/rattancmd/process_test.go
@@ -93,9 +93,12 @@
 
 // cmdSignal sends a signal to a process.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
-	signals := map[string]os.Signal{"TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "KILL": syscall.SIGKILL, "QUIT": syscall.SIGQUIT}
+	signals := map[string]os.Signal{
+		"TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "KILL": syscall.SIGKILL, "QUIT": syscall.SIGQUIT,
+		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
 	if neg || len(args) != 2 || signals[args[1]] == nil {
-		ts.Fatalf("usage: signal NAME TERM|INT|KILL")
+		ts.Fatalf("usage: signal NAME TERM|INT|KILL|QUIT|STOP|CONT")
 	}
 	ts.Check(findProcess(ts, args[0]).cmd.Process.Signal(signals[args[1]]))
 }
