rattancluster: TLS with certificates made in memory for the demo

Cause: the demo ran over plain TCP, which no deployment should do. Change: an authority in memory issues a certificate for each VM; callers, operators and daemons of the demo use TLS, mutual between daemons.

--- a/internal/cmd/rattancmd/democmd.go
+++ b/internal/cmd/rattancmd/democmd.go
@@ -26,8 +26,9 @@
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a whole deployment on loopback addresses under load and faults",
-		Long: "Runs a whole deployment in this process on loopback addresses without TLS, sends a load for half a\n" +
-			"minute, and meanwhile kills a primary, raises a rate, and takes a failure domain out and returns it.",
+		Long: "Runs a whole deployment in this process on loopback addresses, with TLS certificates made in\n" +
+			"memory, sends a load for half a minute, and meanwhile kills a primary, raises a rate, and takes\n" +
+			"a failure domain out and returns it.",
 		Args: exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error { return c.runDemo(cmd.Context(), f, scenario) },
 	}
@@ -43,7 +44,7 @@
 	}
 	starting, cancel := context.WithTimeout(ctx, demoStartTimeout)
 	defer cancel()
-	cluster, err := rattancluster.Start(starting, scenario)
+	cluster, err := rattancluster.Start(starting, scenario, rattancluster.WithTLS())
 	if err != nil {
 		return errors.Wrap(err, "start the deployment")
 	}
--- a/internal/daemon/rattandaemon/daemon.go
+++ b/internal/daemon/rattandaemon/daemon.go
@@ -81,6 +81,7 @@
 	executor []rattanexecutor.Option
 	shares   []rattanshare.Option
 	network  Network
+	security *security
 
 	peerClient PeerClient
 	peerServer PeerServer
@@ -112,9 +113,12 @@
 	for _, option := range opts {
 		option(&d.options)
 	}
-	security, err := loadSecurity(process.TLS())
-	if err != nil {
-		return nil, err
+	if d.options.security == nil {
+		security, err := loadSecurity(process.TLS())
+		if err != nil {
+			return nil, err
+		}
+		d.options.security = security
 	}
 	sealer, err := newSealer(process.Session())
 	if err != nil {
@@ -125,11 +129,11 @@
 		return nil, err
 	}
 	d.identify(listeners)
-	d.newState(security)
+	d.newState(d.options.security)
 	d.newShares()
 	d.newEndpoints()
 	d.newCallers(sealer)
-	d.newServers(listeners, security)
+	d.newServers(listeners, d.options.security)
 	return d, nil
 }
 
--- a/internal/daemon/rattandaemon/security.go
+++ b/internal/daemon/rattandaemon/security.go
@@ -15,6 +15,12 @@
 	mutual *tls.Config
 }
 
+// WithTLS replaces the TLS files of the settings, for certificates that are made
+// in memory. server is for callers and operators, mutual for links between daemons.
+func WithTLS(server, mutual *tls.Config) Option {
+	return func(o *options) { o.security = &security{server: server, mutual: mutual} }
+}
+
 // loadSecurity reads the TLS material that the settings name. The error names the file.
 func loadSecurity(settings rattansettings.TLSSettings) (*security, error) {
 	if settings.Off() {
--- a/internal/load/rattancluster/cluster.go
+++ b/internal/load/rattancluster/cluster.go
@@ -37,6 +37,7 @@
 	options  []rattandaemon.Option
 
 	hostOptions func(host string) []rattandaemon.Option
+	useTLS      bool
 
 	credentialSecret  string
 	sealKey           string
@@ -47,6 +48,9 @@
 	endpointAddresses map[string]string
 	vms               []*VM
 
+	// authority is nil while links are plain TCP.
+	authority *authority
+
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -97,6 +101,12 @@
 	return func(c *Cluster) { c.observe = observe }
 }
 
+// WithTLS makes callers, operators and daemons use TLS, with certificates of an
+// authority that the cluster makes in memory.
+func WithTLS() Option {
+	return func(c *Cluster) { c.useTLS = true }
+}
+
 // WithClock sets the clock of each VM's daemon.
 func WithClock(clock func(vm string) rattanclock.Clock) Option {
 	return func(c *Cluster) { c.clock = clock }
@@ -125,6 +135,11 @@
 	if c.hosts, err = newHosts(c.network); err != nil {
 		return nil, err
 	}
+	if c.useTLS {
+		if c.authority, err = newAuthority(); err != nil {
+			return nil, err
+		}
+	}
 	c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := c.start(ctx); err != nil {
 		c.Stop()
--- a/internal/load/rattancluster/cluster_test.go
+++ b/internal/load/rattancluster/cluster_test.go
@@ -20,11 +20,11 @@
 	return s
 }
 
-func startCluster(t *testing.T, scenario Scenario) *Cluster {
+func startCluster(t *testing.T, scenario Scenario, options ...Option) *Cluster {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	cluster, err := Start(ctx, scenario, WithLog(os.Stderr, log.WarnLevel))
+	cluster, err := Start(ctx, scenario, append(options, WithLog(os.Stderr, log.WarnLevel))...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +62,13 @@
 // TestReadYourWrites guards against a session that loses its writes when it
 // moves to another daemon.
 func TestReadYourWrites(t *testing.T) {
-	cluster := startCluster(t, smallScenario())
+	t.Run("plain", func(t *testing.T) { testReadYourWrites(t) })
+	t.Run("tls", func(t *testing.T) { testReadYourWrites(t, WithTLS()) })
+}
+
+func testReadYourWrites(t *testing.T, options ...Option) {
+	t.Helper()
+	cluster := startCluster(t, smallScenario(), options...)
 	session := &caller{t: t, cluster: cluster, account: "checkout"}
 	vms := cluster.VMs()
 	for i := range 30 {
--- a/internal/load/rattancluster/operate.go
+++ b/internal/load/rattancluster/operate.go
@@ -25,7 +25,12 @@
 // NewCallerTransport returns an HTTP transport of the callers' machine. The
 // caller closes its idle connections.
 func (c *Cluster) NewCallerTransport() *http.Transport {
-	return &http.Transport{DialContext: c.network.Dialer(CallerHost), MaxIdleConnsPerHost: idleConnections}
+	transport := &http.Transport{DialContext: c.network.Dialer(CallerHost), MaxIdleConnsPerHost: idleConnections}
+	if c.authority != nil {
+		transport.TLSClientConfig = c.authority.callers()
+		transport.ForceAttemptHTTP2 = true
+	}
+	return transport
 }
 
 // Primary returns the full name of the primary with the highest term of a
--- a/internal/load/rattancluster/vm.go
+++ b/internal/load/rattancluster/vm.go
@@ -29,6 +29,14 @@
 // CallerHost is the machine of all callers and operators.
 const CallerHost = "127.0.0.1"
 
+// scheme returns the beginning of the URLs of daemons.
+func (c *Cluster) scheme() string {
+	if c.authority != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
 // Name returns the VM's name.
 func (v *VM) Name() string { return v.name }
 
@@ -39,10 +47,10 @@
 func (v *VM) FailureDomain() string { return v.domain }
 
 // CallerURL returns the base URL for callers.
-func (v *VM) CallerURL() string { return "http://" + address(v.host, callerPort) }
+func (v *VM) CallerURL() string { return v.cluster.scheme() + address(v.host, callerPort) }
 
 // OperatorURL returns the base URL for operators.
-func (v *VM) OperatorURL() string { return "http://" + address(v.host, operatorPort) }
+func (v *VM) OperatorURL() string { return v.cluster.scheme() + address(v.host, operatorPort) }
 
 // DebugURL returns the base URL of metrics and state dump.
 func (v *VM) DebugURL() string { return "http://" + address(v.host, debugPort) }
@@ -51,7 +59,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if v.client == nil {
-		v.client = v.cluster.httpClient(CallerHost)
+		v.client = &http.Client{Transport: v.cluster.NewCallerTransport()}
 	}
 	return v.client
 }
@@ -72,6 +80,13 @@
 	}
 	options := append(v.cluster.hostOptions(v.host), rattandaemon.WithNetwork(hostNetwork{v.cluster.network, v.host}))
 	options = append(options, v.cluster.options...)
+	if v.cluster.authority != nil {
+		server, mutual, err := v.cluster.authority.configs(v.name, v.host)
+		if err != nil {
+			return err
+		}
+		options = append(options, rattandaemon.WithTLS(server, mutual))
+	}
 	daemon, err := rattandaemon.New(process, v.cluster.clock(v.name), v.cluster.logger.With("vm", v.name), options...)
 	if err != nil {
 		return err
