rattanlisten: copy the TLS settings of each server

The servers of callers and of operators shared one tls.Config, which an HTTP server changes when it starts; a daemon with TLS files had the same race. Change: each server has its own copy.

--- a/internal/daemon/rattanlisten/server.go
+++ b/internal/daemon/rattanlisten/server.go
@@ -31,9 +31,9 @@
 // An Option changes a Server.
 type Option func(*Server)
 
-// WithTLS serves TLS.
+// WithTLS serves TLS. The settings are copied, since an HTTP server changes its own.
 func WithTLS(config *tls.Config) Option {
-	return func(s *Server) { s.tls = config }
+	return func(s *Server) { s.tls = config.Clone() }
 }
 
 // WithConnectionLimit accepts at most limit connections at a time; others wait
