rattanshare, rattanfailover: use the field's terms in names

Cause: lenders that were 'dry' and replicas that were 'stranded' needed explaining. Change: lender backoff, and replicas that have promised ahead; names only. Measured: go test ./internal/limit/rattanshare ./internal/endpoint/rattanfailover passes.

--- a/internal/endpoint/rattanfailover/detector_test.go
+++ b/internal/endpoint/rattanfailover/detector_test.go
@@ -112,20 +112,20 @@
 	}
 }
 
-// TestStranded guards against a second new term for a replica that the first
+// TestPromisedAhead guards against a second new term for a replica that the first
 // one, learned from another daemon, has taken in again.
-func TestStranded(t *testing.T) {
+func TestPromisedAhead(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	tracker := NewTracker(clock)
 	tracker.SetGroup(group, Member{Name: "a"}, Member{Name: "b"})
 	tracker.Observe("a", &rattanv1.EndpointStatus{Role: rattanv1.EndpointRole_ENDPOINT_ROLE_PRIMARY, Term: 1, PromisedTerm: 1})
 	tracker.Observe("b", &rattanv1.EndpointStatus{Term: 1, PromisedTerm: 9})
 	clock.Advance(time.Second)
-	if got := tracker.Stranded(group); got != time.Second {
-		t.Errorf("stranded for %s, want 1s", got)
+	if got := tracker.PromisedAhead(group); got != time.Second {
+		t.Errorf("ahead for %s, want 1s", got)
 	}
 	tracker.Merge(rattanmodel.GroupView{Group: group, Term: 10, Primary: "a"})
-	if got := tracker.Stranded(group); got != 0 {
-		t.Errorf("stranded for %s in the new term, want 0s", got)
+	if got := tracker.PromisedAhead(group); got != 0 {
+		t.Errorf("ahead for %s in the new term, want 0s", got)
 	}
 }
--- a/internal/endpoint/rattanfailover/failover.go
+++ b/internal/endpoint/rattanfailover/failover.go
@@ -46,9 +46,9 @@
 	gracePeriod = 20 * time.Millisecond
 	// catchUpTime bounds the wait of a planned switch for its target.
 	catchUpTime = time.Second
-	// strandedTime is how long a replica may refuse a healthy primary, because it
+	// promisedAheadTime is how long a replica may refuse a healthy primary, because it
 	// has promised a higher term, before a new term takes it in again.
-	strandedTime = 2 * time.Second
+	promisedAheadTime = 2 * time.Second
 )
 
 // An Endpoint is what detection and promotion ask of one database instance. An
--- a/internal/endpoint/rattanfailover/monitor.go
+++ b/internal/endpoint/rattanfailover/monitor.go
@@ -162,7 +162,7 @@
 	// one would start another.
 	decision := m.detector.Decide()
 	primary := m.tracker.View(m.group).Primary
-	heal := primary != "" && m.detector.first() && m.tracker.Stranded(m.group) > strandedTime
+	heal := primary != "" && m.detector.first() && m.tracker.PromisedAhead(m.group) > promisedAheadTime
 	if !decision.Failover && !heal {
 		return
 	}
--- a/internal/endpoint/rattanfailover/tracker.go
+++ b/internal/endpoint/rattanfailover/tracker.go
@@ -33,8 +33,8 @@
 	view rattanmodel.GroupView
 	// observed has the highest terms that each endpoint was seen with.
 	observed map[string]observedTerms
-	// strandedSince is when a member was first seen to refuse the primary's term.
-	strandedSince time.Time
+	// promisedAheadSince is when a member was first seen to refuse the primary's term.
+	promisedAheadSince time.Time
 }
 
 type observedTerms struct{ term, promised uint64 }
@@ -126,7 +126,7 @@
 	view.AgeKnown, view.Observed = status.GetAgeKnown(), t.clock.Now()
 	tracked.observed[endpoint] = observedTerms{term: status.GetTerm(), promised: status.GetPromisedTerm()}
 	tracked.observePrimary(endpoint, status)
-	tracked.observeStranded(t.clock.Now())
+	tracked.observePromisedAhead(t.clock.Now())
 }
 
 // ObserveFailure records that a call to an endpoint got no answer.
@@ -175,7 +175,7 @@
 		if _, ok := tracked.view.Endpoint(view.Primary); ok {
 			tracked.view.Primary = view.Primary
 		}
-		tracked.observeStranded(t.clock.Now())
+		tracked.observePromisedAhead(t.clock.Now())
 	}
 	for i := range tracked.view.Endpoints {
 		mine := &tracked.view.Endpoints[i]
@@ -185,27 +185,27 @@
 	}
 }
 
-func (g *trackedGroup) observeStranded(now time.Time) {
-	stranded := false
+func (g *trackedGroup) observePromisedAhead(now time.Time) {
+	ahead := false
 	for _, endpoint := range g.view.Endpoints {
-		stranded = stranded || g.view.Primary != "" && g.observed[endpoint.Name].promised > g.view.Term
+		ahead = ahead || g.view.Primary != "" && g.observed[endpoint.Name].promised > g.view.Term
 	}
 	switch {
-	case !stranded:
-		g.strandedSince = time.Time{}
-	case g.strandedSince.IsZero():
-		g.strandedSince = now
+	case !ahead:
+		g.promisedAheadSince = time.Time{}
+	case g.promisedAheadSince.IsZero():
+		g.promisedAheadSince = now
 	}
 }
 
-// Stranded returns for how long a member has refused the present primary,
+// PromisedAhead returns for how long a member has refused the present primary,
 // because it promised a higher term to a coordinator that did not finish.
-func (t *Tracker) Stranded(group string) time.Duration {
+func (t *Tracker) PromisedAhead(group string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	tracked := t.groups[group]
-	if tracked == nil || tracked.strandedSince.IsZero() {
+	if tracked == nil || tracked.promisedAheadSince.IsZero() {
 		return 0
 	}
-	return t.clock.Now().Sub(tracked.strandedSince)
+	return t.clock.Now().Sub(tracked.promisedAheadSince)
 }
--- a/internal/limit/rattanshare/borrow.go
+++ b/internal/limit/rattanshare/borrow.go
@@ -105,7 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.finish(request) {
-		s.noteDry(request.Lender, true, l.clock.Now())
+		s.noteShortfall(request.Lender, true, l.clock.Now())
 	}
 }
 
--- a/internal/limit/rattanshare/plan.go
+++ b/internal/limit/rattanshare/plan.go
@@ -17,38 +17,38 @@
 	// maxAsks is the largest number of lenders asked at a time.
 	maxAsks = 8
 	// A lender that could not give all that was asked is not asked for more
-	// during dryTime. The time doubles, up to a limit, while it gives nothing,
+	// during backoffTime. The time doubles, up to a limit, while it gives nothing,
 	// so that the peers of an overloaded client account are not asked all the time.
-	dryTime = 50 * time.Millisecond
-	// dryTimePerLender is the longest dry time divided by the number of lenders. It
+	backoffTime = 50 * time.Millisecond
+	// backoffTimePerLender is the longest backoff divided by the number of lenders. It
 	// bounds the requests for one share to 40 per second, however many lenders
 	// there are.
-	dryTimePerLender = 25 * time.Millisecond
+	backoffTimePerLender = 25 * time.Millisecond
 )
 
-// A dryness says until when a lender is not asked for more.
-type dryness struct {
+// A lenderBackoff says until when a lender is not asked for more.
+type lenderBackoff struct {
 	until time.Time
 	last  time.Duration
 }
 
-// noteDry records that lender gave less than asked, or nothing.
-func (s *share) noteDry(lender string, nothing bool, now time.Time) {
-	last := dryTime
+// noteShortfall records that lender gave less than asked, or nothing.
+func (s *share) noteShortfall(lender string, nothing bool, now time.Time) {
+	last := backoffTime
 	if nothing {
-		limit := max(time.Duration(s.lenders)*dryTimePerLender, dryTime)
-		last = min(max(s.dry[lender].last*2, dryTime), limit)
+		limit := max(time.Duration(s.lenders)*backoffTimePerLender, backoffTime)
+		last = min(max(s.backoff[lender].last*2, backoffTime), limit)
 	}
-	s.dry[lender] = dryness{until: now.Add(last), last: last}
+	s.backoff[lender] = lenderBackoff{until: now.Add(last), last: last}
 }
 
 // noteAnswer records how much of a request the lender gave.
 func (s *share) noteAnswer(request Request, amount Amount, tokens int64, now time.Time) {
 	if amount.covers(request.Amount) && tokens >= request.Tokens {
-		delete(s.dry, request.Lender)
+		delete(s.backoff, request.Lender)
 		return
 	}
-	s.noteDry(request.Lender, amount == Amount{}, now)
+	s.noteShortfall(request.Lender, amount == Amount{}, now)
 }
 
 // target returns what the daemon should have: 1.25 times its demand once the
@@ -122,13 +122,13 @@
 	return lenders
 }
 
-// planMore divides deficit among the first lenders that are neither dry nor
+// planMore divides deficit among the first lenders that are neither in backoff nor
 // being asked.
 func (s *share) planMore(lenders []string, deficit, target Amount, missing int64, now time.Time) []Ask {
 	var chosen []string
 	for _, lender := range lenders {
 		_, pending := s.pending[lender]
-		if dry, ok := s.dry[lender]; pending || ok && now.Sub(dry.until) < 0 {
+		if waiting, ok := s.backoff[lender]; pending || ok && now.Sub(waiting.until) < 0 {
 			continue
 		}
 		chosen = append(chosen, lender)
--- a/internal/limit/rattanshare/share.go
+++ b/internal/limit/rattanshare/share.go
@@ -43,8 +43,8 @@
 	// claimSum is the sum of claims, of which none is older than oldestClaim.
 	claimSum    Amount
 	oldestClaim time.Time
-	dry         map[string]dryness // by lender
-	lenders     int                // number of peers that hold home shares, as of the last plan
+	backoff     map[string]lenderBackoff // by lender
+	lenders     int                      // number of peers that hold home shares, as of the last plan
 	demand      demand
 	active      bool
 }
@@ -65,7 +65,7 @@
 		pending:  make(map[string]Request),
 		returned: make(map[string]returnedLoan),
 		claims:   make(map[string]claim),
-		dry:      make(map[string]dryness),
+		backoff:  make(map[string]lenderBackoff),
 	}
 }
 
