--- a/internal/cmd/rattancmd/democmd.go
+++ b/internal/cmd/rattancmd/democmd.go
@@ -16,8 +16,8 @@
 const (
 	// demoDuration leaves half of a minute for start and stop on a busy machine.
 	demoDuration = 30 * time.Second
-	// demoStartTimeout bounds the start of all daemons and stand-ins.
-	demoStartTimeout = 20 * time.Second
+	// demoStartTimeout bounds the start of all daemons and stand-ins, also on a busy machine.
+	demoStartTimeout = time.Minute
 )
 
 func newDemoCmd(c *config) *cobra.Command {
