rattanpromise: extend grants while the store is away for all

Cause: a daemon's grants end 1 s after its last renewal.

Change: the store keeps a roll of the daemons beyond their leases. While the lease cannot be renewed and no daemon vouches, a daemon extends its grants by 1 s when every daemon on the roll answers, has the same roll, and tells the records that it knows; one daemon collects the answers for all. A switch waits for daemons on the roll that have not stopped until 1.1 s after one that they need to ask has stopped, or 10 s without such a one. A renewal of the lease is sent 280 ms after the last one was sent, not after its answer. The holder of the duty no longer revokes its own lease when its work takes long to stop.

A model of the rule plays random orders and all short ones with the same decision code; it notices each rule that is left out.

Conclusion: outages alone are bridged; one with a cut failure domain is not.

--- a/internal/config/rattanknowledge/knowledge.go
+++ b/internal/config/rattanknowledge/knowledge.go
@@ -45,9 +45,11 @@
 	// Evacuated are the failure domains out of service.
 	Evacuated map[string]bool
 	VMs       map[string]VMRecord
-	Groups    map[string]GroupEntry
-	Duty      DutyRecord
-	HasDuty   bool
+	// Roll names the newest daemon of each VM, also of those without a lease.
+	Roll    map[string]RollRecord
+	Groups  map[string]GroupEntry
+	Duty    DutyRecord
+	HasDuty bool
 
 	catalogRevision int64
 }
@@ -116,6 +118,14 @@
 	return names
 }
 
+// GoneAt returns when a VM's entry disappeared, as seen here.
+func (k *Knowledge) GoneAt(name string) (time.Time, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.gone[name]
+	return at, ok
+}
+
 // Apply takes the changes of a watch in. It returns the entries that cannot be read.
 func (k *Knowledge) Apply(changes rattankv.Changes) []Fault {
 	k.mu.Lock()
@@ -229,6 +239,7 @@
 		Endpoints: make(map[string]rattancatalog.Endpoint),
 		Evacuated: make(map[string]bool),
 		VMs:       make(map[string]VMRecord),
+		Roll:      make(map[string]RollRecord),
 		Groups:    make(map[string]GroupEntry),
 
 		catalogRevision: k.view.catalogRevision,
@@ -269,6 +280,15 @@
 		view.VMs[name] = record
 		return nil
 	}
+	if name, ok := rollName(key); ok {
+		var record RollRecord
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return err
+		}
+		record.Created, record.Revision = item.Created, item.Revision
+		view.Roll[name] = record
+		return nil
+	}
 	if name, ok := groupName(key); ok {
 		entry := GroupEntry{Revision: item.Revision}
 		if err := json.Unmarshal(item.Value, &entry.Record); err != nil {
--- a/internal/config/rattanknowledge/records.go
+++ b/internal/config/rattanknowledge/records.go
@@ -8,6 +8,9 @@
 	Prefix = "rattanstream/"
 	// VMPrefix begins the keys of the live VMs; each is bound to a lease.
 	VMPrefix = Prefix + "vms/"
+	// RollPrefix begins the keys of the VMs whose daemons may hold grants or run a
+	// switch. They outlast the leases.
+	RollPrefix = Prefix + "roll/"
 	// GroupPrefix begins the keys of the groups' primaries.
 	GroupPrefix = Prefix + "groups/"
 	// DutyKey names the holder of the failover duty; it is bound to a lease.
@@ -34,6 +37,17 @@
 	Lease int64 `json:"-"`
 }
 
+// A RollRecord names the newest daemon of a VM that was listed.
+type RollRecord struct {
+	Incarnation string `json:"incarnation"`
+	// Address is where other daemons reach the daemon.
+	Address string `json:"address"`
+	// Created is the revision since which the VM is on the roll, Revision that of
+	// the entry, as the store tells them.
+	Created  int64 `json:"-"`
+	Revision int64 `json:"-"`
+}
+
 // A DutyRecord names the daemon that holds the failover duty.
 type DutyRecord struct {
 	VM          string `json:"vm"`
@@ -45,5 +59,8 @@
 // vmName returns the VM that a key belongs to.
 func vmName(key string) (string, bool) { return strings.CutPrefix(key, VMPrefix) }
 
+// rollName returns the VM whose daemon a key names.
+func rollName(key string) (string, bool) { return strings.CutPrefix(key, RollPrefix) }
+
 // groupName returns the group that a key belongs to.
 func groupName(key string) (string, bool) { return strings.CutPrefix(key, GroupPrefix) }
--- a/internal/config/rattankv/store.go
+++ b/internal/config/rattankv/store.go
@@ -28,6 +28,8 @@
 	Value []byte
 	// Revision is the revision of the last change.
 	Revision int64
+	// Created is the revision at which the key came into being.
+	Created int64
 	// Lease is the lease that the key is bound to, 0 for none.
 	Lease int64
 }
--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -165,6 +165,7 @@
 	server.Handle(rattanlink.KindWork, p.kept.handle)
 	server.Handle(rattanlink.KindKnowledge, p.relay.handleKnowledge)
 	server.Handle(rattanlink.KindStop, p.relay.handleStop)
+	server.Handle(rattanlink.KindPromise, p.extension.handlePromise)
 	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve peers")
 	}
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -76,6 +76,7 @@
 		view, changed := p.knowledge.Changed()
 		if _, ok := held.Token(); ok {
 			runner.look(ctx, view)
+			p.sweepRoll(ctx, view)
 			freeSince = time.Time{}
 		} else if p.isDutyFree(view) {
 			if freeSince.IsZero() {
--- a/internal/daemon/rattanproxy/members.go
+++ b/internal/daemon/rattanproxy/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/config/rattanknowledge"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpromise"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanswitch"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
@@ -26,15 +27,20 @@
 	mu sync.Mutex
 	// confirmed is the newest switch that a daemon has confirmed directly, by
 	// group and daemon.
-	confirmed map[confirmation]int64
+	confirmed map[confirmation]confirmed
 }
 
 type confirmation struct {
 	group, vm, incarnation string
 }
 
+type confirmed struct {
+	number int64
+	at     time.Time
+}
+
 func newMembers(p *Proxy) *members {
-	return &members{proxy: p, confirmed: make(map[confirmation]int64)}
+	return &members{proxy: p, confirmed: make(map[confirmation]confirmed)}
 }
 
 // Running implements rattanswitch.Members.
@@ -50,24 +56,63 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name, vm := range view.VMs {
-		direct := m.confirmed[confirmation{group, name, vm.Incarnation}]
-		if max(vm.Stopped[group], direct) < number {
+	for name := range view.VMs {
+		if !m.standing(view, group, number, name).HasStopped {
 			running.Listed = append(running.Listed, name)
 		}
 	}
+	running.Gone = append(running.Gone, rollOf(view).Outstanding(m.proxy.boot.Now(), func(name string) rattanpromise.Standing {
+		return m.standing(view, group, number, name)
+	})...)
 	return running, nil
 }
 
+// standing returns what is known of a VM's newest daemon during a switch.
+func (m *members) standing(view *rattanknowledge.View, group string, number int64, name string) rattanpromise.Standing {
+	vm, isListed := view.VMs[name]
+	incarnation := vm.Incarnation
+	if entry, ok := view.Roll[name]; ok {
+		incarnation = entry.Incarnation
+	}
+	var standing rattanpromise.Standing
+	if direct := m.confirmed[confirmation{group, name, incarnation}]; direct.number >= number {
+		standing.HasStopped, standing.StoppedAt = true, direct.at
+	}
+	if isListed {
+		standing.HasStopped = standing.HasStopped || vm.Incarnation == incarnation && vm.Stopped[group] >= number
+		return standing
+	}
+	standing.UnlistedSince = m.proxy.knowledge.CompleteSince()
+	if at, ok := m.proxy.knowledge.GoneAt(name); ok {
+		standing.UnlistedSince = at
+	}
+	return standing
+}
+
+// rollOf returns the roll that a view holds.
+func rollOf(view *rattanknowledge.View) rattanpromise.Roll {
+	roll := make(rattanpromise.Roll, len(view.Roll))
+	for name, entry := range view.Roll {
+		roll[name] = rattanpromise.Entry{Incarnation: entry.Incarnation, Created: entry.Created, Revision: entry.Revision}
+	}
+	return roll
+}
+
 // Tell implements rattanswitch.Members.
 func (m *members) Tell(ctx context.Context, group string, number int64) {
 	record, ok := m.proxy.knowledge.Item(rattanknowledge.GroupPrefix + group)
 	if !ok {
 		return
 	}
-	for name, vm := range m.proxy.knowledge.View().VMs {
+	view := m.proxy.knowledge.View()
+	for name, vm := range view.VMs {
 		go m.tell(ctx, confirmation{group, name, vm.Incarnation}, vm.Address, record, number)
 	}
+	for name, entry := range view.Roll {
+		if view.VMs[name].Incarnation != entry.Incarnation {
+			go m.tell(ctx, confirmation{group, name, entry.Incarnation}, entry.Address, record, number)
+		}
+	}
 }
 
 func (m *members) tell(ctx context.Context, to confirmation, address string, record rattankv.Item, number int64) {
@@ -86,15 +131,18 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.confirmed[to] = max(m.confirmed[to], number)
+	if number > m.confirmed[to].number {
+		m.confirmed[to] = confirmed{number: number, at: m.proxy.boot.Now()}
+	}
 }
 
-// Expel implements rattanswitch.Members.
+// Expel implements rattanswitch.Members. This daemon knows by itself when its
+// work has stopped; without its lease it could not go on with the switch.
 func (m *members) Expel(ctx context.Context, vms []string) error {
 	view := m.proxy.knowledge.View()
 	for _, name := range vms {
 		vm, ok := view.VMs[name]
-		if !ok || vm.Lease == 0 {
+		if !ok || vm.Lease == 0 || name == m.proxy.settings.VM() {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -87,6 +87,7 @@
 	kept      *keptWork
 	metrics   *metrics
 	relay     *relay
+	extension *extension
 	isolation isolation
 	dispatch  *rattandispatch.Dispatcher
 	register  *register
@@ -114,6 +115,7 @@
 	p.kept = newKeptWork(p)
 	p.metrics = newMetrics()
 	p.relay = newRelay(p)
+	p.extension = newExtension(p)
 	p.dispatch = rattandispatch.New(clock, p.endpoints, p.keepers, p.grants, p.switches)
 	p.register = newRegister(p)
 	p.admission = newAdmission(p)
--- a/internal/daemon/rattanproxy/register.go
+++ b/internal/daemon/rattanproxy/register.go
@@ -36,6 +36,9 @@
 	// reportPausePerVM times the live VMs is the least time between two reports of
 	// unreachable endpoints: each one is read by every VM.
 	reportPausePerVM = 10 * time.Millisecond
+	// rollSettle is how long after its start a daemon looks whether its entry on
+	// the roll is older than most.
+	rollSettle = 3 * time.Second
 	// writeTimeout limits one write to the store.
 	writeTimeout = 1 * time.Second
 )
@@ -60,6 +63,8 @@
 	direct map[string]int64
 	// isListed is true while the store holds the entry under the present lease.
 	isListed bool
+	// listedAt is since when, or when the entry on the roll was last renewed.
+	listedAt time.Time
 }
 
 func newRegister(p *Proxy) *register {
@@ -101,11 +106,13 @@
 // run keeps the lease and the entry.
 func (r *register) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		next := r.proxy.clock.Now().Add(leaseRenewal)
 		if err := r.renew(ctx); err != nil {
 			r.proxy.storeFailed(ctx, "lease", err)
 			r.proxy.sleep(ctx, storeRetry)
 			continue
 		}
+		r.renewRoll()
 		if err := r.publish(ctx); err != nil {
 			r.proxy.storeFailed(ctx, "register", err)
 			r.proxy.sleep(ctx, storeRetry)
@@ -114,7 +121,7 @@
 		select {
 		case <-ctx.Done():
 		case <-r.wake:
-		case <-r.proxy.clock.After(leaseRenewal):
+		case <-r.proxy.clock.After(next.Sub(r.proxy.clock.Now())):
 		}
 	}
 	return nil
@@ -192,16 +199,14 @@
 	}
 	r.isDirty = false
 	lease := r.lease
-	value, err := json.Marshal(r.record)
+	writes, err := r.entries()
 	r.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	call, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if _, err := r.proxy.protocol.Store.Commit(call, rattankv.Txn{
-		Writes: []rattankv.Item{{Key: r.key(), Value: value, Lease: lease}},
-	}); err != nil {
+	if _, err := r.proxy.protocol.Store.Commit(call, rattankv.Txn{Writes: writes}); err != nil {
 		r.mu.Lock()
 		r.isDirty = true
 		if errors.Is(err, rattankv.ErrLeaseEnded) {
@@ -211,14 +216,51 @@
 		r.mu.Unlock()
 		return err
 	}
+	if r.noteListed(lease) {
+		r.wakePoll()
+	}
+	return nil
+}
+
+// entries returns what the store is to hold of the daemon: its entry, and its
+// name on the roll.
+func (r *register) entries() ([]rattankv.Item, error) {
+	listed, err := json.Marshal(r.record)
+	if err != nil {
+		return nil, err
+	}
+	onRoll, err := json.Marshal(rattanknowledge.RollRecord{Incarnation: r.incarnation, Address: r.record.Address})
+	if err != nil {
+		return nil, err
+	}
+	return []rattankv.Item{
+		{Key: r.key(), Value: listed, Lease: r.lease},
+		{Key: rattanknowledge.RollPrefix + r.proxy.settings.VM(), Value: onRoll},
+	}, nil
+}
+
+// noteListed records that the store holds the entry under a lease. It returns
+// true when that was not so before.
+func (r *register) noteListed(lease int64) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	isFirst := !r.isListed
 	r.isListed = r.lease == lease
-	r.mu.Unlock()
 	if isFirst {
-		r.wakePoll()
+		r.listedAt = r.proxy.clock.Now()
+	}
+	return isFirst
+}
+
+// renewRoll writes the entries again when few VMs were on the roll before, once
+// the others have had time to start.
+func (r *register) renewRoll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.proxy.clock.Now()
+	if r.isListed && now.Sub(r.listedAt) >= rollSettle && rollOf(r.proxy.knowledge.View()).NeedsRenewal(r.proxy.settings.VM()) {
+		r.isDirty, r.listedAt = true, now
 	}
-	return nil
 }
 
 // confirmStopped tells the other daemons that this one sends no primary work of
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -60,6 +60,9 @@
 			continue
 		}
 		r.askAny(ctx)
+		if r.proxy.grants.Remaining() < r.proxy.grants.Lifetime()/2 {
+			r.proxy.extension.extend(ctx)
+		}
 	}
 	return nil
 }
@@ -125,10 +128,10 @@
 		r.proxy.noteFaults(r.proxy.knowledge.Replace("", page))
 		r.proxy.knowledge.Reach(page.AsOf)
 		r.proxy.logger.Info("knowledge_relayed", "peer", address, "from_revision", known, "revision", page.AsOf)
+		r.proxy.learnGroups(ctx)
 	} else {
-		r.proxy.noteFaults(r.proxy.knowledge.Apply(rattankv.Changes{Events: events(page.Items)}))
+		r.proxy.learnItems(ctx, page.Items)
 	}
-	r.proxy.learnGroups(ctx)
 	vouched := time.Duration(response.GetGrantMs()) * time.Millisecond
 	if vouched <= relayMargin {
 		return false, nil
@@ -137,12 +140,25 @@
 	return true, nil
 }
 
-func events(items []rattankv.Item) []rattankv.Event {
-	list := make([]rattankv.Event, 0, len(items))
+// learnItems takes single items in that another daemon told.
+func (p *Proxy) learnItems(ctx context.Context, items []rattankv.Item) {
+	events := make([]rattankv.Event, 0, len(items))
 	for _, item := range items {
-		list = append(list, rattankv.Event{Item: item})
+		events = append(events, rattankv.Event{Item: item})
 	}
-	return list
+	p.noteFaults(p.knowledge.Apply(rattankv.Changes{Events: events}))
+	p.learnGroups(ctx)
+}
+
+// groupItems returns the groups' records for another daemon.
+func (p *Proxy) groupItems() []*rattanv1.StoreItem {
+	var items []*rattanv1.StoreItem
+	for _, item := range p.knowledge.Items().Items {
+		if strings.HasPrefix(item.Key, rattanknowledge.GroupPrefix) {
+			items = append(items, itemToWire(item))
+		}
+	}
+	return items
 }
 
 func itemsFromWire(items []*rattanv1.StoreItem) []rattankv.Item {
@@ -154,11 +170,11 @@
 }
 
 func itemFromWire(item *rattanv1.StoreItem) rattankv.Item {
-	return rattankv.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Lease: item.GetLease()}
+	return rattankv.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Created: item.GetCreated(), Lease: item.GetLease()}
 }
 
 func itemToWire(item rattankv.Item) *rattanv1.StoreItem {
-	return &rattanv1.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Lease: item.Lease}
+	return &rattanv1.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Created: item.Created, Lease: item.Lease}
 }
 
 // handleKnowledge answers a daemon that cannot reach the store. What this daemon
@@ -173,10 +189,12 @@
 	page := r.proxy.knowledge.Items()
 	response.AsOf = page.AsOf
 	response.IsComplete = page.AsOf > request.GetRevision()
+	if !response.IsComplete {
+		response.Items = r.proxy.groupItems()
+		return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeResponse{KnowledgeResponse: response}}, nil
+	}
 	for _, item := range page.Items {
-		if response.IsComplete || strings.HasPrefix(item.Key, rattanknowledge.GroupPrefix) {
-			response.Items = append(response.Items, itemToWire(item))
-		}
+		response.Items = append(response.Items, itemToWire(item))
 	}
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeResponse{KnowledgeResponse: response}}, nil
 }
@@ -245,8 +263,7 @@
 	if !ok {
 		return nil, errNoSwitch
 	}
-	r.proxy.noteFaults(r.proxy.knowledge.Apply(rattankv.Changes{Events: events([]rattankv.Item{item})}))
-	r.proxy.learnGroups(ctx)
+	r.proxy.learnItems(ctx, []rattankv.Item{item})
 	if _, revision, _ := r.proxy.grants.Record(group); revision < item.Revision {
 		return nil, errNoSwitch
 	}
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -66,6 +66,7 @@
 		if now := p.clock.Now(); now.Sub(last) < burstGap && !p.isDutyHolder() {
 			p.sleep(ctx, burstPause+time.Duration(len(p.knowledge.View().VMs))*burstPausePerVM)
 		}
+		asked := p.boot.Now()
 		changes, err := p.watchOnce(ctx, p.knowledge.Revision())
 		if err != nil {
 			return err
@@ -75,6 +76,7 @@
 		}
 		p.noteFaults(p.knowledge.Apply(changes))
 		p.learnChanges(ctx, changes)
+		p.grants.Current(asked)
 	}
 	return nil
 }
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -4,7 +4,8 @@
 // that it renewed within the grant lifetime, and has read the records since it
 // was listed. A switch marks the record first and waits until every listed daemon
 // has confirmed that it stopped; the leases of those that do not are revoked, and
-// the lifetime has to pass since.
+// the lifetime has to pass since. Package rattanpromise extends grants while the
+// store is away for all.
 package rattangrant
 
 import (
@@ -47,6 +48,11 @@
 	renewed time.Time
 	// lentUntil is until when another daemon vouches for the records.
 	lentUntil time.Time
+	// current is when a question was sent whose answer made everything in the
+	// store known.
+	current time.Time
+	// extendedUntil is until when promises of all daemons stand in for the lease.
+	extendedUntil time.Time
 	// changed is closed and replaced at each change that may unblock a waiter.
 	changed chan struct{}
 }
@@ -106,6 +112,50 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.hasBaseline = false
+	g.extendedUntil = time.Time{}
+}
+
+// Current says that everything in the store is known as of a question sent at asked.
+func (g *Grants) Current(asked time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if asked.After(g.current) {
+		g.current = asked
+	}
+}
+
+// Extend takes the promises of all daemons, which last until a time. Grants are
+// extended to at most limit after the daemon was last listed and knew everything
+// in the store.
+func (g *Grants) Extend(until time.Time, limit time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wasHeld := g.isHeld()
+	for _, known := range []time.Time{g.current, g.renewed} {
+		if last := known.Add(limit); until.After(last) {
+			until = last
+		}
+	}
+	if g.hasBaseline && until.After(g.extendedUntil) {
+		g.extendedUntil = until
+	}
+	if !wasHeld && g.isHeld() {
+		g.announce()
+	}
+}
+
+// Remaining returns for how long the daemon holds grants if nothing renews them.
+func (g *Grants) Remaining() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until := g.lentUntil
+	if g.isOwned() && g.renewed.Add(g.lifetime).After(until) {
+		until = g.renewed.Add(g.lifetime)
+	}
+	if g.extendedUntil.After(until) {
+		until = g.extendedUntil
+	}
+	return max(0, until.Sub(g.clock.Now()))
 }
 
 // Lend takes the grants that another daemon vouches for until a time.
@@ -170,7 +220,8 @@
 }
 
 func (g *Grants) isHeld() bool {
-	return g.isOwned() || g.clock.Now().Before(g.lentUntil)
+	now := g.clock.Now()
+	return g.isOwned() || now.Before(g.lentUntil) || now.Before(g.extendedUntil)
 }
 
 func (g *Grants) isValid(e *entry) bool {
--- /dev/null
+++ b/internal/endpoint/rattanpromise/model_test.go
@@ -0,0 +1,596 @@
+package rattanpromise_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpromise"
+)
+
+var (
+	depth = flag.Int("model.depth", 3, "number of events in each order that is played out")
+	walks = flag.Uint64("model.walks", 4000, "number of random orders from each beginning")
+)
+
+const (
+	lifetime = time.Second
+	leaseTTL = 2 * time.Second
+	margin   = 100 * time.Millisecond
+	group    = "orders"
+)
+
+// Rules that a run of the model leaves out, to show that it notices their absence.
+const (
+	withoutRoll    = "roll"
+	withoutTerm    = "term"
+	withoutRecords = "records"
+	withoutLimit   = "limit"
+	withoutLease   = "lease"
+)
+
+// A model is a store and some daemons before one group. Its daemons use the
+// decisions of rattangrant and rattanpromise; the steps of a switch are those of
+// rattanswitch, one event each.
+type model struct {
+	clock   *clockwork.FakeClock
+	omitted string
+	record  rattangrant.Record
+	// recorded is the revision of the record, revision that of the store.
+	recorded, revision int64
+	roll               rattanpromise.Roll
+	listed             map[string]time.Time // until when the lease lasts
+	duty               string
+	nodes              []*node
+	// leading is the number of the last promotion.
+	leading int
+}
+
+type node struct {
+	name        string
+	incarnation int
+	isStarted   bool
+	isStoreUp   bool
+	isPeerUp    bool
+	grants      *rattangrant.Grants
+	roll        rattanpromise.Roll
+	record      rattangrant.Record
+	revision    int64
+	view        map[string]bool
+	gone        map[string]time.Time
+	complete    time.Time
+	running     *running
+}
+
+type running struct {
+	number, revision int64
+	confirmed        map[string]time.Time
+}
+
+func newModel(omitted string) *model {
+	m := &model{
+		clock: clockwork.NewFakeClock(), omitted: omitted, recorded: 1, revision: 1,
+		record: rattangrant.Record{Primary: "p0", Number: 1},
+		roll:   make(rattanpromise.Roll), listed: make(map[string]time.Time),
+	}
+	for _, name := range []string{"a", "h", "n"} {
+		n := &node{name: name, isStoreUp: true, isPeerUp: true}
+		m.nodes = append(m.nodes, n)
+		m.restart(n)
+		n.isStarted = name != "n"
+	}
+	return m
+}
+
+func (m *model) restart(n *node) {
+	n.incarnation++
+	n.isStarted = true
+	n.grants = rattangrant.New(m.clock, lifetime)
+	n.roll, n.record, n.revision = nil, rattangrant.Record{}, 0
+	n.view, n.gone = nil, make(map[string]time.Time)
+	n.complete, n.running = time.Time{}, nil
+}
+
+func (n *node) id() string { return fmt.Sprint(n.incarnation) }
+
+func (m *model) expire() {
+	for name, until := range m.listed {
+		if !m.clock.Now().Before(until) {
+			delete(m.listed, name)
+		}
+	}
+	if _, ok := m.listed[m.duty]; !ok {
+		m.duty = ""
+	}
+}
+
+func (n *node) learn(record rattangrant.Record, revision int64) {
+	if revision > n.revision {
+		n.record, n.revision = record, revision
+		n.grants.Learn(group, record, revision)
+	}
+}
+
+// renew renews the lease, or lists the daemon again.
+func (m *model) renew(n *node) bool {
+	if !n.isStarted || !n.isStoreUp {
+		return false
+	}
+	now := m.clock.Now()
+	if _, ok := m.listed[n.name]; ok && n.roll != nil {
+		m.listed[n.name] = now.Add(leaseTTL)
+		n.grants.Renew(now)
+		return true
+	}
+	n.grants.Unlist()
+	m.listed[n.name] = now.Add(leaseTTL)
+	m.enter(n)
+	if n.roll == nil {
+		m.read(n)
+	}
+	n.learn(m.record, m.recorded)
+	n.grants.Baseline(now)
+	return true
+}
+
+// enter writes the daemon's entry on the roll.
+func (m *model) enter(n *node) bool {
+	if _, ok := m.listed[n.name]; !ok || !n.isStarted || !n.isStoreUp {
+		return false
+	}
+	m.revision++
+	entry := m.roll[n.name]
+	if entry.Created == 0 {
+		entry.Created = m.revision
+	}
+	entry.Incarnation, entry.Revision = n.id(), m.revision
+	m.roll[n.name] = entry
+	return true
+}
+
+// read takes everything in the store in, as a watch does.
+func (m *model) read(n *node) bool {
+	if !n.isStarted || !n.isStoreUp {
+		return false
+	}
+	now := m.clock.Now()
+	n.learn(m.record, m.recorded)
+	n.roll = make(rattanpromise.Roll)
+	for name, entry := range m.roll {
+		n.roll[name] = entry
+	}
+	view := make(map[string]bool)
+	for name := range m.listed {
+		view[name] = true
+		delete(n.gone, name)
+	}
+	for name := range n.view {
+		if !view[name] {
+			n.gone[name] = now
+		}
+	}
+	n.view = view
+	if n.complete.IsZero() {
+		n.complete = now
+	}
+	n.grants.Current(now)
+	return true
+}
+
+func (m *model) find(name string) *node {
+	for _, n := range m.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// reaches reports whether a daemon's question to another one, of an incarnation,
+// is answered.
+func (m *model) reaches(from, to *node, incarnation string) bool {
+	return from == to || to.isStarted && from.isPeerUp && to.isPeerUp && to.id() == incarnation
+}
+
+// extend asks for everyone's promise, as the extension of a daemon does.
+func (m *model) extend(n *node) bool {
+	if !n.isStarted || n.roll[n.name].Incarnation != n.id() {
+		return false
+	}
+	asked := m.clock.Now()
+	if m.omitted == withoutLease {
+		n.grants.Extend(asked.Add(rattanpromise.Term), rattanpromise.Limit)
+		return true
+	}
+	collector := m.find(n.roll.Collector())
+	if !m.reaches(n, collector, n.roll[collector.name].Incarnation) {
+		return false
+	}
+	until := asked.Add(rattanpromise.Term)
+	for name, entry := range n.roll {
+		other := m.find(name)
+		if !m.reaches(collector, other, entry.Incarnation) || other.roll.Digest() != n.roll.Digest() {
+			return false
+		}
+	}
+	if m.omitted != withoutRecords {
+		for name := range n.roll {
+			collector.learn(m.find(name).record, m.find(name).revision)
+		}
+		n.learn(collector.record, collector.revision)
+	}
+	limit := rattanpromise.Limit
+	if m.omitted == withoutLimit {
+		limit *= 100
+	}
+	n.grants.Extend(until.Add(-rattanpromise.Margin), limit)
+	return true
+}
+
+func (m *model) hasToken(n *node) bool {
+	_, isOwned := n.grants.Own()
+	return isOwned && m.duty == n.name
+}
+
+// mark takes the duty if it is free and marks a switch.
+func (m *model) mark(n *node) bool {
+	_, isOwned := n.grants.Own()
+	_, isListed := m.listed[n.name]
+	if !n.isStarted || !n.isStoreUp || !isOwned || !isListed || n.running != nil || n.revision != m.recorded {
+		return false
+	}
+	if m.duty == "" {
+		m.duty = n.name
+	}
+	if m.duty != n.name {
+		return false
+	}
+	m.record.IsSwitching = true
+	m.record.Number++
+	m.revision++
+	m.recorded = m.revision
+	m.read(n)
+	n.running = &running{number: m.record.Number, revision: m.recorded, confirmed: map[string]time.Time{n.name + "/" + n.id(): m.clock.Now()}}
+	return true
+}
+
+// tell asks a daemon on the roll directly to stop.
+func (m *model) tell(n, other *node) bool {
+	if n.running == nil || other == n || !m.reaches(n, other, n.roll[other.name].Incarnation) {
+		return false
+	}
+	other.learn(n.record, n.revision)
+	if _, ok := n.running.confirmed[other.name+"/"+other.id()]; !ok {
+		n.running.confirmed[other.name+"/"+other.id()] = m.clock.Now()
+	}
+	return true
+}
+
+// advance revokes the leases of those that have not confirmed, or promotes.
+func (m *model) advance(n *node) bool {
+	if n.running == nil || !n.isStoreUp || n.revision != m.recorded {
+		return false
+	}
+	m.read(n)
+	if !m.hasToken(n) {
+		return false
+	}
+	now := m.clock.Now()
+	isWaiting := false
+	for name := range m.listed {
+		if _, ok := n.running.confirmed[name+"/"+n.roll[name].Incarnation]; !ok {
+			delete(m.listed, name)
+			isWaiting = true
+		}
+	}
+	if isWaiting {
+		m.read(n)
+		return true
+	}
+	since := now.Add(-lifetime - margin)
+	for _, at := range n.gone {
+		isWaiting = isWaiting || at.After(since)
+	}
+	outstanding := n.roll.Outstanding(now, func(name string) rattanpromise.Standing {
+		at, ok := n.running.confirmed[name+"/"+n.roll[name].Incarnation]
+		standing := rattanpromise.Standing{HasStopped: ok, StoppedAt: at}
+		if ok && m.omitted == withoutTerm {
+			standing.StoppedAt = now.Add(-time.Minute)
+		}
+		if !n.view[name] {
+			standing.UnlistedSince = n.unlistedSince(name)
+		}
+		return standing
+	})
+	if m.omitted == withoutRoll {
+		outstanding = nil
+	}
+	if isWaiting || n.complete.After(since) || len(outstanding) > 0 {
+		return false
+	}
+	m.leading++
+	m.record = rattangrant.Record{Primary: fmt.Sprintf("p%d", m.leading), Number: m.record.Number + 1}
+	m.revision++
+	m.recorded = m.revision
+	n.learn(m.record, m.recorded)
+	n.running = nil
+	return true
+}
+
+// abandon ends a switch without the duty.
+func (m *model) abandon(n *node) bool {
+	if n.running == nil || m.hasToken(n) {
+		return false
+	}
+	n.running = nil
+	return true
+}
+
+func (n *node) unlistedSince(name string) time.Time {
+	if at, ok := n.gone[name]; ok {
+		return at
+	}
+	return n.complete
+}
+
+// sweep removes daemons that have not been listed for long from the roll.
+func (m *model) sweep(n *node) bool {
+	if !n.isStarted || !n.isStoreUp || !m.hasToken(n) {
+		return false
+	}
+	m.read(n)
+	swept := false
+	for name := range n.roll {
+		if !n.view[name] && m.clock.Since(n.unlistedSince(name)) >= rattanpromise.Limit+rattanpromise.Margin {
+			delete(m.roll, name)
+			m.revision++
+			swept = true
+		}
+	}
+	return swept
+}
+
+func (m *model) tick(d time.Duration) bool {
+	m.clock.Advance(d)
+	m.expire()
+	return true
+}
+
+// broken returns what breaks the rule that there is one primary at a time.
+func (m *model) broken() string {
+	for _, n := range m.nodes {
+		primary, ok := n.grants.Primary(group)
+		if ok && primary != fmt.Sprintf("p%d", m.leading) {
+			return fmt.Sprintf("%s may send primary work to %s although p%d leads", n.name, primary, m.leading)
+		}
+	}
+	return ""
+}
+
+// An event is one thing that may happen; run returns false when it cannot.
+type event struct {
+	name string
+	run  func(*model) bool
+}
+
+func nodeEvent(name string, at int, run func(*model, *node) bool) event {
+	return event{fmt.Sprintf("%s %d", name, at), func(m *model) bool { return run(m, m.nodes[at]) }}
+}
+
+// events returns all events; faults are those that come from outside.
+func events() (steps, faults []event) {
+	for at := range 3 {
+		steps = append(steps,
+			nodeEvent("renew", at, (*model).renew), nodeEvent("read", at, (*model).read),
+			nodeEvent("extend", at, (*model).extend), nodeEvent("mark", at, (*model).mark),
+			nodeEvent("advance", at, (*model).advance), nodeEvent("abandon", at, (*model).abandon),
+			nodeEvent("sweep", at, (*model).sweep), nodeEvent("enter", at, (*model).enter),
+		)
+		for other := range 3 {
+			steps = append(steps, nodeEvent(fmt.Sprintf("tell %d by", other), at, func(m *model, n *node) bool { return m.tell(n, m.nodes[other]) }))
+		}
+		faults = append(faults,
+			nodeEvent("store", at, func(_ *model, n *node) bool { n.isStoreUp = !n.isStoreUp; return true }),
+			nodeEvent("peers", at, func(_ *model, n *node) bool { n.isPeerUp = !n.isPeerUp; return true }),
+			nodeEvent("restart", at, func(m *model, n *node) bool { m.restart(n); return true }),
+		)
+	}
+	for _, d := range []time.Duration{100, 400, 1200} {
+		steps = append(steps, event{fmt.Sprintf("tick %d", d), func(m *model) bool { return m.tick(d * time.Millisecond) }})
+	}
+	return steps, faults
+}
+
+// A beginning is a state from which events are played.
+type beginning struct {
+	name string
+	// isAlone is true when the second daemon does not start.
+	isAlone bool
+	// turnedAway are the daemons that the store turns away.
+	turnedAway []int
+	// isNewcomerUp is true when the third daemon has just been listed.
+	isNewcomerUp bool
+	// faults is how many of a hundred random events are faults from outside.
+	faults int
+}
+
+var beginnings = []beginning{
+	{name: "settled", faults: 8},
+	{name: "one turned away", turnedAway: []int{0}, faults: 3},
+	{name: "store away", turnedAway: []int{0, 1}, faults: 3},
+	{name: "store serves only a newcomer", turnedAway: []int{0, 1}, isNewcomerUp: true, faults: 1},
+	{name: "one daemon alone, store serves only a newcomer", isAlone: true, turnedAway: []int{0}, isNewcomerUp: true},
+}
+
+// begin returns the model with two daemons that know each other well.
+func (b beginning) begin(omitted string) *model {
+	m := newModel(omitted)
+	m.nodes[1].isStarted = !b.isAlone
+	for range 2 {
+		for _, n := range m.nodes[:2] {
+			m.renew(n)
+			m.read(n)
+		}
+	}
+	for range 12 {
+		m.tick(time.Second)
+		m.renewAll()
+	}
+	for _, at := range b.turnedAway {
+		m.nodes[at].isStoreUp = false
+	}
+	if b.isNewcomerUp {
+		m.nodes[2].isStarted = true
+		m.tick(leaseTTL)
+		m.extendAll()
+		m.renewAll()
+	}
+	return m
+}
+
+func (m *model) renewAll() bool {
+	for _, n := range m.nodes {
+		m.renew(n)
+		m.read(n)
+	}
+	return true
+}
+
+func (m *model) extendAll() bool {
+	for _, n := range m.nodes {
+		m.extend(n)
+	}
+	return true
+}
+
+// walk plays random events; it returns what broke the rule, with the events.
+func walk(b beginning, omitted string, seed uint64) (string, []string) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	steps, faults := events()
+	m := b.begin(omitted)
+	var played []string
+	for range 150 {
+		next := steps[random.IntN(len(steps))]
+		switch at := random.IntN(100); {
+		case at < b.faults:
+			next = faults[random.IntN(len(faults))]
+		case at < 70:
+			// Daemons renew their leases and extend their grants much more often
+			// than anything else happens.
+			next = []event{
+				{"renew all", (*model).renewAll},
+				{"extend all", (*model).extendAll},
+				{"tick 400", func(m *model) bool { return m.tick(400 * time.Millisecond) }},
+			}[at%3]
+		}
+		if next.run(m) {
+			played = append(played, next.name)
+		}
+		if broken := m.broken(); broken != "" {
+			return broken, played
+		}
+	}
+	return "", played
+}
+
+// TestOnePrimary guards against two daemons that hold different endpoints for the
+// primary, over random orders of steps, losses, expiries and restarts.
+func TestOnePrimary(t *testing.T) {
+	t.Parallel()
+	for _, b := range beginnings {
+		t.Run(b.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *walks {
+				if broken, played := walk(b, "", seed); broken != "" {
+					t.Fatalf("seed %d: %s after:\n%s", seed, broken, strings.Join(played, "\n"))
+				}
+			}
+		})
+	}
+}
+
+// TestOnePrimaryNeedsEachRule guards against a model that would not notice a rule
+// that is missing.
+func TestOnePrimaryNeedsEachRule(t *testing.T) {
+	t.Parallel()
+	for _, omitted := range []string{withoutRoll, withoutTerm, withoutRecords, withoutLimit, withoutLease} {
+		t.Run(omitted, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(20_000) {
+				for _, b := range beginnings {
+					if broken, _ := walk(b, omitted, seed); broken != "" {
+						t.Logf("%s, seed %d: %s", b.name, seed, broken)
+						return
+					}
+				}
+			}
+			t.Error("the model does not notice that the rule is missing")
+		})
+	}
+}
+
+// TestOnePrimaryExhaustive guards against a short order of events that random
+// ones miss: it plays all of them from each beginning, each state once.
+func TestOnePrimaryExhaustive(t *testing.T) {
+	t.Parallel()
+	for _, b := range beginnings {
+		t.Run(b.name, func(t *testing.T) {
+			t.Parallel()
+			steps, faults := events()
+			all := append(steps, faults...)
+			seen := make(map[string]bool)
+			orders := [][]int{nil}
+			for range *depth {
+				var next [][]int
+				for _, order := range orders {
+					for at := range all {
+						m := b.begin("")
+						for _, before := range order {
+							all[before].run(m)
+						}
+						if !all[at].run(m) {
+							continue
+						}
+						if broken := m.broken(); broken != "" {
+							t.Fatalf("%s after %v, %s", broken, order, all[at].name)
+						}
+						if key := m.key(); !seen[key] {
+							seen[key] = true
+							next = append(next, append(order[:len(order):len(order)], at))
+						}
+					}
+				}
+				orders = next
+			}
+			t.Logf("%d states", len(seen))
+		})
+	}
+}
+
+// key identifies the state of the model.
+func (m *model) key() string {
+	now := m.clock.Now()
+	age := func(t time.Time) time.Duration { return min(now.Sub(t), 20*time.Second) }
+	key := fmt.Sprint(m.record, m.revision, m.roll.Digest(), m.duty, m.leading)
+	for _, n := range m.nodes {
+		lease, isListed := m.listed[n.name]
+		key += fmt.Sprint("|", n.incarnation, n.isStarted, n.isStoreUp, n.isPeerUp, n.roll.Digest(), n.revision, n.view,
+			isListed, isListed && lease.After(now), age(lease), n.grants.Remaining(), age(n.complete))
+		for _, name := range []string{"a", "h", "n"} {
+			key += fmt.Sprint(" ", age(n.gone[name]))
+		}
+		if n.running != nil {
+			key += fmt.Sprint(n.running.number)
+			for id, at := range n.running.confirmed {
+				key += fmt.Sprint(id, age(at))
+			}
+		}
+	}
+	return key
+}
--- a/internal/endpoint/rattanswitch/switcher.go
+++ b/internal/endpoint/rattanswitch/switcher.go
@@ -65,7 +65,8 @@
 type Running struct {
 	// Listed are in the store and have not confirmed that they stopped.
 	Listed []string
-	// Gone were in the store until lately.
+	// Gone are not listed and may still act for a while: they were listed until
+	// lately, or this daemon may be unknown to them.
 	Gone []string
 }
 
@@ -75,7 +76,7 @@
 	// the switch of that number, and those whose entry disappeared after a time. Everything up to
 	// the revision of the mark must be known, else it returns an error.
 	Running(group string, number, revision int64, since time.Time) (Running, error)
-	// Tell tells the listed daemons directly that a switch has begun. It does not
+	// Tell tells all known daemons directly that a switch has begun. It does not
 	// wait; those that confirm no longer count as running.
 	Tell(ctx context.Context, group string, number int64)
 	// Expel revokes the leases of listed daemons.
--- a/internal/peer/rattanlink/kind.go
+++ b/internal/peer/rattanlink/kind.go
@@ -18,6 +18,7 @@
 	KindWork
 	KindKnowledge
 	KindStop
+	KindPromise
 )
 
 // String returns the snake case name of k.
@@ -41,6 +42,8 @@
 		return "knowledge"
 	case KindStop:
 		return "stop"
+	case KindPromise:
+		return "promise"
 	default:
 		return "unknown"
 	}
@@ -67,6 +70,8 @@
 		return KindKnowledge
 	case *rattanv1.PeerFrame_StopRequest:
 		return KindStop
+	case *rattanv1.PeerFrame_PromiseRequest:
+		return KindPromise
 	default:
 		return KindUnknown
 	}
