rattanpromise: a fifth of the roll may be missing

Change: a fifth of the roll, from four daemons on at least one, may be missing. In turn a switch waits for a daemon that has not stopped until as many as are tolerated and two more, all on the roll before it, have stopped for 1.1 s. The roll shrinks so that the number of tolerated daemons falls by one per 10 s at most. When the collecting daemon does not answer, the next one is asked. The model plays fleets of five as well and notices a switch that waits for one daemon only.

--- a/internal/daemon/rattanproxy/extension.go
+++ b/internal/daemon/rattanproxy/extension.go
@@ -29,6 +29,8 @@
 	proxy *Proxy
 	// isExtended is true while the last attempt to extend the grants succeeded.
 	isExtended bool
+	// collector is the rank of the daemon that is asked for the answers of all.
+	collector int
 
 	// mu is held during a round of questions, which those who ask meanwhile share.
 	mu sync.Mutex
@@ -41,26 +43,22 @@
 
 func newExtension(p *Proxy) *extension { return &extension{proxy: p} }
 
-// extend extends the grants if every daemon on the roll answers with its records.
+// extend extends the grants if the daemons on the roll, less a few, answer with
+// their records.
 func (e *extension) extend(ctx context.Context) {
 	view := e.proxy.knowledge.View()
 	roll := rollOf(view)
-	vm := e.proxy.settings.VM()
-	if roll[vm].Incarnation != e.proxy.register.incarnation {
+	if roll[e.proxy.settings.VM()].Incarnation != e.proxy.register.incarnation {
 		return
 	}
-	collector := roll.Collector()
-	var until time.Time
-	if collector == vm {
-		until = e.collect(ctx)
-	} else {
-		until = e.ask(ctx, view.Roll[collector].Address, &rattanv1.PromiseRequest{
-			Incarnation: roll[collector].Incarnation, RollDigest: roll.Digest(), Collects: true,
-		}, 2*collectTimeout)
-	}
+	collectors := roll.Collectors()
+	collector := collectors[e.collector%len(collectors)]
+	until := e.askCollector(ctx, collector, view, roll)
 	isExtended := !until.IsZero()
 	if isExtended {
 		e.proxy.grants.Extend(until.Add(-rattanpromise.Margin), rattanpromise.Limit)
+	} else {
+		e.collector++
 	}
 	if isExtended != e.isExtended {
 		e.isExtended = isExtended
@@ -69,8 +67,19 @@
 	}
 }
 
-// collect asks every daemon on the roll for its promise and returns until when
-// all of them last, or the zero time.
+// askCollector returns until when the answers of the daemons on the roll may be
+// relied on, or the zero time.
+func (e *extension) askCollector(ctx context.Context, collector string, view *rattanknowledge.View, roll rattanpromise.Roll) time.Time {
+	if collector == e.proxy.settings.VM() {
+		return e.collect(ctx)
+	}
+	return e.ask(ctx, view.Roll[collector].Address, &rattanv1.PromiseRequest{
+		Incarnation: roll[collector].Incarnation, RollDigest: roll.Digest(), Collects: true,
+	}, 2*collectTimeout)
+}
+
+// collect asks every daemon on the roll for its records and returns until when
+// enough of the answers may be relied on, or the zero time.
 func (e *extension) collect(ctx context.Context) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -92,20 +101,21 @@
 				&rattanv1.PromiseRequest{Incarnation: entry.Incarnation, RollDigest: digest}, collectTimeout)
 		}()
 	}
-	until, refused := now.Add(rattanpromise.Term), 0
+	until, missing := now.Add(rattanpromise.Term), len(roll)-rattanpromise.Tolerated(len(roll))
 	for range roll {
 		answer := <-answers
 		if !answer.After(now) {
-			refused++
+			continue
 		}
 		if answer.Before(until) {
 			until = answer
 		}
+		if missing--; missing == 0 {
+			e.until = until
+			break
+		}
 	}
-	if refused == 0 {
-		e.until = until
-	}
-	e.proxy.logger.Debug("promises_collected", "daemons", len(roll), "refused", refused)
+	e.proxy.logger.Debug("promises_collected", "daemons", len(roll), "missing", missing)
 	return e.until
 }
 
@@ -156,11 +166,12 @@
 
 // sweepRoll removes daemons from the roll that were not listed for so long that
 // they rely on no promise.
-func (p *Proxy) sweepRoll(ctx context.Context, view *rattanknowledge.View) {
+func (p *Proxy) sweepRoll(ctx context.Context, view *rattanknowledge.View, held *duty) {
 	now, complete := p.boot.Now(), p.knowledge.CompleteSince()
 	if complete.IsZero() {
 		return
 	}
+	roll := rollOf(view)
 	for name := range view.Roll {
 		since := complete
 		if at, ok := p.knowledge.GoneAt(name); ok {
@@ -169,7 +180,14 @@
 		if _, isListed := view.VMs[name]; isListed || now.Sub(since) < rattanpromise.Limit+rattanpromise.Margin {
 			continue
 		}
+		if !roll.MaySweep(held.quiet()) {
+			return
+		}
 		p.forgetRoll(ctx, name)
+		before := rattanpromise.Tolerated(len(roll))
+		if delete(roll, name); rattanpromise.Tolerated(len(roll)) < before {
+			held.noteLowered()
+		}
 	}
 }
 
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -37,6 +37,9 @@
 	mu    sync.Mutex
 	lease int64
 	token int64
+	// lowered is when the duty was taken, or this holder last swept a VM from the
+	// roll so that fewer daemons are tolerated.
+	lowered time.Time
 }
 
 // Token implements rattanswitch.Duty. The duty ends with the daemon's grants, so
@@ -56,6 +59,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lease, d.token = lease, token
+	d.lowered = d.proxy.boot.Now()
+}
+
+// quiet returns for how long the number of tolerated daemons has not fallen.
+func (d *duty) quiet() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.proxy.boot.Now().Sub(d.lowered)
+}
+
+func (d *duty) noteLowered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lowered = d.proxy.boot.Now()
 }
 
 // runDuty takes the failover duty when it is free, and does it while it is held.
@@ -76,7 +93,7 @@
 		view, changed := p.knowledge.Changed()
 		if _, ok := held.Token(); ok {
 			runner.look(ctx, view)
-			p.sweepRoll(ctx, view)
+			p.sweepRoll(ctx, view, held)
 			freeSince = time.Time{}
 		} else if p.isDutyFree(view) {
 			if freeSince.IsZero() {
--- a/internal/endpoint/rattanpromise/model_test.go
+++ b/internal/endpoint/rattanpromise/model_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,9 @@
 	withoutRecords = "records"
 	withoutLimit   = "limit"
 	withoutLease   = "lease"
+	// withoutWitnesses waits for one daemon that has stopped, however many answers
+	// may be missing.
+	withoutWitnesses = "witnesses"
 )
 
 // A model is a store and some daemons before one group. Its daemons use the
@@ -48,6 +52,8 @@
 	listed             map[string]time.Time // until when the lease lasts
 	duty               string
 	nodes              []*node
+	// lowered is when fewer daemons than before were tolerated.
+	lowered time.Time
 	// leading is the number of the last promotion.
 	leading int
 }
@@ -73,17 +79,17 @@
 	confirmed        map[string]time.Time
 }
 
-func newModel(omitted string) *model {
+func newModel(omitted string, names []string) *model {
 	m := &model{
 		clock: clockwork.NewFakeClock(), omitted: omitted, recorded: 1, revision: 1,
 		record: rattangrant.Record{Primary: "p0", Number: 1},
 		roll:   make(rattanpromise.Roll), listed: make(map[string]time.Time),
 	}
-	for _, name := range []string{"a", "h", "n"} {
+	for _, name := range names {
 		n := &node{name: name, isStoreUp: true, isPeerUp: true}
 		m.nodes = append(m.nodes, n)
 		m.restart(n)
-		n.isStarted = name != "n"
+		n.isStarted = name != newcomer
 	}
 	return m
 }
@@ -208,21 +214,38 @@
 		n.grants.Extend(asked.Add(rattanpromise.Term), rattanpromise.Limit)
 		return true
 	}
-	collector := m.find(n.roll.Collector())
-	if !m.reaches(n, collector, n.roll[collector.name].Incarnation) {
-		return false
+	for _, name := range n.roll.Collectors() {
+		collector := m.find(name)
+		if m.reaches(n, collector, n.roll[name].Incarnation) && m.collect(collector, n.roll) {
+			return m.rely(n, collector, asked)
+		}
 	}
-	until := asked.Add(rattanpromise.Term)
-	for name, entry := range n.roll {
+	return false
+}
+
+// collect asks all daemons on a roll for their records.
+func (m *model) collect(collector *node, roll rattanpromise.Roll) bool {
+	var answered []*node
+	for name, entry := range roll {
 		other := m.find(name)
-		if !m.reaches(collector, other, entry.Incarnation) || other.roll.Digest() != n.roll.Digest() {
-			return false
+		if m.reaches(collector, other, entry.Incarnation) && other.roll.Digest() == roll.Digest() {
+			answered = append(answered, other)
 		}
 	}
+	if len(answered) < len(roll)-rattanpromise.Tolerated(len(roll)) {
+		return false
+	}
 	if m.omitted != withoutRecords {
-		for name := range n.roll {
-			collector.learn(m.find(name).record, m.find(name).revision)
+		for _, other := range answered {
+			collector.learn(other.record, other.revision)
 		}
+	}
+	return true
+}
+
+func (m *model) rely(n, collector *node, asked time.Time) bool {
+	until := asked.Add(rattanpromise.Term)
+	if m.omitted != withoutRecords {
 		n.learn(collector.record, collector.revision)
 	}
 	limit := rattanpromise.Limit
@@ -308,8 +331,11 @@
 		}
 		return standing
 	})
-	if m.omitted == withoutRoll {
+	switch m.omitted {
+	case withoutRoll:
 		outstanding = nil
+	case withoutWitnesses:
+		outstanding = slices.DeleteFunc(outstanding, func(name string) bool { return n.hasOneWitness(name, now) })
 	}
 	if isWaiting || n.complete.After(since) || len(outstanding) > 0 {
 		return false
@@ -323,6 +349,18 @@
 	return true
 }
 
+// hasOneWitness reports whether one VM that was on the roll before a daemon has
+// stopped long ago.
+func (n *node) hasOneWitness(name string, now time.Time) bool {
+	for other, entry := range n.roll {
+		at, ok := n.running.confirmed[other+"/"+entry.Incarnation]
+		if ok && entry.Created < n.roll[name].Revision && now.Sub(at) >= rattanpromise.Term+rattanpromise.Margin {
+			return true
+		}
+	}
+	return false
+}
+
 // abandon ends a switch without the duty.
 func (m *model) abandon(n *node) bool {
 	if n.running == nil || m.hasToken(n) {
@@ -345,15 +383,21 @@
 		return false
 	}
 	m.read(n)
-	swept := false
+	if !n.roll.MaySweep(m.clock.Since(m.lowered)) {
+		return false
+	}
 	for name := range n.roll {
 		if !n.view[name] && m.clock.Since(n.unlistedSince(name)) >= rattanpromise.Limit+rattanpromise.Margin {
+			before := len(m.roll)
 			delete(m.roll, name)
 			m.revision++
-			swept = true
+			if rattanpromise.Tolerated(len(m.roll)) < rattanpromise.Tolerated(before) {
+				m.lowered = m.clock.Now()
+			}
+			return true
 		}
 	}
-	return swept
+	return false
 }
 
 func (m *model) tick(d time.Duration) bool {
@@ -384,15 +428,15 @@
 }
 
 // events returns all events; faults are those that come from outside.
-func events() (steps, faults []event) {
-	for at := range 3 {
+func events(size int) (steps, faults []event) {
+	for at := range size {
 		steps = append(steps,
 			nodeEvent("renew", at, (*model).renew), nodeEvent("read", at, (*model).read),
 			nodeEvent("extend", at, (*model).extend), nodeEvent("mark", at, (*model).mark),
 			nodeEvent("advance", at, (*model).advance), nodeEvent("abandon", at, (*model).abandon),
 			nodeEvent("sweep", at, (*model).sweep), nodeEvent("enter", at, (*model).enter),
 		)
-		for other := range 3 {
+		for other := range size {
 			steps = append(steps, nodeEvent(fmt.Sprintf("tell %d by", other), at, func(m *model, n *node) bool { return m.tell(n, m.nodes[other]) }))
 		}
 		faults = append(faults,
@@ -410,6 +454,8 @@
 // A beginning is a state from which events are played.
 type beginning struct {
 	name string
+	// names are the daemons, few if empty; the last one has not started.
+	names []string
 	// isAlone is true when the second daemon does not start.
 	isAlone bool
 	// turnedAway are the daemons that the store turns away.
@@ -420,24 +466,47 @@
 	faults int
 }
 
+const newcomer = "n"
+
+var (
+	few  = []string{"a", "h", newcomer}
+	many = []string{"a", "h", "b", "c", newcomer}
+)
+
 var beginnings = []beginning{
 	{name: "settled", faults: 8},
 	{name: "one turned away", turnedAway: []int{0}, faults: 3},
 	{name: "store away", turnedAway: []int{0, 1}, faults: 3},
 	{name: "store serves only a newcomer", turnedAway: []int{0, 1}, isNewcomerUp: true, faults: 1},
 	{name: "one daemon alone, store serves only a newcomer", isAlone: true, turnedAway: []int{0}, isNewcomerUp: true},
+	{name: "four settled", names: many, faults: 8},
+	{name: "store away for four", names: many, turnedAway: []int{0, 1, 2, 3}, faults: 4},
+	{name: "store serves one of four", names: many, turnedAway: []int{0, 2, 3}, faults: 4},
+	{name: "store serves two of four", names: many, turnedAway: []int{0, 3}, faults: 4},
+}
+
+func (b beginning) all() []string {
+	if len(b.names) == 0 {
+		return few
+	}
+	return b.names
 }
 
 // begin returns the model with two daemons that know each other well.
 func (b beginning) begin(omitted string) *model {
-	m := newModel(omitted)
+	m := newModel(omitted, b.all())
 	m.nodes[1].isStarted = !b.isAlone
 	for range 2 {
-		for _, n := range m.nodes[:2] {
+		for _, n := range m.nodes {
 			m.renew(n)
 			m.read(n)
 		}
 	}
+	for _, n := range m.nodes {
+		if n.roll.NeedsRenewal(n.name) {
+			m.enter(n)
+		}
+	}
 	for range 12 {
 		m.tick(time.Second)
 		m.renewAll()
@@ -446,7 +515,7 @@
 		m.nodes[at].isStoreUp = false
 	}
 	if b.isNewcomerUp {
-		m.nodes[2].isStarted = true
+		m.nodes[len(m.nodes)-1].isStarted = true
 		m.tick(leaseTTL)
 		m.extendAll()
 		m.renewAll()
@@ -472,7 +541,7 @@
 // walk plays random events; it returns what broke the rule, with the events.
 func walk(b beginning, omitted string, seed uint64) (string, []string) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	steps, faults := events()
+	steps, faults := events(len(b.all()))
 	m := b.begin(omitted)
 	var played []string
 	for range 150 {
@@ -519,7 +588,7 @@
 // that is missing.
 func TestOnePrimaryNeedsEachRule(t *testing.T) {
 	t.Parallel()
-	for _, omitted := range []string{withoutRoll, withoutTerm, withoutRecords, withoutLimit, withoutLease} {
+	for _, omitted := range []string{withoutRoll, withoutTerm, withoutRecords, withoutLimit, withoutLease, withoutWitnesses} {
 		t.Run(omitted, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(20_000) {
@@ -542,7 +611,7 @@
 	for _, b := range beginnings {
 		t.Run(b.name, func(t *testing.T) {
 			t.Parallel()
-			steps, faults := events()
+			steps, faults := events(len(b.all()))
 			all := append(steps, faults...)
 			seen := make(map[string]bool)
 			orders := [][]int{nil}
@@ -582,7 +651,7 @@
 		lease, isListed := m.listed[n.name]
 		key += fmt.Sprint("|", n.incarnation, n.isStarted, n.isStoreUp, n.isPeerUp, n.roll.Digest(), n.revision, n.view,
 			isListed, isListed && lease.After(now), age(lease), n.grants.Remaining(), age(n.complete))
-		for _, name := range []string{"a", "h", "n"} {
+		for _, name := range many {
 			key += fmt.Sprint(" ", age(n.gone[name]))
 		}
 		if n.running != nil {
--- a/internal/endpoint/rattanpromise/promise.go
+++ b/internal/endpoint/rattanpromise/promise.go
@@ -1,9 +1,10 @@
 // Package rattanpromise keeps primary work going while the store is away for
 // all. Nobody can mark a switch then, but one daemon cannot tell that from being
-// turned away alone. So a daemon extends its grants for a moment when every
-// daemon on the roll answers with the records that it knows: a switch that one of
-// them has heard of is then known here. A switch waits for the daemons on the roll
-// that have not stopped until the answers that they could rely on are over.
+// turned away alone. So a daemon extends its grants for a moment when the daemons
+// on the roll, less a few, answer with the records that they know. A switch waits
+// for the daemons on the roll that have not stopped until more than those few have
+// heard of it, so that one of them must be asked, and the answers from before are
+// over.
 package rattanpromise
 
 import "time"
@@ -19,3 +20,29 @@
 	// knew everything in the store, whoever answers.
 	Limit = 10 * time.Second
 )
+
+const (
+	// minTolerant is the size of a roll from which a daemon may be missing.
+	minTolerant = 4
+	// tolerance is the part of a roll that may be missing, as a divisor: a failure
+	// domain out of five.
+	tolerance = 5
+)
+
+// Tolerated returns how many daemons on a roll of a size may be missing.
+func Tolerated(size int) int {
+	if size < minTolerant {
+		return 0
+	}
+	return max(1, size/tolerance)
+}
+
+// witnesses returns how many daemons must have stopped, so that one of them is
+// among those that answer. The roll of another daemon may be larger than this one
+// by as many as one tolerated daemon, see MaySweep.
+func witnesses(size int) int {
+	if size < minTolerant {
+		return 1
+	}
+	return Tolerated(size) + 2
+}
--- a/internal/endpoint/rattanpromise/roll.go
+++ b/internal/endpoint/rattanpromise/roll.go
@@ -41,18 +41,18 @@
 	return digest.Sum64()
 }
 
-// Collector returns the daemon that collects the promises for all.
-func (r Roll) Collector() string {
-	if len(r) == 0 {
-		return ""
-	}
-	return slices.Min(slices.Collect(maps.Keys(r)))
+// Collectors returns the daemons that may collect the answers for all, the usual
+// one first: one more than may be missing.
+func (r Roll) Collectors() []string {
+	names := slices.Sorted(maps.Keys(r))
+	return names[:min(len(names), Tolerated(len(names))+1)]
 }
 
 // Outstanding returns the daemons that may still rely on answers from before a
-// switch. Each needs the answer of every VM that was on the roll when it was
-// entered; one of those that has stopped tells it of the switch, so its earlier
-// answers are over a Term later. Without such a VM the Limit has to pass.
+// switch. Each needs the answers of the VMs that were on the roll when it was
+// entered, less those tolerated; when more of them have stopped than that, one of
+// these tells it of the switch, and its earlier answers are over a Term later.
+// Without them the Limit has to pass.
 func (r Roll) Outstanding(now time.Time, standing func(vm string) Standing) []string {
 	standings := make(map[string]Standing, len(r))
 	for vm := range r {
@@ -64,12 +64,13 @@
 		if own.HasStopped || !own.UnlistedSince.IsZero() && now.Sub(own.UnlistedSince) >= Limit+Margin {
 			continue
 		}
-		isOver := false
+		stopped := 0
 		for other, witness := range standings {
-			isOver = isOver || r[other].Created < entry.Revision &&
-				!witness.StoppedAt.IsZero() && now.Sub(witness.StoppedAt) >= Term+Margin
+			if r[other].Created < entry.Revision && !witness.StoppedAt.IsZero() && now.Sub(witness.StoppedAt) >= Term+Margin {
+				stopped++
+			}
 		}
-		if !isOver {
+		if stopped < witnesses(len(r)) {
 			outstanding = append(outstanding, vm)
 		}
 	}
@@ -77,12 +78,8 @@
 	return outstanding
 }
 
-// minWitnesses is how many VMs must have been on the roll before a daemon's entry,
-// so that one of them is likely to be there during a switch.
-const minWitnesses = 3
-
-// NeedsRenewal reports whether a daemon's entry is so old that few VMs were on the
-// roll before it.
+// NeedsRenewal reports whether a daemon's entry is older than most, so that too few
+// VMs were on the roll before it for a switch to rely on.
 func (r Roll) NeedsRenewal(vm string) bool {
 	own, ok := r[vm]
 	if !ok {
@@ -94,5 +91,13 @@
 			before++
 		}
 	}
-	return before < min(minWitnesses, len(r)-1)
+	return before < min(2*witnesses(len(r)), len(r)-1)
+}
+
+// MaySweep reports whether a VM may be removed from the roll. The number of
+// tolerated daemons falls by one at most while a larger roll may be relied on;
+// quiet is how long it certainly has not fallen.
+func (r Roll) MaySweep(quiet time.Duration) bool {
+	size := len(r)
+	return size > minTolerant && (Tolerated(size-1) == Tolerated(size) || quiet >= Limit+Margin)
 }
