rattanlink: bound the pause between attempts to reach a peer

Cause: after a cut of 5 to 7 s daemons stayed apart for up to 7.5 s more: the pause between attempts grows to 5 s and half more, and a session lost in the cut stays in use for 5 s.

Change: options for both limits; the daemon of the platform uses 0.4 s and 2 s.

--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -119,7 +119,8 @@
 	p.dispatch = rattandispatch.New(clock, p.endpoints, p.keepers, p.grants, p.switches)
 	p.register = newRegister(p)
 	p.admission = newAdmission(p)
-	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer))
+	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
+		rattanlink.WithLongestBackoff(peerBackoff), rattanlink.WithSilence(peerSilence))
 	return p
 }
 
@@ -204,7 +205,7 @@
 // far end stays silent, so that a session never outlives its network path for long.
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: peerSilence, Interval: peerSilence, Count: 2,
+		Enable: true, Idle: peerProbe, Interval: peerProbe, Count: 2,
 	}}
 	return dialer.DialContext(ctx, "tcp", address)
 }
@@ -212,8 +213,15 @@
 const (
 	// peerDialTimeout limits the connection to another daemon.
 	peerDialTimeout = 300 * time.Millisecond
-	// peerSilence is after how long without traffic a connection is probed.
-	peerSilence = 1 * time.Second
+	// peerProbe is after how long without traffic a connection is probed.
+	peerProbe = 1 * time.Second
+	// peerBackoff is the longest pause between attempts to reach another daemon,
+	// so that those on both sides of a cut find each other soon after it has healed.
+	peerBackoff = 400 * time.Millisecond
+	// peerSilence is how long another daemon may leave a message unacknowledged
+	// before a new connection is tried: after a cut the kernel repeats what was
+	// lost only after as long as the cut has lasted.
+	peerSilence = 2 * time.Second
 )
 
 // sleep waits for d or until ctx ends; it returns false when ctx has ended.
--- a/internal/peer/rattanlink/option.go
+++ b/internal/peer/rattanlink/option.go
@@ -25,6 +25,11 @@
 	DefaultCallTimeout = 30 * time.Second
 	// DefaultDialTimeout bounds connecting, with the TLS handshake.
 	DefaultDialTimeout = 3 * time.Second
+	// DefaultLongestBackoff separates connection attempts to a peer that stays away.
+	DefaultLongestBackoff = 5 * time.Second
+	// DefaultSilence is how long a peer may leave a new stream unacknowledged
+	// before its session closes.
+	DefaultSilence = 5 * time.Second
 	// DefaultIdleTimeout is the time after which an unused client session closes.
 	DefaultIdleTimeout = 2 * time.Minute
 )
@@ -35,10 +40,9 @@
 	requestReadTimeout = 5 * time.Second
 	// streamGrace is how long a closed stream waits for the other side to close.
 	streamGrace = 5 * time.Second
-	// sessionWriteTimeout and streamOpenTimeout bound how long a session to a
-	// peer that no longer answers stays in use.
+	// sessionWriteTimeout bounds how long a session to a peer that no longer
+	// reads stays in use.
 	sessionWriteTimeout = 3 * time.Second
-	streamOpenTimeout   = 5 * time.Second
 	keepAliveInterval   = 15 * time.Second
 )
 
@@ -51,6 +55,8 @@
 	callTimeout time.Duration
 	dialTimeout time.Duration
 	idleTimeout time.Duration
+	backoff     time.Duration
+	silence     time.Duration
 	dial        func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -95,6 +101,17 @@
 	return func(o *options) { o.idleTimeout = d }
 }
 
+// WithLongestBackoff limits the pause between connection attempts to a peer.
+func WithLongestBackoff(d time.Duration) Option {
+	return func(o *options) { o.backoff = d }
+}
+
+// WithSilence limits how long a session stays in use whose peer leaves a new
+// stream unacknowledged.
+func WithSilence(d time.Duration) Option {
+	return func(o *options) { o.silence = d }
+}
+
 // WithDial replaces how a client opens a TCP connection.
 func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
 	return func(o *options) { o.dial = dial }
@@ -109,6 +126,8 @@
 		callTimeout: DefaultCallTimeout,
 		dialTimeout: DefaultDialTimeout,
 		idleTimeout: DefaultIdleTimeout,
+		backoff:     DefaultLongestBackoff,
+		silence:     DefaultSilence,
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		},
@@ -119,11 +138,11 @@
 	return o
 }
 
-func sessionConfig() *yamux.Config {
+func (o options) sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.KeepAliveInterval = keepAliveInterval
 	config.ConnectionWriteTimeout = sessionWriteTimeout
-	config.StreamOpenTimeout = streamOpenTimeout
+	config.StreamOpenTimeout = o.silence
 	config.StreamCloseTimeout = streamGrace
 	config.LogOutput = io.Discard
 	return config
--- a/internal/peer/rattanlink/peer.go
+++ b/internal/peer/rattanlink/peer.go
@@ -12,13 +12,10 @@
 	"github.com/pkg/errors"
 )
 
-// Connection attempts to one address are spaced by a backoff that doubles from
-// firstBackoff to longestBackoff, each lengthened by up to half at random, so
-// that the daemons do not return to a restarted peer at the same moment.
-const (
-	firstBackoff   = 100 * time.Millisecond
-	longestBackoff = 5 * time.Second
-)
+// firstBackoff separates the first attempts to connect to one address. The pause
+// doubles up to the longest one, each lengthened by up to half at random, so that
+// the daemons do not return to a restarted peer at the same moment.
+const firstBackoff = 100 * time.Millisecond
 
 // peer is the one session to an address.
 type peer struct {
@@ -137,7 +134,7 @@
 }
 
 func (p *peer) delay(cause error) {
-	p.backoff = min(max(2*p.backoff, firstBackoff), longestBackoff)
+	p.backoff = min(max(2*p.backoff, firstBackoff), p.client.options.backoff)
 	jitter := time.Duration(rand.Int64N(int64(p.backoff)/2 + 1))
 	p.notNow = p.client.options.clock.Now().Add(p.backoff + jitter)
 	p.cause = cause
@@ -160,7 +157,7 @@
 		}
 		conn = secured
 	}
-	session, err := yamux.Client(&joinConn{Conn: conn}, sessionConfig())
+	session, err := yamux.Client(&joinConn{Conn: conn}, o.sessionConfig())
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
--- a/internal/peer/rattanlink/server.go
+++ b/internal/peer/rattanlink/server.go
@@ -115,7 +115,7 @@
 		}
 		conn = secured
 	}
-	session, err := yamux.Server(&joinConn{Conn: conn}, sessionConfig())
+	session, err := yamux.Server(&joinConn{Conn: conn}, s.options.sessionConfig())
 	if err != nil {
 		return
 	}
