rattanproxy: leave rotation when others that do not answer may have the store

Cause: daemons without the store stayed in rotation as long as one other daemon answered and could not vouch, which was taken for a store that is away for all.

--- a/internal/daemon/rattanisolation/isolation.go
+++ b/internal/daemon/rattanisolation/isolation.go
@@ -16,7 +16,7 @@
 type Signs struct {
 	// IsStoreLost is true while the store does not answer.
 	IsStoreLost bool
-	// IsShared is true while other daemons answer and cannot vouch either: the
+	// IsShared is true while the other daemons answer and cannot vouch either: the
 	// store is away for all, and callers are no better served elsewhere.
 	IsShared bool
 	// HoldsGrants is true while the daemon may send primary work.
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -22,9 +22,10 @@
 	relayTimeout = 150 * time.Millisecond
 	// relayPeers is how many daemons are asked in turn.
 	relayPeers = 3
-	// unansweredRounds is after how many rounds without any answer a daemon that
-	// knew the store to be away for all counts as cut off itself.
-	unansweredRounds = 4
+	// answeredRounds is how many rounds in a row all that were asked must have
+	// answered, so that the store counts as away for all: those that do not answer
+	// may have it.
+	answeredRounds = 4
 	// relayMargin is kept back of the time for which another daemon vouches.
 	relayMargin = 20 * time.Millisecond
 )
@@ -33,10 +34,10 @@
 // not answer this one, and gives it to daemons in that state.
 type relay struct {
 	proxy *Proxy
-	// isShared is true while other daemons answer and cannot vouch either.
+	// isShared is true while the other daemons answer and cannot vouch either.
 	isShared atomic.Bool
-	// unanswered is how many rounds in a row no daemon answered.
-	unanswered int
+	// answered is how many rounds in a row all daemons that were asked answered.
+	answered int
 
 	mu sync.Mutex
 	// lent is until when this daemon has vouched for the records, by VM.
@@ -49,7 +50,7 @@
 }
 
 func newRelay(p *Proxy) *relay {
-	return &relay{proxy: p, unanswered: unansweredRounds, lent: make(map[string]lending)}
+	return &relay{proxy: p, answered: answeredRounds, lent: make(map[string]lending)}
 }
 
 // run asks other daemons while the own lease gives no grants.
@@ -70,22 +71,22 @@
 func (r *relay) askAny(ctx context.Context) {
 	addresses := r.addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	isAnswered := false
+	unanswered := 0
 	for _, address := range addresses[:min(len(addresses), relayPeers)] {
 		vouched, err := r.ask(ctx, address)
 		if err == nil && vouched {
 			r.isShared.Store(false)
-			r.unanswered = unansweredRounds
+			r.answered = answeredRounds
 			return
 		}
-		isAnswered = isAnswered || err == nil
+		if err != nil {
+			unanswered++
+		}
 	}
-	if isAnswered {
-		r.unanswered = 0
-	} else {
-		r.unanswered++
+	if r.answered++; unanswered > 0 || len(addresses) == 0 {
+		r.answered = 0
 	}
-	r.isShared.Store(r.unanswered < unansweredRounds)
+	r.isShared.Store(r.answered >= answeredRounds)
 }
 
 // addresses returns the other daemons, or the seeds while none is known.
