rattanswitch: leave a holder alone that works on a switch

Cause: every daemon counts how long a group needs a switch and revokes the lease of the duty's holder when that does not answer within 150 ms. A resumed switch counted from its first mark, time without the store counted too, and all daemons asked at once.

Change: the time counts from the last change of the record or of the holder, a switch that the holder has begun gets 1.5 s more, time without the store does not count, daemons take turns as they do for a free duty, and an answer may take 300 ms. A quarter of the roll may be missing instead of a fifth, since a failure domain of five is a fifth exactly. The store counts as away for all while three fifths of the daemons asked lately answer, instead of all of them.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -84,7 +84,7 @@
 		members: group,
 		running: make(map[string]bool),
 		failed:  make(map[string]time.Time),
-		needed:  make(map[string]time.Time),
+		overdue: rattanswitch.NewOverdue(),
 		switcher: rattanswitch.New(p.boot, p.protocol.Store, &control{proxy: p}, p.protocol.Promoter,
 			group, held, p.grants.Lifetime()),
 	}
@@ -121,13 +121,18 @@
 	// failover duty is asked whether it is alive.
 	idleHolder = 250 * time.Millisecond
 	// holderTimeout limits the holder's answer.
-	holderTimeout = 150 * time.Millisecond
+	holderTimeout = 300 * time.Millisecond
 )
 
 // watchHolder revokes the lease of the duty's holder when a group needs a switch
-// that the holder does not begin, and the holder does not answer.
+// that the holder does not begin, and the holder does not answer. The daemons take
+// turns, as they do to take the duty: many at once would revoke each other's leases.
 func (p *Proxy) watchHolder(ctx context.Context, runner *switchRunner, view *rattanknowledge.View) {
-	if !view.HasDuty || !p.grants.IsHeld() || !runner.isOverdue(view) {
+	if _, isRenewed := p.grants.Own(); !view.HasDuty || !isRenewed {
+		runner.overdue.Forget()
+		return
+	}
+	if !runner.isOverdue(view, idleHolder+p.dutyDelay(view)) {
 		return
 	}
 	holder, ok := view.VMs[view.Duty.VM]
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -22,10 +22,12 @@
 	relayTimeout = 150 * time.Millisecond
 	// relayPeers is how many daemons are asked in turn.
 	relayPeers = 3
-	// answeredRounds is how many rounds in a row all that were asked must have
-	// answered, so that the store counts as away for all: those that do not answer
-	// may have it.
-	answeredRounds = 4
+	// fewAnswers and mostAnswers are the shares of the daemons asked lately that
+	// answer, below which those that do not may have the store, and above which the
+	// store counts as away for all again.
+	fewAnswers, mostAnswers = 0.6, 0.8
+	// answerDecay is the weight of a round of questions in the next one.
+	answerDecay = 0.75
 	// relayMargin is kept back of the time for which another daemon vouches.
 	relayMargin = 20 * time.Millisecond
 )
@@ -36,8 +38,8 @@
 	proxy *Proxy
 	// isShared is true while the other daemons answer and cannot vouch either.
 	isShared atomic.Bool
-	// answered is how many rounds in a row all daemons that were asked answered.
-	answered int
+	// asked and answered are how many daemons were asked lately and answered.
+	asked, answered float64
 
 	mu sync.Mutex
 	// lent is until when this daemon has vouched for the records, by VM.
@@ -50,7 +52,7 @@
 }
 
 func newRelay(p *Proxy) *relay {
-	return &relay{proxy: p, answered: answeredRounds, lent: make(map[string]lending)}
+	return &relay{proxy: p, lent: make(map[string]lending)}
 }
 
 // run asks other daemons while the own lease gives no grants.
@@ -71,22 +73,25 @@
 func (r *relay) askAny(ctx context.Context) {
 	addresses := r.addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	unanswered := 0
+	r.asked *= answerDecay
+	r.answered *= answerDecay
 	for _, address := range addresses[:min(len(addresses), relayPeers)] {
 		vouched, err := r.ask(ctx, address)
 		if err == nil && vouched {
 			r.isShared.Store(false)
-			r.answered = answeredRounds
+			r.asked, r.answered = 0, 0
 			return
 		}
-		if err != nil {
-			unanswered++
+		r.asked++
+		if err == nil {
+			r.answered++
 		}
 	}
-	if r.answered++; unanswered > 0 || len(addresses) == 0 {
-		r.answered = 0
+	needed := fewAnswers
+	if !r.isShared.Load() && r.asked > relayPeers {
+		needed = mostAnswers
 	}
-	r.isShared.Store(r.answered >= answeredRounds)
+	r.isShared.Store(r.asked > 0 && r.answered >= needed*r.asked)
 }
 
 // addresses returns the other daemons, or the seeds while none is known.
--- a/internal/daemon/rattanproxy/switchrunner.go
+++ b/internal/daemon/rattanproxy/switchrunner.go
@@ -18,9 +18,8 @@
 	proxy    *Proxy
 	switcher *rattanswitch.Switcher
 	members  *members
-	// needed is since when a group needs a switch, as seen by a daemon that does
-	// not hold the duty.
-	needed map[string]time.Time
+	// overdue is what the holder of the duty owes while this daemon does not hold it.
+	overdue *rattanswitch.Overdue
 
 	mu      sync.Mutex
 	running map[string]bool
@@ -51,27 +50,15 @@
 	}
 }
 
-// isOverdue reports whether a group has needed a switch for some time.
-func (r *switchRunner) isOverdue(view *rattanknowledge.View) bool {
+// isOverdue reports whether the holder of the duty has owed a group a switch for
+// longer than patience.
+func (r *switchRunner) isOverdue(view *rattanknowledge.View, patience time.Duration) bool {
 	if view.Catalog == nil {
 		return false
 	}
 	now, isOverdue := r.proxy.clock.Now(), false
 	for _, group := range view.Catalog.Groups() {
-		situation := r.situation(view, group)
-		reason := rattanswitch.ReasonNone
-		if len(situation.Endpoints) > 0 {
-			reason = rattanswitch.Decide(situation)
-		}
-		since, isKnown := r.needed[group]
-		switch {
-		case reason == rattanswitch.ReasonNone:
-			delete(r.needed, group)
-		case !isKnown:
-			r.needed[group] = now
-		case now.Sub(since) >= idleHolder:
-			isOverdue = true
-		}
+		isOverdue = r.overdue.Look(now, group, r.situation(view, group), view.Duty.Token, patience) || isOverdue
 	}
 	return isOverdue
 }
--- a/internal/endpoint/rattanpromise/promise.go
+++ b/internal/endpoint/rattanpromise/promise.go
@@ -25,8 +25,8 @@
 	// minTolerant is the size of a roll from which a daemon may be missing.
 	minTolerant = 4
 	// tolerance is the part of a roll that may be missing, as a divisor: a failure
-	// domain out of five.
-	tolerance = 5
+	// domain out of five, and some more.
+	tolerance = 4
 )
 
 // Tolerated returns how many daemons on a roll of a size may be missing.
--- /dev/null
+++ b/internal/endpoint/rattanswitch/overdue.go
@@ -0,0 +1,43 @@
+package rattanswitch
+
+import "time"
+
+// underWayPatience is added for a switch that the holder of the duty has begun: it
+// waits for other daemons and for the platform.
+const underWayPatience = 1500 * time.Millisecond
+
+// Overdue remembers what the holder of the failover duty owes, as seen by a daemon
+// that does not hold it.
+type Overdue struct {
+	owed map[string]owed
+}
+
+type owed struct {
+	since         time.Time
+	number, token int64
+}
+
+// NewOverdue returns an Overdue of a holder that owes nothing.
+func NewOverdue() *Overdue { return &Overdue{owed: make(map[string]owed)} }
+
+// Forget drops what is known, as a daemon does that cannot see the store.
+func (o *Overdue) Forget() { clear(o.owed) }
+
+// Look reports whether the holder with a token has owed a group a switch for longer
+// than patience, or one that it has begun for much longer. A change of the group's
+// record or of the holder is a sign of life.
+func (o *Overdue) Look(now time.Time, group string, s Situation, token int64, patience time.Duration) bool {
+	if len(s.Endpoints) == 0 || Decide(s) == ReasonNone {
+		delete(o.owed, group)
+		return false
+	}
+	before, isKnown := o.owed[group]
+	if !isKnown || before.number != s.Record.Number || before.token != token {
+		o.owed[group] = owed{since: now, number: s.Record.Number, token: token}
+		return false
+	}
+	if s.Record.IsSwitching && s.Record.Generation == token {
+		patience += underWayPatience
+	}
+	return now.Sub(before.since) >= patience
+}
