--- a/internal/daemon/rattanproxy/proxy_test.go
+++ b/internal/daemon/rattanproxy/proxy_test.go
@@ -185,6 +185,23 @@
 	t.Errorf("no write is accepted %s after the store's return", waitBound)
 }
 
+// TestStoreOutageWithoutOne guards against a fleet that refuses everything while the
+// store is away for all, because one daemon has gone meanwhile.
+func TestStoreOutageWithoutOne(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4)
+	caller := f.dial(f.vms[1], "checkout", testKey)
+	caller.untilOK("WRITE i1 before", waitBound)
+	time.Sleep(settleTime)
+	f.store.SetDown(true)
+	f.vms[0].stop()
+	<-f.vms[0].stopped
+	for begun, n := time.Now(), 0; time.Since(begun) < 3*time.Second; n++ {
+		caller.untilOK(fmt.Sprintf("WRITE i1 away%d", n), 1500*time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // TestRateHoldsOverTheFleet guards against an account that gets its rate from each
 // daemon.
 func TestRateHoldsOverTheFleet(t *testing.T) {
