rattanswitch: repeat the message to daemons that have not confirmed

Cause: a daemon that answers the holder's message directly does not confirm through the store. The message was sent once only.

Change: the message is repeated every 0.5 s to those that have not confirmed, and a daemon whose lease was revoked confirms through the store.

--- a/internal/daemon/rattanproxy/members.go
+++ b/internal/daemon/rattanproxy/members.go
@@ -116,6 +116,12 @@
 }
 
 func (m *members) tell(ctx context.Context, to confirmation, address string, record rattankv.Item, number int64) {
+	m.mu.Lock()
+	isConfirmed := m.confirmed[to].number >= number
+	m.mu.Unlock()
+	if isConfirmed {
+		return
+	}
 	if to.vm == m.proxy.settings.VM() {
 		m.proxy.relay.stopGroup(ctx, to.group)
 	} else {
--- a/internal/daemon/rattanproxy/register.go
+++ b/internal/daemon/rattanproxy/register.go
@@ -151,6 +151,7 @@
 		}
 		r.proxy.grants.Unlist()
 		r.proxy.logger.Warn("lease_ended", "lease", lease)
+		r.confirmAgain(ctx)
 	}
 	lease, ttl, err := r.proxy.protocol.Store.Grant(call, leaseTTL)
 	if err != nil {
@@ -212,6 +213,7 @@
 		if errors.Is(err, rattankv.ErrLeaseEnded) {
 			r.lease, r.isListed = 0, false
 			r.proxy.grants.Unlist()
+			defer r.confirmAgain(ctx)
 		}
 		r.mu.Unlock()
 		return err
@@ -283,6 +285,19 @@
 	}
 }
 
+// confirmAgain confirms the switches under way through the store, after the lease
+// was revoked: the direct confirmations may not have arrived.
+func (r *register) confirmAgain(ctx context.Context) {
+	r.mu.Lock()
+	clear(r.direct)
+	r.mu.Unlock()
+	for group, entry := range r.proxy.knowledge.View().Groups {
+		if entry.Record.IsSwitching {
+			go r.confirmStopped(ctx, group, entry.Record.Number)
+		}
+	}
+}
+
 // noteDirect records that the holder of the failover duty was told directly that
 // primary work has stopped for a record.
 func (r *register) noteDirect(item rattankv.Item) {
--- a/internal/endpoint/rattanswitch/switcher.go
+++ b/internal/endpoint/rattanswitch/switcher.go
@@ -32,6 +32,9 @@
 	// expelPatience is how long a daemon may take to confirm that it stopped
 	// before its lease is revoked.
 	expelPatience = 220 * time.Millisecond
+	// tellInterval separates two messages to a daemon that has not confirmed: its
+	// answer to the first may be lost.
+	tellInterval = 500 * time.Millisecond
 	// pollInterval separates two looks at the same state.
 	pollInterval = 30 * time.Millisecond
 	// marginOfLifetime is added to the lifetime of grants for work that was sent
@@ -76,8 +79,8 @@
 	// the switch of that number, and those whose entry disappeared after a time. Everything up to
 	// the revision of the mark must be known, else it returns an error.
 	Running(group string, number, revision int64, since time.Time) (Running, error)
-	// Tell tells all known daemons directly that a switch has begun. It does not
-	// wait; those that confirm no longer count as running.
+	// Tell tells the known daemons that have not confirmed directly that a switch
+	// has begun. It does not wait; those that confirm no longer count as running.
 	Tell(ctx context.Context, group string, number int64)
 	// Expel revokes the leases of listed daemons.
 	Expel(ctx context.Context, vms []string) error
@@ -216,7 +219,7 @@
 // It returns the daemons that did not confirm.
 func (s *Switcher) awaitStopped(ctx context.Context, group string, number, revision int64) ([]string, error) {
 	expelAfter := s.clock.Now().Add(expelPatience)
-	isTold := false
+	var tellAfter time.Time
 	var missing []string
 	for {
 		if _, ok := s.duty.Token(); !ok {
@@ -228,8 +231,8 @@
 			return missing, nil
 		}
 		missing = append(running.Listed, running.Gone...)
-		if err == nil && !isTold {
-			isTold = true
+		if err == nil && now.After(tellAfter) {
+			tellAfter = now.Add(tellInterval)
 			s.members.Tell(ctx, group, number)
 		}
 		if err == nil && len(running.Listed) > 0 && now.After(expelAfter) {
