rattanproxy: renew leases every 0.4 s and hold watches for 5 s

After each failed watch a daemon read everything again.

Change: renewals every 0.4 s instead of 0.28 s, watches held 5 s instead of 3 s; grants can be extended for 12 s instead of 10 s since the age of what a daemon knows counts. A watch that failed is repeated from its revision; everything is read again only when the history is lost. When the store answers again, the watch from before is dropped.

--- a/internal/daemon/rattanproxy/register.go
+++ b/internal/daemon/rattanproxy/register.go
@@ -20,9 +20,9 @@
 	// leaseTTL is the time to live of the VM's lease: how long a daemon that
 	// died is still listed.
 	leaseTTL = 2 * time.Second
-	// leaseRenewal separates two renewals of the lease; several fit into the
-	// lifetime of a grant.
-	leaseRenewal = 280 * time.Millisecond
+	// leaseRenewal separates two renewals of the lease; two fit into the lifetime
+	// of a grant, and other daemons vouch when half of it has passed without one.
+	leaseRenewal = 400 * time.Millisecond
 	// renewTimeout limits one renewal, so that it is repeated within the lifetime.
 	renewTimeout = 500 * time.Millisecond
 	// leaseMargin is how long before its end a lease no longer counts here.
@@ -48,8 +48,10 @@
 	proxy       *Proxy
 	incarnation string
 	storeLost   atomic.Bool
-	pollWake    chan struct{}
-	wake        chan struct{}
+	// watching ends the watch under way.
+	watching atomic.Pointer[context.CancelFunc]
+	pollWake chan struct{}
+	wake     chan struct{}
 
 	mu         sync.Mutex
 	record     rattanknowledge.VMRecord
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without events.
-	watchWait = 3 * time.Second
+	// watchWait is how long the store holds a watch without events. It is part of
+	// the time for which grants can be extended while the store is away.
+	watchWait = 5 * time.Second
 	// watchSlack is how much longer than that an answer may take before the
 	// connection counts as silent.
 	watchSlack = 600 * time.Millisecond
@@ -38,8 +39,8 @@
 			continue
 		}
 		p.storeAnswered()
-		if err := p.watch(ctx); err != nil {
-			p.storeFailed(ctx, "watch", err)
+		if err := p.watch(ctx); err != nil && ctx.Err() == nil {
+			p.logger.Info("history_lost", "revision", p.knowledge.Revision(), "error", err)
 		}
 	}
 	return nil
@@ -59,7 +60,7 @@
 	return nil
 }
 
-// watch follows the changes until the history is lost or the watch fails.
+// watch follows the changes until the history is lost.
 func (p *Proxy) watch(ctx context.Context) error {
 	var last time.Time
 	for ctx.Err() == nil {
@@ -68,9 +69,15 @@
 		}
 		asked := p.boot.Now()
 		changes, err := p.watchOnce(ctx, p.knowledge.Revision())
-		if err != nil {
+		if errors.Is(err, rattankv.ErrCompacted) {
 			return err
 		}
+		if err != nil {
+			p.storeFailed(ctx, "watch", err)
+			p.sleep(ctx, storeRetry)
+			continue
+		}
+		p.storeAnswered()
 		if len(changes.Events) > 0 {
 			last = p.clock.Now()
 		}
@@ -84,6 +91,7 @@
 func (p *Proxy) watchOnce(ctx context.Context, after int64) (rattankv.Changes, error) {
 	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	p.register.watching.Store(&cancel)
 	return p.protocol.Store.Watch(call, "", after, watchWait)
 }
 
@@ -176,5 +184,9 @@
 func (p *Proxy) storeAnswered() {
 	if p.register.storeLost.CompareAndSwap(true, false) {
 		p.logger.Info("store_regained")
+		// The answer to a watch from before may be lost.
+		if cancel := p.register.watching.Load(); cancel != nil {
+			(*cancel)()
+		}
 	}
 }
--- a/internal/endpoint/rattanpromise/promise.go
+++ b/internal/endpoint/rattanpromise/promise.go
@@ -18,7 +18,7 @@
 	Margin = 100 * time.Millisecond
 	// Limit is how long grants last at most after the daemon was last listed and
 	// knew everything in the store, whoever answers.
-	Limit = 10 * time.Second
+	Limit = 12 * time.Second
 )
 
 const (
