rattanproxy: replace a silent holder of the duty sooner

Change: the holder is asked after 0.1 s and 15 ms for each daemon before in the order of names, an answer may take 0.2 s, the daemon that revokes the lease takes the duty, and a duty that was just taken is done at once.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -16,7 +16,7 @@
 
 const (
 	// dutyInterval separates two looks at the duty and at the groups.
-	dutyInterval = 200 * time.Millisecond
+	dutyInterval = 100 * time.Millisecond
 	// dutyStagger separates the attempts of the daemons to take a free duty.
 	dutyStagger = 60 * time.Millisecond
 	// tellTimeout limits a direct message to a daemon that a switch has begun;
@@ -91,7 +91,8 @@
 	var freeSince time.Time
 	for ctx.Err() == nil {
 		view, changed := p.knowledge.Changed()
-		if _, ok := held.Token(); ok {
+		_, wasHeld := held.Token()
+		if wasHeld {
 			runner.look(ctx, view)
 			p.sweepRoll(ctx, view, held)
 			freeSince = time.Time{}
@@ -99,13 +100,16 @@
 			if freeSince.IsZero() {
 				freeSince = p.clock.Now()
 			}
-			if p.clock.Now().Sub(freeSince) >= p.dutyDelay(view) {
+			if p.clock.Now().Sub(freeSince) >= p.turn(view, dutyStagger) {
 				p.takeDuty(ctx, held)
 				freeSince = time.Time{}
 			}
 		} else {
 			freeSince = time.Time{}
-			p.watchHolder(ctx, runner, view)
+			p.watchHolder(ctx, runner, view, held)
+		}
+		if _, isHeld := held.Token(); isHeld && !wasHeld {
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -119,20 +123,23 @@
 const (
 	// idleHolder is how long a group may need a switch before the holder of the
 	// failover duty is asked whether it is alive.
-	idleHolder = 250 * time.Millisecond
+	idleHolder = 100 * time.Millisecond
+	// holderStagger separates the questions of the daemons to the holder.
+	holderStagger = 15 * time.Millisecond
 	// holderTimeout limits the holder's answer.
-	holderTimeout = 300 * time.Millisecond
+	holderTimeout = 200 * time.Millisecond
 )
 
 // watchHolder revokes the lease of the duty's holder when a group needs a switch
 // that the holder does not begin, and the holder does not answer. The daemons take
 // turns, as they do to take the duty: many at once would revoke each other's leases.
-func (p *Proxy) watchHolder(ctx context.Context, runner *switchRunner, view *rattanknowledge.View) {
+// The one that revokes the lease takes the duty.
+func (p *Proxy) watchHolder(ctx context.Context, runner *switchRunner, view *rattanknowledge.View, held *duty) {
 	if _, isRenewed := p.grants.Own(); !view.HasDuty || !isRenewed {
 		runner.overdue.Forget()
 		return
 	}
-	if !runner.isOverdue(view, idleHolder+p.dutyDelay(view)) {
+	if !runner.isOverdue(view, idleHolder+p.turn(view, holderStagger)) {
 		return
 	}
 	holder, ok := view.VMs[view.Duty.VM]
@@ -151,7 +158,9 @@
 	p.logger.Warn("holder_silent", "holder", view.Duty.VM, "token", view.Duty.Token)
 	if err := runner.members.Expel(ctx, []string{view.Duty.VM}); err != nil {
 		p.storeFailed(ctx, "expel", err)
+		return
 	}
+	p.takeDuty(ctx, held)
 }
 
 // isDutyHolder reports whether this daemon holds the failover duty for all that
@@ -165,15 +174,16 @@
 	return view.Catalog != nil && !view.HasDuty && !p.stopping.Load()
 }
 
-// dutyDelay spreads the daemons' attempts to take the duty.
-func (p *Proxy) dutyDelay(view *rattanknowledge.View) time.Duration {
+// turn returns how long this daemon waits before it does what one daemon is to do,
+// so that the daemons take turns that a stagger separates.
+func (p *Proxy) turn(view *rattanknowledge.View, stagger time.Duration) time.Duration {
 	rank := 0
 	for name := range view.VMs {
 		if name < p.settings.VM() {
 			rank++
 		}
 	}
-	return time.Duration(rank) * dutyStagger
+	return time.Duration(rank) * stagger
 }
 
 // takeDuty takes the duty with the next fencing token.
