rattanlane: only the keeper keeps idle connections

Cause: a daemon that cannot reach the keeper of an endpoint goes there itself with two connections and kept them.

Change: a daemon that is not the keeper closes each connection after its use, and a former keeper closes its idle ones. TestNoIdle and TestFormerKeeperClosesIdle fail without it.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -122,7 +122,9 @@
 	if ok && keeper == s.proxy.settings.VM() {
 		return rattanlane.Limits{Connections: plan.Kept(), InFlight: plan.InFlight(), Idle: plan.Idle()}
 	}
-	return rattanlane.Limits{Connections: plan.Others(), InFlight: plan.Others()}
+	// The places for all but the keeper are fewer than the daemons, so nobody
+	// keeps one that is not in use.
+	return rattanlane.Limits{Connections: plan.Others(), InFlight: plan.Others(), Idle: rattanlane.NoIdle}
 }
 
 // Upstreams implements rattandispatch.Endpoints.
--- a/internal/endpoint/rattanlane/lane.go
+++ b/internal/endpoint/rattanlane/lane.go
@@ -68,15 +68,22 @@
 	Connections int
 	// InFlight is the number of requests that run at once.
 	InFlight int
-	// Idle is the number of connections that stay open without a request.
+	// Idle is the number of connections that stay open without a request: 0 for
+	// all of them, NoIdle for none.
 	Idle int
 }
 
+// NoIdle closes each connection after its request.
+const NoIdle = -1
+
 func (l Limits) normalized() Limits {
 	l.Connections = max(l.Connections, 1)
 	l.InFlight = min(max(l.InFlight, 1), l.Connections)
-	if l.Idle <= 0 {
+	switch l.Idle {
+	case 0:
 		l.Idle = l.Connections
+	case NoIdle:
+		l.Idle = 0
 	}
 	return l
 }
@@ -111,7 +118,7 @@
 func (l *Lane[C]) SetLimits(limits Limits, now time.Time) []C {
 	l.limits = limits.normalized()
 	var surplus []C
-	for l.held > l.limits.Connections && len(l.idle) > 0 {
+	for len(l.idle) > 0 && (l.held > l.limits.Connections || len(l.idle) > l.limits.Idle) {
 		surplus = append(surplus, l.idle[0].conn)
 		l.idle = slices.Delete(l.idle, 0, 1)
 		l.held--
--- a/internal/endpoint/rattanlane/lane_test.go
+++ b/internal/endpoint/rattanlane/lane_test.go
@@ -193,3 +193,30 @@
 		t.Errorf("%d connections stay open, want 3", lane.Held())
 	}
 }
+
+// TestNoIdle guards against daemons other than the keeper that hold on to their
+// connections: after a mass restart 91 of them did, the endpoint accepted no more,
+// and a quarter of all statements failed for as long as the day lasted.
+func TestNoIdle(t *testing.T) {
+	lane := New[int](Limits{Connections: 2, InFlight: 2, Idle: NoIdle})
+	assertOutcome(t, lane.Request(waiter("a", 0, time.Second, time.Second), begin()), Granted)
+	surplus, ok := lane.Release(7, "a", time.Millisecond, begin())
+	if !ok || surplus != 7 {
+		t.Fatalf("connection %d is to be closed (%t), want 7", surplus, ok)
+	}
+	lane.Closed(begin())
+	if held := lane.Held(); held != 0 {
+		t.Errorf("%d connections are held", held)
+	}
+}
+
+// TestFormerKeeperClosesIdle guards against a former keeper that keeps the places
+// of the endpoint's connections which its successor needs.
+func TestFormerKeeperClosesIdle(t *testing.T) {
+	lane := New[int](Limits{Connections: 4, InFlight: 2, Idle: 2})
+	assertOutcome(t, lane.Request(waiter("a", 0, time.Second, time.Second), begin()), Granted)
+	lane.Release(7, "a", time.Millisecond, begin())
+	if surplus := lane.SetLimits(Limits{Connections: 2, InFlight: 2, Idle: NoIdle}, begin()); len(surplus) != 1 || surplus[0] != 7 {
+		t.Errorf("connections %v are to be closed, want 7", surplus)
+	}
+}
