rattanswitch: give large fleets time to confirm a switch

Cause: the holder tells every daemon and is asked by many; in a fleet of 91 on VMs with 0.2 to 0.8 of a core, answers within 0.2 s are the exception when a cut has just healed.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -126,8 +126,10 @@
 	idleHolder = 100 * time.Millisecond
 	// holderStagger separates the questions of the daemons to the holder.
 	holderStagger = 15 * time.Millisecond
-	// holderTimeout limits the holder's answer.
-	holderTimeout = 200 * time.Millisecond
+	// holderTimeout limits the holder's answer. In a large fleet the holder has
+	// more to do and is asked by more.
+	holderTimeout      = 200 * time.Millisecond
+	holderTimeoutPerVM = 4 * time.Millisecond
 )
 
 // watchHolder revokes the lease of the duty's holder when a group needs a switch
@@ -146,7 +148,7 @@
 	if !ok || view.Duty.VM == p.settings.VM() {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, holderTimeout)
+	call, cancel := context.WithTimeout(ctx, holderTimeout+time.Duration(len(view.VMs))*holderTimeoutPerVM)
 	defer cancel()
 	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeRequest{
 		KnowledgeRequest: &rattanv1.KnowledgeRequest{Vm: p.settings.VM(), Address: p.settings.PeerAddress(), Revision: p.knowledge.Revision()},
--- a/internal/endpoint/rattanswitch/overdue.go
+++ b/internal/endpoint/rattanswitch/overdue.go
@@ -3,8 +3,9 @@
 import "time"
 
 // underWayPatience is added for a switch that the holder of the duty has begun: it
-// waits for other daemons and for the platform.
-const underWayPatience = 1500 * time.Millisecond
+// waits for other daemons and for the platform. A holder that dies meanwhile loses
+// its lease sooner.
+const underWayPatience = 5 * time.Second
 
 // Overdue remembers what the holder of the failover duty owes, as seen by a daemon
 // that does not hold it.
--- a/internal/endpoint/rattanswitch/switcher.go
+++ b/internal/endpoint/rattanswitch/switcher.go
@@ -30,8 +30,10 @@
 	// promoteAttempts limits the calls to promote one endpoint.
 	promoteAttempts = 5
 	// expelPatience is how long a daemon may take to confirm that it stopped
-	// before its lease is revoked.
-	expelPatience = 220 * time.Millisecond
+	// before its lease is revoked; expelPatiencePerVM is added for each daemon that
+	// is told, since one daemon tells all.
+	expelPatience      = 220 * time.Millisecond
+	expelPatiencePerVM = 4 * time.Millisecond
 	// tellInterval separates two messages to a daemon that has not confirmed: its
 	// answer to the first may be lost.
 	tellInterval = 500 * time.Millisecond
@@ -218,8 +220,7 @@
 // they cannot renew their grants; these have ended when the lifetime has passed.
 // It returns the daemons that did not confirm.
 func (s *Switcher) awaitStopped(ctx context.Context, group string, number, revision int64) ([]string, error) {
-	expelAfter := s.clock.Now().Add(expelPatience)
-	var tellAfter time.Time
+	var expelAfter, tellAfter time.Time
 	var missing []string
 	for {
 		if _, ok := s.duty.Token(); !ok {
@@ -231,6 +232,9 @@
 			return missing, nil
 		}
 		missing = append(running.Listed, running.Gone...)
+		if err == nil && expelAfter.IsZero() {
+			expelAfter = now.Add(expelPatience + time.Duration(len(running.Listed))*expelPatiencePerVM)
+		}
 		if err == nil && now.After(tellAfter) {
 			tellAfter = now.Add(tellInterval)
 			s.members.Tell(ctx, group, number)
