rattanquota: keep an account's pool in three parts

Cause: one daemon hands out the pool of an account.

Change: three daemons in different failure domains keep a third of the pool each; a daemon asks the one in its own failure domain first, then the others, and leaves one that is empty or silent alone for a while.

--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 
 type accountAdmission struct {
 	rattanquota.Account
+	// paused is until when a keeper is not asked; the call under way uses it.
+	paused map[string]time.Time
 	// asking is closed when the call to the keeper that is under way has ended.
 	asking chan struct{}
 }
@@ -70,7 +73,7 @@
 func (a *admission) account(name string) *accountAdmission {
 	one, ok := a.accounts[name]
 	if !ok {
-		one = &accountAdmission{}
+		one = &accountAdmission{paused: make(map[string]time.Time)}
 		a.accounts[name] = one
 	}
 	return one
@@ -88,23 +91,61 @@
 	asking := make(chan struct{})
 	one.asking = asking
 	a.mu.Unlock()
-	granted, retryAfter := a.call(account, view, wanted)
+	granted, retryAfter := a.call(one.paused, account, view, wanted)
 	a.mu.Lock()
 	one.Granted(granted, retryAfter, a.proxy.clock.Now())
 	one.asking = nil
 	close(asking)
 }
 
-// call asks the keeper of an account's pool, which may be this daemon.
-func (a *admission) call(account rattancatalog.Account, view *rattanknowledge.View, wanted int64) (int64, time.Duration) {
-	names := make([]string, 0, len(view.VMs))
-	for name := range view.VMs {
-		names = append(names, name)
+// call asks the keepers of an account's pools, those in the own failure domain
+// first, until one has something.
+func (a *admission) call(paused map[string]time.Time, account rattancatalog.Account, view *rattanknowledge.View, wanted int64) (int64, time.Duration) {
+	wait := keeperPause
+	for _, keeper := range a.keepers(account.Name, view) {
+		now := a.proxy.clock.Now()
+		if until := paused[keeper]; now.Before(until) {
+			wait = min(wait, until.Sub(now))
+			continue
+		}
+		granted, retryAfter := a.callKeeper(keeper, account, view, wanted)
+		if granted > 0 {
+			return granted, 0
+		}
+		paused[keeper] = a.proxy.clock.Now().Add(retryAfter)
+		wait = min(wait, retryAfter)
 	}
-	keeper, ok := rattanquota.Keeper(account.Name, names)
-	if !ok {
-		return 0, keeperPause
+	return 0, wait
+}
+
+// keepers returns the keepers of an account's pools in the order in which this
+// daemon asks them.
+func (a *admission) keepers(account string, view *rattanknowledge.View) []string {
+	own := a.proxy.settings.FailureDomain()
+	keepers := rattanquota.Keepers(account, domainsOf(view))
+	slices.SortStableFunc(keepers, func(x, y string) int {
+		return distance(view, own, x) - distance(view, own, y)
+	})
+	return keepers
+}
+
+func domainsOf(view *rattanknowledge.View) map[string]string {
+	domains := make(map[string]string, len(view.VMs))
+	for name, vm := range view.VMs {
+		domains[name] = vm.FailureDomain
+	}
+	return domains
+}
+
+// distance is 0 for a VM of the failure domain, else 1.
+func distance(view *rattanknowledge.View, domain, vm string) int {
+	if view.VMs[vm].FailureDomain == domain {
+		return 0
 	}
+	return 1
+}
+
+func (a *admission) callKeeper(keeper string, account rattancatalog.Account, view *rattanknowledge.View, wanted int64) (int64, time.Duration) {
 	if keeper == a.proxy.settings.VM() {
 		return a.grant(account, wanted)
 	}
@@ -131,7 +172,9 @@
 		pool = &rattanquota.Pool{}
 		a.pools[account.Name] = pool
 	}
-	return pool.Grant(account, len(a.proxy.knowledge.View().VMs), wanted, a.proxy.clock.Now())
+	view := a.proxy.knowledge.View()
+	pools := len(rattanquota.Keepers(account.Name, domainsOf(view)))
+	return pool.Grant(account, len(view.VMs), pools, wanted, a.proxy.clock.Now())
 }
 
 // errUnknownAccount answers a daemon that knows a newer configuration.
--- a/internal/limit/rattanquota/quota.go
+++ b/internal/limit/rattanquota/quota.go
@@ -1,10 +1,14 @@
 // Package rattanquota divides a client account's rate and burst among the
 // daemons. A part of them is split evenly, so that a daemon that reaches no other
-// one still admits something; the rest is a pool that one daemon, the keeper,
-// hands out on demand. The parts add up to the account's rate and burst.
+// one still admits something; the rest are pools of equal size that daemons in
+// different failure domains, the keepers, hand out on demand, so that a cut leaves
+// some on each side. The parts add up to the account's rate and burst.
 package rattanquota
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +20,9 @@
 const (
 	// evenPercent is the part of the rate and burst that is split evenly.
 	evenPercent = 40
+	// maxPools is the number of pools of an account in a fleet with as many
+	// failure domains.
+	maxPools = 3
 	// minEvenRate is the least even part of a daemon, in operations a second:
 	// smaller parts mostly go unused, so the whole rate is pooled then.
 	minEvenRate = 1.5
@@ -34,17 +41,27 @@
 	initialPercent = 25
 )
 
-// Keeper returns the VM that keeps the pool of an account: the one with the
-// highest hash of both names. It returns false when there is none.
-func Keeper(account string, vms []string) (string, bool) {
-	var keeper string
-	var highest uint64
-	for _, vm := range vms {
-		if hash := xxhash.Sum64String(vm + "\x00" + account); keeper == "" || hash > highest {
-			keeper, highest = vm, hash
+// Keepers returns the VMs that keep the pools of an account: the ones with the
+// highest hash of both names, one per failure domain. Domains are those of the live
+// VMs, by name.
+func Keepers(account string, domains map[string]string) []string {
+	type candidate struct {
+		vm   string
+		hash uint64
+	}
+	best := make(map[string]candidate)
+	for vm, domain := range domains {
+		one := candidate{vm: vm, hash: xxhash.Sum64String(vm + "\x00" + account)}
+		if before, ok := best[domain]; !ok || one.hash > before.hash {
+			best[domain] = one
 		}
 	}
-	return keeper, keeper != ""
+	candidates := slices.SortedFunc(maps.Values(best), func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
+	var keepers []string
+	for _, one := range candidates[:min(len(candidates), maxPools)] {
+		keepers = append(keepers, one.vm)
+	}
+	return keepers
 }
 
 // evenPart returns the part of an account's rate that is split evenly.
@@ -81,16 +98,17 @@
 	}
 }
 
-// A Pool is what the keeper hands out of one account.
+// A Pool is what one keeper hands out of one account.
 type Pool struct {
 	bucket *rattanbucket.Bucket
 }
 
 // Grant hands out at most wanted operations: never more than half of what is
 // there, so that the other daemons get some. When there is nothing it returns
-// the time after which to ask again. Daemons is the number of live daemons.
-func (p *Pool) Grant(account rattancatalog.Account, daemons int, wanted int64, now time.Time) (int64, time.Duration) {
-	part := 1 - evenPart(account, daemons)
+// the time after which to ask again. Daemons is the number of live daemons, pools
+// that of the account's pools.
+func (p *Pool) Grant(account rattancatalog.Account, daemons, pools int, wanted int64, now time.Time) (int64, time.Duration) {
+	part := (1 - evenPart(account, daemons)) / float64(max(pools, 1))
 	if p.bucket == nil {
 		p.bucket = newBucket(account, part, now)
 	}
@@ -112,7 +130,7 @@
 	even       *rattanbucket.Bucket
 	stock      int64
 	stockUntil time.Time
-	// deniedUntil is until when the pool is known to be empty.
+	// deniedUntil is until when the pools are known to be empty.
 	deniedUntil time.Time
 	// demand is the number of operations a second.
 	demand   float64
@@ -145,7 +163,7 @@
 	a.demand = a.demand*fade + 1/demandMemory.Seconds()
 }
 
-// Wanted returns how many operations to ask the keeper for, 0 while the pool is
+// Wanted returns how many operations to ask the keepers for, 0 while the pools are
 // known to be empty.
 func (a *Account) Wanted(now time.Time) int64 {
 	if now.Before(a.deniedUntil) {
--- a/internal/limit/rattanquota/quota_test.go
+++ b/internal/limit/rattanquota/quota_test.go
@@ -1,6 +1,8 @@
 package rattanquota
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,16 +13,30 @@
 
 func start() time.Time { return time.Unix(1000, 0) }
 
-// TestKeeperIsAgreed guards against two daemons that hand out the same pool:
-// daemons with the same list choose the same keeper, in whatever order.
-func TestKeeperIsAgreed(t *testing.T) {
+// TestKeepersAreAgreed guards against two daemons that hand out the same pool, and
+// against pools that one cut takes: daemons with the same list choose the same
+// keepers, one per failure domain.
+func TestKeepersAreAgreed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		vms := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 1, 9, rapid.ID[string]).Draw(t, "vms")
+		domains := rapid.MapOfN(rapid.StringMatching(`[a-z]{1,6}`), rapid.StringMatching(`[v-z]`), 1, 9).Draw(t, "domains")
 		account := rapid.String().Draw(t, "account")
-		first, _ := Keeper(account, vms)
-		second, _ := Keeper(account, rapid.Permutation(vms).Draw(t, "order"))
-		if first != second {
-			t.Fatalf("keeper %q and %q", first, second)
+		keepers := Keepers(account, domains)
+		if again := Keepers(account, maps.Clone(domains)); !slices.Equal(keepers, again) {
+			t.Fatalf("keepers %q and %q", keepers, again)
+		}
+		seen := make(map[string]bool)
+		for _, keeper := range keepers {
+			if seen[domains[keeper]] {
+				t.Fatalf("keepers %q share a failure domain", keepers)
+			}
+			seen[domains[keeper]] = true
+		}
+		all := make(map[string]bool)
+		for _, domain := range domains {
+			all[domain] = true
+		}
+		if want := min(len(all), maxPools); len(keepers) != want {
+			t.Fatalf("%d keepers, want %d", len(keepers), want)
 		}
 	})
 }
@@ -35,25 +51,25 @@
 			Burst: float64(rapid.IntRange(1, 200).Draw(t, "burst")),
 		}
 		daemons := rapid.IntRange(1, 9).Draw(t, "daemons")
-		pool := &Pool{}
+		pools := make([]Pool, rapid.IntRange(1, maxPools).Draw(t, "pools"))
 		accounts := make([]Account, daemons)
 		admitted, now := 0, start()
 		const steps = 2000
 		for range steps {
 			now = now.Add(5 * time.Millisecond)
 			one := &accounts[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
-			if admit(one, pool, account, daemons, now) {
+			if admit(one, pools, account, daemons, now) {
 				admitted++
 			}
 		}
 		seconds := (steps * 5 * time.Millisecond).Seconds()
-		if limit := account.Rate*seconds + account.Burst + float64(daemons) + 1; float64(admitted) > limit {
+		if limit := account.Rate*seconds + account.Burst + float64(daemons+len(pools)); float64(admitted) > limit {
 			t.Fatalf("%d operations admitted in %g s, at most %g", admitted, seconds, limit)
 		}
 	})
 }
 
-func admit(one *Account, pool *Pool, account rattancatalog.Account, daemons int, now time.Time) bool {
+func admit(one *Account, pools []Pool, account rattancatalog.Account, daemons int, now time.Time) bool {
 	one.Note(now)
 	if one.Take(account, daemons, now) {
 		return true
@@ -62,7 +78,13 @@
 	if wanted == 0 {
 		return false
 	}
-	granted, retryAfter := pool.Grant(account, daemons, wanted, now)
+	var granted int64
+	var retryAfter time.Duration
+	for at := range pools {
+		if granted, retryAfter = pools[at].Grant(account, daemons, len(pools), wanted, now); granted > 0 {
+			break
+		}
+	}
 	one.Granted(granted, retryAfter, now)
 	return one.Take(account, daemons, now)
 }
@@ -71,11 +93,11 @@
 // seven with 62% of their account's rate: fixed shares refused most of them.
 func TestUnevenCallersGetTheirRate(t *testing.T) {
 	account := rattancatalog.Account{Name: "dealer", Rate: 100, Burst: 100}
-	pool, one := &Pool{}, &Account{}
+	pools, one := make([]Pool, maxPools), &Account{}
 	now, refused := start(), 0
 	for range 620 {
 		now = now.Add(16 * time.Millisecond)
-		if !admit(one, pool, account, 7, now) {
+		if !admit(one, pools, account, 7, now) {
 			refused++
 		}
 	}
@@ -89,11 +111,11 @@
 // operations were refused within the rate.
 func TestSmallAccountsArePooledWhole(t *testing.T) {
 	account := rattancatalog.Account{Name: "dealer", Rate: 30, Burst: 30}
-	pool, accounts := &Pool{}, make([]Account, 91)
+	pools, accounts := make([]Pool, maxPools), make([]Account, 91)
 	now, refused := start(), 0
 	for i := range 400 {
 		now = now.Add(50 * time.Millisecond)
-		if !admit(&accounts[i%len(accounts)], pool, account, len(accounts), now) {
+		if !admit(&accounts[i%len(accounts)], pools, account, len(accounts), now) {
 			refused++
 		}
 	}
@@ -115,3 +137,23 @@
 		t.Error("a token is spent after its end")
 	}
 }
+
+// TestCutLeavesPools replays a cut that leaves a daemon one of three pools, in a
+// fleet of 91 without even parts: with one pool beyond the cut it admitted nothing.
+func TestCutLeavesPools(t *testing.T) {
+	account := rattancatalog.Account{Name: "dealer", Rate: 30, Burst: 30}
+	pools, one := make([]Pool, 1), &Account{}
+	now, admitted := start(), 0
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		one.Note(now)
+		granted, retryAfter := pools[0].Grant(account, 91, maxPools, max(one.Wanted(now), 1), now)
+		one.Granted(granted, retryAfter, now)
+		if one.Take(account, 91, now) {
+			admitted++
+		}
+	}
+	if admitted < 80 || admitted > 115 {
+		t.Errorf("%d operations admitted in 10 s, want a third of the account's 300", admitted)
+	}
+}
