--- a/internal/load/rattancapacity/connection.go
+++ b/internal/load/rattancapacity/connection.go
@@ -182,11 +182,12 @@
 		return errors.Wrap(err, "read answer")
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
 	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("answer has status %s", response.Status)
+		return errors.Errorf("answer has status %s: %s", response.Status, body)
 	}
 	return nil
 }
