rattanproxy: hold watches for 3 s again

The store cuts watches there without a sign, and a watch held for 5 s was given up after 5.6 s: requests were handled by version 40 more than 3 s after version 43 was acknowledged. Ruled out: the relay and the burst pause; the daemon that was late had no other event between its last watch and its end.

The stand-in of the store can leave watches without an answer; TestSilentWatch fails with 5 s.

--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -33,6 +33,9 @@
 	testAccount = "dealer"
 	// switchBound is the users' bound for a change of primary.
 	switchBound = 8 * time.Second
+	// silentWatchBound is the 3 s of the sites' config_apply_ms and one for the
+	// connection that is cut.
+	silentWatchBound = 4 * time.Second
 	// settleTime is enough for daemons to know of each other after their start.
 	settleTime = 1 * time.Second
 	// waitBound limits the wait for something that takes a moment.
--- a/internal/daemon/rattanproxy/proxy_test.go
+++ b/internal/daemon/rattanproxy/proxy_test.go
@@ -1,7 +1,9 @@
 package rattanproxy_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -86,6 +88,31 @@
 	t.Error("the withdrawn key still works")
 }
 
+// TestSilentWatch guards against a configuration that comes late because the watch
+// under way was cut without a sign: held for 5 s, it broke the rule CONFIG on a day
+// with platform_compact.
+func TestSilentWatch(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.dial(f.vms[0], "browse", testKey)
+	time.Sleep(settleTime)
+	f.store.SilenceWatches()
+	f.configure(2, 1000, "another-key")
+	for begun := time.Now(); time.Since(begun) < silentWatchBound; time.Sleep(20 * time.Millisecond) {
+		conn, err := net.Dial("tcp", f.vms[0].callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "START browse %s\r\n", testKey)
+		answer, err := bufio.NewReader(conn).ReadString('\n')
+		_ = conn.Close()
+		if err == nil && !strings.HasPrefix(answer, "READY I") {
+			return
+		}
+	}
+	t.Errorf("the dropped key still opens sessions %s after the change", silentWatchBound)
+}
+
 // TestFailover guards against a primary that is not replaced, a write that runs
 // twice, and a refusal that is not true.
 func TestFailover(t *testing.T) {
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without events. It is part of
-	// the time for which grants can be extended while the store is away.
-	watchWait = 5 * time.Second
+	// watchWait is how long the store holds a watch without events. One that is cut
+	// without a sign is noticed only then: 5 s was too long for the sites'
+	// config_apply_ms of 3 s.
+	watchWait = 3 * time.Second
 	// watchSlack is how much longer than that an answer may take before the
 	// connection counts as silent.
 	watchSlack = 600 * time.Millisecond
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -38,6 +38,8 @@
 	next     int64
 	isDown   bool
 	refused  map[string]bool
+	// silenced counts how often all watches under way were silenced.
+	silenced int
 	changed  chan struct{}
 }
 
@@ -65,6 +67,20 @@
 	s.refused[client] = isRefused
 }
 
+// SilenceWatches leaves the watches under way without an answer, as a connection
+// does that is cut without a sign; later ones are answered.
+func (s *Server) SilenceWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenced++
+}
+
+func (s *Server) silences() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silenced
+}
+
 // Put writes a key as an operator or an endpoint does.
 func (s *Server) Put(key string, value any) error {
 	encoded, err := json.Marshal(value)
@@ -207,7 +223,12 @@
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	silences := s.silences()
 	for {
+		if s.silences() != silences {
+			<-r.Context().Done()
+			return
+		}
 		events, asOf, changed, isKept := s.since(r.URL.Query().Get("prefix"), after)
 		if !isKept {
 			answer(w, http.StatusGone, struct{}{})
