--- a/internal/peer/rattanlink/client_test.go
+++ b/internal/peer/rattanlink/client_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
@@ -167,26 +168,17 @@
 // TestLongestBackoff guards against daemons that stay apart long after a cut between
 // them has healed, because they try more and more rarely.
 func TestLongestBackoff(t *testing.T) {
-	const backoff, cut = 100 * time.Millisecond, 1200 * time.Millisecond
-	var mutex sync.Mutex
-	var dials []time.Time
-	client := newTestClient(t, WithLongestBackoff(backoff), WithDial(func(context.Context, string) (net.Conn, error) {
-		mutex.Lock()
-		defer mutex.Unlock()
-		dials = append(dials, time.Now())
+	const backoff = 100 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	client := newTestClient(t, WithClock(clock), WithLongestBackoff(backoff), WithDial(func(context.Context, string) (net.Conn, error) {
 		return nil, net.ErrClosed
 	}))
-	for begun := time.Now(); time.Since(begun) < cut; time.Sleep(backoff / 20) {
-		if _, err := client.Call(context.Background(), "127.0.0.1:1", borrowFrame(1)); err == nil {
-			t.Fatal("a peer without connection answered")
-		}
-	}
-	mutex.Lock()
-	defer mutex.Unlock()
-	for at := 1; at < len(dials); at++ {
-		if pause := dials[at].Sub(dials[at-1]); pause > 3*backoff {
-			t.Errorf("the peer was left alone for %s, want %s and up to half more", pause, backoff)
+	for attempt := range 12 {
+		_, err := client.Call(context.Background(), "127.0.0.1:1", borrowFrame(1))
+		if err == nil || errors.Is(err, ErrBackoff) {
+			t.Fatalf("attempt %d after the longest pause: %v, want a connection that fails", attempt, err)
 		}
+		clock.Advance(backoff + backoff/2 + time.Millisecond)
 	}
 }
 
