rattandispatch: one loop over candidates

Cause: read, firstAtReplica and atPrimary each ran an attempt at one endpoint after the other and kept the trail. attempts.try does it for all three. No behaviour change.

--- /dev/null
+++ b/internal/endpoint/rattandispatch/attempts.go
@@ -0,0 +1,30 @@
+package rattandispatch
+
+import (
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+)
+
+// attempts are those made for one statement.
+type attempts struct {
+	dispatcher *Dispatcher
+	trail      Trail
+	last       Outcome
+}
+
+// try runs an attempt at one endpoint after the other until an outcome is final,
+// which it reports. The last outcome has the trail of all attempts.
+func (a *attempts) try(upstreams []*rattanupstream.Upstream, floor rattanmodel.Position, attempt func(*rattanupstream.Upstream) (Outcome, bool)) bool {
+	clock := a.dispatcher.clock
+	for _, upstream := range upstreams {
+		begun := clock.Now()
+		outcome, isFinal := attempt(upstream)
+		a.trail.add(outcome, clock.Now().Sub(begun))
+		outcome.Trail, outcome.Floor = a.trail, floor
+		a.last = outcome
+		if isFinal {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/endpoint/rattandispatch/read.go
+++ b/internal/endpoint/rattandispatch/read.go
@@ -41,25 +41,19 @@
 
 // read runs a read that replicas may serve.
 func (d *Dispatcher) read(job Job, work rattanconversation.Work) Outcome {
-	var last Outcome
-	var trail Trail
+	tried := attempts{dispatcher: d}
 	for {
 		floor, ok := d.floor(job)
 		if !ok {
 			return d.readPrimary(job, work)
 		}
-		for _, upstream := range d.candidates(job.Route.Group, floor) {
-			begun := d.clock.Now()
-			outcome, isFinal := d.readAt(upstream, job, work, floor)
-			trail.add(outcome, d.clock.Now().Sub(begun))
-			outcome.Trail, outcome.Floor = trail, floor
-			if isFinal {
-				return outcome
-			}
-			last = outcome
+		if tried.try(d.candidates(job.Route.Group, floor), floor, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
+			return d.readAt(upstream, job, work, floor)
+		}) {
+			return tried.last
 		}
-		if now := d.clock.Now(); now.Add(retryPause).After(job.hopeless()) {
-			return d.giveUp(last)
+		if d.clock.Now().Add(retryPause).After(job.hopeless()) {
+			return d.giveUp(tried.last)
 		}
 		<-d.clock.After(retryPause)
 	}
@@ -71,24 +65,23 @@
 	return last
 }
 
+// noPrimaryNow answers a statement that only a primary can run.
+const noPrimaryNow = "the group has no primary now; come back in 100 ms"
+
 // atPrimary tries an attempt at the group's primary until its outcome is final or
 // no further attempt can help the request.
 func (d *Dispatcher) atPrimary(job Job, attempt func(*rattanupstream.Upstream) (Outcome, bool)) Outcome {
-	var trail Trail
+	tried := attempts{dispatcher: d}
 	for {
 		upstream, err := d.primary(job)
 		if err != nil {
-			return refused(rattanstatement.Busy, "the group has no primary now; come back in 100 ms", err)
+			return refused(rattanstatement.Busy, noPrimaryNow, err)
 		}
-		begun := d.clock.Now()
-		outcome, isFinal := attempt(upstream)
-		trail.add(outcome, d.clock.Now().Sub(begun))
-		outcome.Trail = trail
-		if isFinal {
-			return outcome
+		if tried.try([]*rattanupstream.Upstream{upstream}, rattanmodel.Position{}, attempt) {
+			return tried.last
 		}
-		if d.clock.Now().Add(retryPause).After(job.deadline()) || len(trail) > 1 && d.clock.Now().After(job.hopeless()) {
-			return d.giveUp(outcome)
+		if d.clock.Now().Add(retryPause).After(job.deadline()) || len(tried.trail) > 1 && d.clock.Now().After(job.hopeless()) {
+			return d.giveUp(tried.last)
 		}
 		<-d.clock.After(retryPause)
 	}
--- a/internal/endpoint/rattandispatch/transaction.go
+++ b/internal/endpoint/rattandispatch/transaction.go
@@ -52,30 +52,24 @@
 
 func (t *Transaction) firstAtReplica(job Job, work rattanconversation.Work) Outcome {
 	d := t.dispatcher
-	var last Outcome
-	var trail Trail
+	tried := attempts{dispatcher: d}
 	for {
 		floor, ok := d.floor(job)
 		candidates := d.candidates(t.route.Group, floor)
 		if !ok {
 			upstream, err := d.primary(job)
 			if err != nil {
-				return refused(rattanstatement.Busy, "the group has no primary now; come back in 100 ms", err)
+				return refused(rattanstatement.Busy, noPrimaryNow, err)
 			}
 			floor, candidates = rattanmodel.Position{}, []*rattanupstream.Upstream{upstream}
 		}
-		for _, upstream := range candidates {
-			begun := d.clock.Now()
-			outcome, isFinal := t.beginAt(upstream, job, work, floor, ok)
-			trail.add(outcome, d.clock.Now().Sub(begun))
-			outcome.Trail, outcome.Floor = trail, floor
-			if isFinal {
-				return outcome
-			}
-			last = outcome
+		if tried.try(candidates, floor, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
+			return t.beginAt(upstream, job, work, floor, ok)
+		}) {
+			return tried.last
 		}
 		if d.clock.Now().Add(retryPause).After(job.hopeless()) {
-			return d.giveUp(last)
+			return d.giveUp(tried.last)
 		}
 		<-d.clock.After(retryPause)
 	}
