--- a/internal/load/rattancluster/cluster.go
+++ b/internal/load/rattancluster/cluster.go
@@ -8,21 +8,18 @@
 	"net/http"
 	"path"
 	"sync"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
-	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/config/rattanstore"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattandaemon"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanlisten"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanendpoint"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanplatform"
-	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
 )
 
@@ -308,73 +305,6 @@
 	return nil
 }
 
-// awaitReady waits until a request through every daemon and service works.
-func (c *Cluster) awaitReady(ctx context.Context) error {
-	for _, vm := range c.vms {
-		client := c.Caller(vm)
-		for _, service := range c.scenario.Services {
-			for {
-				request := connect.NewRequest(&rattanv1.ExecuteRequest{
-					Service:   Team + "/" + service,
-					Statement: &rattanv1.Statement{Text: "CREATE TABLE IF NOT EXISTS items (id TEXT, amount INTEGER)"},
-					RequestId: "setup",
-				})
-				request.Header().Set("Authorization", "Bearer "+c.keys[c.scenario.Accounts[0].Name])
-				_, err := client.Execute(ctx, request)
-				if err == nil {
-					break
-				}
-				if ctx.Err() != nil {
-					return errors.Wrapf(err, "daemon of %s is not ready", vm.name)
-				}
-				time.Sleep(readyPoll)
-			}
-		}
-	}
-	return nil
-}
-
-// awaitReplicas waits until every endpoint holds what its group has written: a read
-// at a replica without the table would be refused.
-func (c *Cluster) awaitReplicas(ctx context.Context) error {
-	written := make(map[string]rattanmodel.Position)
-	for name, instance := range c.endpoints {
-		status, err := endpointStatus(ctx, instance)
-		if err != nil {
-			return errors.Wrapf(err, "state of %s", name)
-		}
-		written[status.GetGroup()] = rattanmodel.PositionFromWire(status.GetPosition()).Max(written[status.GetGroup()])
-	}
-	for name, instance := range c.endpoints {
-		for {
-			status, err := endpointStatus(ctx, instance)
-			if err != nil {
-				return errors.Wrapf(err, "wait until %s has caught up", name)
-			}
-			if rattanmodel.PositionFromWire(status.GetPosition()).Compare(written[status.GetGroup()]) >= 0 {
-				break
-			}
-			time.Sleep(readyPoll)
-		}
-	}
-	return nil
-}
-
-func endpointStatus(ctx context.Context, instance *rattanendpoint.Instance) (*rattanv1.EndpointStatus, error) {
-	response, err := instance.Client(setupSender).GetStatus(ctx, connect.NewRequest(&rattanv1.GetStatusRequest{}))
-	if err != nil {
-		return nil, err
-	}
-	return response.Msg.GetStatus(), nil
-}
-
-const (
-	// setupSender names the cluster's own calls to endpoints.
-	setupSender = "setup"
-	// readyPoll separates two looks at what is not ready yet.
-	readyPoll = 20 * time.Millisecond
-)
-
 // Caller returns a caller's client of a VM.
 func (c *Cluster) Caller(vm *VM) rattanv1connect.CallerServiceClient {
 	return rattanv1connect.NewCallerServiceClient(vm.httpClient(), vm.CallerURL())
