rattanplatform: connect the daemon to the platform in one place

Cause: the command and the whole-daemon tests each had the daemon's Protocol for the platform, these tests and the soak each the operator's configuration with the platform's words, and three tests the same loop of writes. Protocol, platformtest and writeFor serve all of them; durations, bounds and assertions are the same.

--- a/internal/cmd/rattancmd/proxycmd.go
+++ b/internal/cmd/rattancmd/proxycmd.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
 	"github.com/rattanstream/rattanstream/internal/base/rattanlog"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanplatform"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanproxy"
-	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
-	"github.com/rattanstream/rattanstream/platform"
 )
 
 // proxyCommand is the name of the command that runs a daemon on the platform.
@@ -59,32 +56,6 @@
 	defer stopWriting()
 	logger = logger.With("vm", settings.VM())
 	reload := func() (*rattansettings.Proxy, error) { return rattansettings.LoadProxy(path) }
-	proxy := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.Boot(), logger, platformProtocol(settings))
+	proxy := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.Boot(), logger, rattanplatform.Protocol(settings.StoreAddress(), settings.DutyAddress()))
 	return proxy.Run(ctx)
 }
-
-// platformProtocol returns the users' platform as the daemon uses it.
-func platformProtocol(settings *rattansettings.Proxy) rattanproxy.Protocol {
-	return rattanproxy.Protocol{
-		Store:    platform.NewStore(settings.StoreAddress()),
-		Decoder:  platform.Decoder{},
-		Promoter: platform.NewDuties(settings.DutyAddress()),
-		Dial: func(address string, timeout time.Duration) (rattanupstream.Conn, error) {
-			conn, err := platform.DialEndpoint(address, timeout)
-			if err != nil {
-				return nil, err
-			}
-			return conn, nil
-		},
-		Caller: func(conn net.Conn) rattanproxy.CallerConn { return platform.NewCallerConn(conn) },
-		ParseCallerError: func(err error) (rattanproxy.CallerError, bool) {
-			var syntax *platform.SyntaxError
-			if !errors.As(err, &syntax) {
-				return rattanproxy.CallerError{}, false
-			}
-			return rattanproxy.CallerError(*syntax), true
-		},
-		IsTerminated: func(err error) bool { return errors.Is(err, platform.ErrTerminated) },
-		Readiness:    platform.ReadinessHandler,
-	}
-}
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -20,11 +20,11 @@
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanplatform"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanproxy"
-	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/standin/rattankvserver"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanlineserver"
-	"github.com/rattanstream/rattanstream/platform"
+	"github.com/rattanstream/rattanstream/platform/platformtest"
 )
 
 const (
@@ -114,20 +114,11 @@
 
 func (f *fleet) configure(version int, rate float64, keys ...string) {
 	f.t.Helper()
-	route := func(name, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "database_name": name, "service": "orders", "route_type": kind,
-			"timeout_ms": 2000, "target_latency_ms": 250, "priority": 1, "max_staleness_ms": 1500,
-		}
-	}
-	config := map[string]any{
-		"version":  version,
-		"routes":   []any{route("checkout", "primary"), route("browse", "bounded_staleness"), route("pick", "read_your_writes")},
-		"services": []any{map[string]any{"name": "orders", "max_conns": 30}},
-		"tenants":  []any{map[string]any{"name": testAccount, "api_keys": keys, "rate_per_s": rate, "burst": rate}},
-		"limits":   map[string]any{"tx_idle_ms": 3000},
+	config := platformtest.Config{
+		Version: version, Account: testAccount, Keys: keys, Rate: rate, Connections: 30,
+		Timeout: 2 * time.Second, Objective: 250 * time.Millisecond, Staleness: 1500 * time.Millisecond,
 	}
-	if err := f.store.Put("op/config", config); err != nil {
+	if err := f.store.Put(platformtest.ConfigKey, config.Entry()); err != nil {
 		f.t.Fatal(err)
 	}
 }
@@ -179,7 +170,7 @@
 	}
 	logger := log.NewWithOptions(one.log, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
 	reload := func() (*rattansettings.Proxy, error) { return settings, nil }
-	daemon := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.Boot(), logger, testProtocol(address))
+	daemon := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.Boot(), logger, rattanplatform.Protocol(address, address))
 	ctx, cancel := context.WithCancel(context.Background())
 	one.stop = cancel
 	go func() {
@@ -205,29 +196,6 @@
 	}
 }
 
-func testProtocol(store string) rattanproxy.Protocol {
-	return rattanproxy.Protocol{
-		Store: platform.NewStore(store), Decoder: platform.Decoder{}, Promoter: platform.NewDuties(store),
-		Dial: func(address string, timeout time.Duration) (rattanupstream.Conn, error) {
-			conn, err := platform.DialEndpoint(address, timeout)
-			if err != nil {
-				return nil, err
-			}
-			return conn, nil
-		},
-		Caller: func(conn net.Conn) rattanproxy.CallerConn { return platform.NewCallerConn(conn) },
-		ParseCallerError: func(err error) (rattanproxy.CallerError, bool) {
-			var syntax *platform.SyntaxError
-			if !errors.As(err, &syntax) {
-				return rattanproxy.CallerError{}, false
-			}
-			return rattanproxy.CallerError(*syntax), true
-		},
-		IsTerminated: func(err error) bool { return errors.Is(err, platform.ErrTerminated) },
-		Readiness:    platform.ReadinessHandler,
-	}
-}
-
 // A testCaller is one caller's session.
 type testCaller struct {
 	t      *testing.T
@@ -310,6 +278,15 @@
 	return 0
 }
 
+// writeFor writes again and again; each write must be accepted within a bound.
+func (c *testCaller) writeFor(d, bound time.Duration) {
+	c.t.Helper()
+	for begun, n := time.Now(), 0; time.Since(begun) < d; n++ {
+		c.untilOK(fmt.Sprintf("WRITE i1 again%d", n), bound)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func assertContains(t *testing.T, got, want string) {
 	t.Helper()
 	if !strings.Contains(got, want) {
--- a/internal/daemon/rattanproxy/proxy_test.go
+++ b/internal/daemon/rattanproxy/proxy_test.go
@@ -171,10 +171,7 @@
 	caller := f.dial(f.vms[1], "checkout", testKey)
 	caller.untilOK("WRITE i1 before", waitBound)
 	f.store.Refuse("vm-2", true)
-	for begun, n := time.Now(), 0; time.Since(begun) < 4*time.Second; n++ {
-		caller.untilOK(fmt.Sprintf("WRITE i1 during%d", n), 1500*time.Millisecond)
-		time.Sleep(50 * time.Millisecond)
-	}
+	caller.writeFor(4*time.Second, 1500*time.Millisecond)
 	f.store.Refuse("vm-2", false)
 	caller.untilOK("WRITE i1 after", waitBound)
 }
@@ -189,10 +186,7 @@
 	caller.untilOK("WRITE i1 before", waitBound)
 	time.Sleep(settleTime)
 	f.store.SetDown(true)
-	for begun, n := time.Now(), 0; time.Since(begun) < 3*time.Second; n++ {
-		caller.untilOK(fmt.Sprintf("WRITE i1 away%d", n), 500*time.Millisecond)
-		time.Sleep(50 * time.Millisecond)
-	}
+	caller.writeFor(3*time.Second, 500*time.Millisecond)
 	f.vms[1].stop()
 	<-f.vms[1].stopped
 	time.Sleep(1500 * time.Millisecond)
@@ -223,10 +217,7 @@
 	f.store.SetDown(true)
 	f.vms[0].stop()
 	<-f.vms[0].stopped
-	for begun, n := time.Now(), 0; time.Since(begun) < 3*time.Second; n++ {
-		caller.untilOK(fmt.Sprintf("WRITE i1 away%d", n), 1500*time.Millisecond)
-		time.Sleep(50 * time.Millisecond)
-	}
+	caller.writeFor(3*time.Second, 1500*time.Millisecond)
 }
 
 // TestRateHoldsOverTheFleet guards against an account that gets its rate from each
--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -17,6 +17,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/standin/rattankvserver"
 	"github.com/rattanstream/rattanstream/internal/standin/rattanlineserver"
+	"github.com/rattanstream/rattanstream/platform/platformtest"
 )
 
 const (
@@ -112,19 +113,11 @@
 // configure writes the next version of the configuration.
 func (f *Fleet) configure() error {
 	f.version++
-	route := func(name, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "database_name": name, "service": "orders", "route_type": kind, "timeout_ms": 1000,
-			"target_latency_ms": 200, "priority": 1, "max_staleness_ms": maxStaleness.Milliseconds(),
-		}
+	config := platformtest.Config{
+		Version: f.version, Account: account, Keys: []string{key}, Rate: 5000, Connections: 40,
+		Timeout: time.Second, Objective: 200 * time.Millisecond, Staleness: maxStaleness,
 	}
-	return f.store.Put("op/config", map[string]any{
-		"version":  f.version,
-		"routes":   []any{route("checkout", "primary"), route("browse", "bounded_staleness"), route("pick", "read_your_writes")},
-		"services": []any{map[string]any{"name": "orders", "max_conns": 40}},
-		"tenants":  []any{map[string]any{"name": account, "api_keys": []string{key}, "rate_per_s": 5000, "burst": 5000}},
-		"limits":   map[string]any{"tx_idle_ms": 3000},
-	})
+	return f.store.Put(platformtest.ConfigKey, config.Entry())
 }
 
 func freeAddress() (string, error) {
