--- a/internal/config/rattancatalog/catalog.go
+++ b/internal/config/rattancatalog/catalog.go
@@ -150,6 +150,3 @@
 	}
 	return names
 }
-
-// Accounts returns the number of client accounts.
-func (c *Catalog) Accounts() int { return len(c.accounts) }
--- a/internal/config/rattanknowledge/knowledge.go
+++ b/internal/config/rattanknowledge/knowledge.go
@@ -118,12 +118,15 @@
 	return names
 }
 
-// GoneAt returns when a VM's entry disappeared, as seen here.
-func (k *Knowledge) GoneAt(name string) (time.Time, bool) {
+// UnlistedSince returns since when a VM without an entry has had none, as seen
+// here; the zero time before everything in the store was known.
+func (k *Knowledge) UnlistedSince(name string) time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	at, ok := k.gone[name]
-	return at, ok
+	if at, ok := k.gone[name]; ok {
+		return at
+	}
+	return k.complete
 }
 
 // Apply takes the changes of a watch in. It returns the entries that cannot be read.
--- a/internal/daemon/rattanproxy/extension.go
+++ b/internal/daemon/rattanproxy/extension.go
@@ -167,17 +167,13 @@
 // sweepRoll removes daemons from the roll that were not listed for so long that
 // they rely on no promise.
 func (p *Proxy) sweepRoll(ctx context.Context, view *rattanknowledge.View, held *duty) {
-	now, complete := p.boot.Now(), p.knowledge.CompleteSince()
-	if complete.IsZero() {
+	if p.knowledge.CompleteSince().IsZero() {
 		return
 	}
+	now := p.boot.Now()
 	roll := rollOf(view)
 	for name := range view.Roll {
-		since := complete
-		if at, ok := p.knowledge.GoneAt(name); ok {
-			since = at
-		}
-		if _, isListed := view.VMs[name]; isListed || now.Sub(since) < rattanpromise.Limit+rattanpromise.Margin {
+		if _, isListed := view.VMs[name]; isListed || now.Sub(p.knowledge.UnlistedSince(name)) < rattanpromise.Limit+rattanpromise.Margin {
 			continue
 		}
 		if !roll.MaySweep(held.quiet()) {
@@ -204,9 +200,10 @@
 		Remove: []string{item.Key},
 	})
 	var conflict *rattankv.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
+	switch {
+	case err == nil:
+		p.logger.Info("roll_swept", "daemon", name)
+	case !errors.As(err, &conflict):
 		p.storeFailed(ctx, "roll", err)
-		return
 	}
-	p.logger.Info("roll_swept", "daemon", name)
 }
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -11,7 +11,6 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattanknowledge"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanswitch"
-	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 const (
@@ -150,10 +149,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, holderTimeout+time.Duration(len(view.VMs))*holderTimeoutPerVM)
 	defer cancel()
-	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeRequest{
-		KnowledgeRequest: &rattanv1.KnowledgeRequest{Vm: p.settings.VM(), Address: p.settings.PeerAddress(), Revision: p.knowledge.Revision()},
-	}}
-	answer, err := p.peers.Call(call, holder.Address, frame)
+	answer, err := p.peers.Call(call, holder.Address, p.relay.request(p.knowledge.Revision()))
 	if err == nil && answer.GetKnowledgeResponse().GetGrantMs() > 0 {
 		return
 	}
--- a/internal/daemon/rattanproxy/members.go
+++ b/internal/daemon/rattanproxy/members.go
@@ -82,10 +82,7 @@
 		standing.HasStopped = standing.HasStopped || vm.Incarnation == incarnation && vm.Stopped[group] >= number
 		return standing
 	}
-	standing.UnlistedSince = m.proxy.knowledge.CompleteSince()
-	if at, ok := m.proxy.knowledge.GoneAt(name); ok {
-		standing.UnlistedSince = at
-	}
+	standing.UnlistedSince = m.proxy.knowledge.UnlistedSince(name)
 	return standing
 }
 
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -113,6 +113,15 @@
 	return addresses
 }
 
+// request asks another daemon for what it knows beyond a revision, and to vouch.
+func (r *relay) request(known int64) *rattanv1.PeerFrame {
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeRequest{
+		KnowledgeRequest: &rattanv1.KnowledgeRequest{
+			Vm: r.proxy.settings.VM(), Address: r.proxy.settings.PeerAddress(), Revision: known,
+		},
+	}}
+}
+
 // ask takes over what another daemon knows. It returns true when that daemon
 // vouches for the groups' records.
 func (r *relay) ask(ctx context.Context, address string) (bool, error) {
@@ -120,11 +129,7 @@
 	defer cancel()
 	asked := r.proxy.boot.Now()
 	known := r.proxy.knowledge.Revision()
-	answer, err := r.proxy.peers.Call(call, address, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeRequest{
-		KnowledgeRequest: &rattanv1.KnowledgeRequest{
-			Vm: r.proxy.settings.VM(), Address: r.proxy.settings.PeerAddress(), Revision: known,
-		},
-	}})
+	answer, err := r.proxy.peers.Call(call, address, r.request(known))
 	if err != nil {
 		return false, err
 	}
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -28,7 +28,6 @@
 type sessions struct {
 	mu   sync.Mutex
 	open map[*session]struct{}
-	done sync.WaitGroup
 }
 
 func (s *sessions) add(one *session) {
@@ -38,14 +37,12 @@
 		s.open = make(map[*session]struct{})
 	}
 	s.open[one] = struct{}{}
-	s.done.Add(1)
 }
 
 func (s *sessions) remove(one *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, one)
-	s.done.Done()
 }
 
 func (s *sessions) list() []*session {
