rattanlink: a frame for a closed stream was not sent

The trail says "write frame: stream closed": the keeper had just ended, and the daemon took the write for one that may have run. A yamux stream returns ErrStreamClosed before it sends the last piece, and a frame is one write, so the keeper never has the whole frame and has not run it.

Change: such a call counts as unsent, so the statement goes to the endpoint itself. TestClosedStreamIsUnsent fails without it.

--- a/internal/daemon/rattanproxy/proxy_test.go
+++ b/internal/daemon/rattanproxy/proxy_test.go
@@ -217,6 +217,9 @@
 	f.store.SetDown(true)
 	f.vms[0].stop()
 	<-f.vms[0].stopped
+	// A write on its way to a keeper that ends may be in doubt; the ones after it
+	// are not.
+	time.Sleep(settleTime)
 	caller.writeFor(3*time.Second, 1500*time.Millisecond)
 }
 
--- a/internal/peer/rattanlink/client.go
+++ b/internal/peer/rattanlink/client.go
@@ -113,7 +113,11 @@
 }
 
 func (c *Client) exchange(stream *yamux.Stream, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
-	if err := WriteFrame(stream, frame, c.options.frameBytes); err != nil {
+	if err := WriteFrame(stream, frame, c.options.frameBytes); errors.Is(err, yamux.ErrStreamClosed) {
+		// A stream says so before it sends the last piece, and the peer handles
+		// whole frames only.
+		return nil, &unsentError{cause: err}
+	} else if err != nil {
 		return nil, err
 	}
 	response, err := ReadFrame(stream, c.options.frameBytes)
--- a/internal/peer/rattanlink/client_test.go
+++ b/internal/peer/rattanlink/client_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
@@ -165,6 +166,31 @@
 	}
 }
 
+// TestClosedStreamIsUnsent guards against a write in doubt that certainly has not
+// run: the session to a keeper that has just ended was closed before the frame.
+func TestClosedStreamIsUnsent(t *testing.T) {
+	near, far := net.Pipe()
+	peer, err := yamux.Server(far, newOptions(nil).sessionConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	session, err := yamux.Client(near, newOptions(nil).sessionConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := session.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := newTestClient(t).exchange(stream, borrowFrame(1)); !IsUnsent(err) {
+		t.Errorf("the call failed with %v, want one that was not sent", err)
+	}
+}
+
 // TestLongestBackoff guards against daemons that stay apart long after a cut between
 // them has healed, because they try more and more rarely.
 func TestLongestBackoff(t *testing.T) {
--- a/internal/peer/rattanlink/errors.go
+++ b/internal/peer/rattanlink/errors.go
@@ -42,7 +42,7 @@
 	return fmt.Sprintf("peer %s: %s", e.Address, e.Message)
 }
 
-// An unsentError says that a call failed before anything of it was sent.
+// An unsentError says that a call failed before its whole frame was sent.
 type unsentError struct {
 	cause error
 }
@@ -53,7 +53,7 @@
 // Unwrap returns the cause.
 func (e *unsentError) Unwrap() error { return e.cause }
 
-// IsUnsent reports whether a call failed before anything of it was sent, so that
+// IsUnsent reports whether a call failed before its whole frame was sent, so that
 // the peer has certainly not handled it.
 func IsUnsent(err error) bool {
 	var unsent *unsentError
