rattancluster: repeat a change of the settings while the platform is unavailable

Cause: TestDemo ended with exit code 6 beside a load average of 25: one call to the platform stand-in timed out and the script of faults gave up the whole demo. Ruled out: a fault of the product; the operators' service answered "nothing was changed", which is true. Change: the cluster repeats the change with the same change id, at most for a minute.

--- a/internal/load/rattancluster/operate.go
+++ b/internal/load/rattancluster/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -69,12 +70,34 @@
 		&rattanv1.SettingsEdit{Section: "failure_domain." + domain, Key: "drained", Value: strconv.FormatBool(drained)})
 }
 
+const (
+	// changeTimeout limits the attempts at one change of the settings. It allows for a
+	// busy machine, on which single calls to the platform time out.
+	changeTimeout = time.Minute
+	// changeRetry separates two attempts.
+	changeRetry = 500 * time.Millisecond
+)
+
 // editSettings changes settings through the last VM, which a Script leaves in service.
+// While the platform is unavailable it repeats the change with the same change id, so
+// that an attempt that was applied without an answer is not applied twice.
 func (c *Cluster) editSettings(ctx context.Context, team string, edits ...*rattanv1.SettingsEdit) (*rattanv1.ApplySettingsResponse, error) {
-	request := connect.NewRequest(&rattanv1.EditSettingsRequest{Team: team, Edits: edits, ChangeId: randomHex()})
-	response, err := c.Operator(c.vms[len(c.vms)-1], team).EditSettings(ctx, request)
-	if err != nil {
-		return nil, errors.Wrapf(err, "change settings of team %s", team)
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	operator := c.Operator(c.vms[len(c.vms)-1], team)
+	change := &rattanv1.EditSettingsRequest{Team: team, Edits: edits, ChangeId: randomHex()}
+	for {
+		response, err := operator.EditSettings(ctx, connect.NewRequest(change))
+		if err == nil {
+			return response.Msg, nil
+		}
+		if code := connect.CodeOf(err); code != connect.CodeUnavailable && code != connect.CodeDeadlineExceeded {
+			return nil, errors.Wrapf(err, "change settings of team %s", team)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Wrapf(err, "change settings of team %s", team)
+		case <-time.After(changeRetry):
+		}
 	}
-	return response.Msg, nil
 }
