rattanproxy, rattanlink: a panic ends one session or one message, not the daemon

No goroutine of a session or of a peer's message recovered, so that one unexpected error ended the daemon with all its sessions. Ruled out: the supervised services; the supervisor recovers them and starts them again. Change: a session and the handler of a peer's message recover; the panic is logged with its stack as `panic`. The open transaction of the session is aborted. Left: goroutines of a switchover.

--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -240,7 +240,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	server := rattanlink.NewServer()
+	server := rattanlink.NewServer(rattanlink.WithPanicHandler(func(err *rattanlink.PanicError) {
+		p.logPanic("peer "+err.Kind.String(), err.Cause, err.Stack)
+	}))
 	server.Handle(rattanlink.KindToken, p.admission.handleTokens)
 	server.Handle(rattanlink.KindWork, p.forwarded.handle)
 	server.Handle(rattanlink.KindKnowledge, p.relay.handleKnowledge)
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -50,6 +50,8 @@
 	group     *rattanlineserver.Group
 	endpoints map[string]*rattanlineserver.Endpoint
 	daemons   []*testDaemon
+	// platform connects a daemon to the platform at an address.
+	platform func(address string) rattanproxy.Platform
 }
 
 // A testDaemon is a daemon of the fleet, with its caller address and its log.
@@ -82,6 +84,7 @@
 func newFleet(t *testing.T, daemons int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, group: rattanlineserver.NewGroup("orders", 20*time.Millisecond), endpoints: make(map[string]*rattanlineserver.Endpoint)}
+	f.platform = func(address string) rattanproxy.Platform { return rattanplatform.New(address, address) }
 	f.store = rattankvserver.New(func(_, id string) bool {
 		ok := f.group.Promote(id)
 		f.register()
@@ -173,7 +176,7 @@
 	}
 	logger := log.NewWithOptions(daemon.log, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
 	reload := func() (*rattansettings.ProxySettings, error) { return settings, nil }
-	proxy := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.BootTime(), logger, rattanplatform.New(address, address))
+	proxy := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.BootTime(), logger, f.platform(address))
 	ctx, cancel := context.WithCancel(context.Background())
 	daemon.stop = cancel
 	go func() {
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -79,6 +79,7 @@
 		p.sessions.add(s)
 		go func() {
 			defer p.sessions.remove(s)
+			defer p.recoverPanic("session")
 			s.serve()
 		}()
 	}
@@ -109,6 +110,7 @@
 
 func (s *session) serve() {
 	defer s.conn.Close()
+	defer s.abortOpenTransaction()
 	if err := s.start(); err != nil {
 		return
 	}
@@ -127,6 +129,9 @@
 			break
 		}
 	}
+}
+
+func (s *session) abortOpenTransaction() {
 	if s.transaction != nil {
 		s.transaction.Abort()
 	}
--- a/internal/peer/rattanlink/errors.go
+++ b/internal/peer/rattanlink/errors.go
@@ -31,6 +31,19 @@
 	return fmt.Sprintf("peer frame has %d bytes, at most %d are accepted", e.Bytes, e.Limit)
 }
 
+// A PanicError says that a handler panicked.
+type PanicError struct {
+	// Kind is the kind of the request frame.
+	Kind  Kind
+	Cause any
+	Stack string
+}
+
+// Error implements the error interface.
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("panic in the handler of frames of kind %s: %v", e.Kind, e.Cause)
+}
+
 // A RemoteError is a peer's response to a frame that it could not handle.
 type RemoteError struct {
 	Address string
--- a/internal/peer/rattanlink/option.go
+++ b/internal/peer/rattanlink/option.go
@@ -62,6 +62,7 @@
 	idleTimeout       time.Duration
 	maxBackoff        time.Duration
 	streamOpenTimeout time.Duration
+	onPanic           func(*PanicError)
 	dial              func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -123,6 +124,11 @@
 	return func(o *options) { o.dial = dial }
 }
 
+// WithPanicHandler sets the function that is called with each panic of a handler.
+func WithPanicHandler(onPanic func(*PanicError)) Option {
+	return func(o *options) { o.onPanic = onPanic }
+}
+
 func newOptions(opts []Option) options {
 	o := options{
 		clock:             rattanclock.System(),
@@ -134,6 +140,7 @@
 		idleTimeout:       DefaultIdleTimeout,
 		maxBackoff:        DefaultMaxBackoff,
 		streamOpenTimeout: DefaultStreamOpenTimeout,
+		onPanic:           func(*PanicError) {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		},
--- a/internal/peer/rattanlink/server.go
+++ b/internal/peer/rattanlink/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -188,7 +189,7 @@
 	if handler == nil {
 		return nil, errors.Errorf("no handler for frames of kind %s", kind)
 	}
-	response, err := handler(ctx, request)
+	response, err := s.call(ctx, kind, handler, request)
 	if err != nil {
 		return nil, err
 	}
@@ -198,6 +199,19 @@
 	return response, nil
 }
 
+// call calls a handler. A panic in it becomes a *PanicError, so that one message does
+// not end the process.
+func (s *Server) call(ctx context.Context, kind Kind, handler Handler, request *rattanv1.PeerFrame) (response *rattanv1.PeerFrame, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			panicErr := &PanicError{Kind: kind, Cause: cause, Stack: string(debug.Stack())}
+			s.options.onPanic(panicErr)
+			response, err = nil, panicErr
+		}
+	}()
+	return handler(ctx, request)
+}
+
 func errorFrame(err error) *rattanv1.PeerFrame {
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_Error{Error: &rattanv1.PeerError{Message: err.Error()}}}
 }
