rattanlink: TestLimits waits until the limited stream is in use

The server frees the stream of a call after its response; the slow calls could both arrive before that and both be closed. Ruled out: the product, whose limit of streams is kept either way. Change: the test starts its slow call until the handler has it, then makes the second one. The checks are the same.

--- a/internal/peer/rattanlink/client_test.go
+++ b/internal/peer/rattanlink/client_test.go
@@ -216,20 +216,38 @@
 // server's limits.
 func TestLimits(t *testing.T) {
 	listener := listen(t, "127.0.0.1:0")
-	serve(t, borrowServer(WithMaxStreams(1), WithMaxSessions(1)), listener)
+	entered := make(chan struct{}, 1)
+	server := NewServer(WithMaxStreams(1), WithMaxSessions(1))
+	server.Handle(KindBorrow, func(ctx context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+		entered <- struct{}{}
+		return handleBorrow(ctx, frame)
+	})
+	serve(t, server, listener)
 	address := listener.Addr().String()
 	client := newTestClient(t)
 	assertBorrow(t, client, address, 1)
+	<-entered
 
 	ctx, cancel := context.WithCancel(context.Background())
-	slow := make(chan error, 2)
-	for range 2 {
-		go func() {
-			_, err := client.Call(ctx, address, borrowFrame(99))
-			slow <- err
-		}()
+	slow := make(chan error, 1)
+	callSlow := func() {
+		_, err := client.Call(ctx, address, borrowFrame(99))
+		slow <- err
+	}
+	// The server frees the stream of the first call only after its response, so the
+	// next one may be closed.
+	for isRunning := false; !isRunning; {
+		go callSlow()
+		select {
+		case <-entered:
+			isRunning = true
+		case err := <-slow:
+			if errors.Is(err, context.Canceled) {
+				t.Fatalf("call before the cancellation: %v", err)
+			}
+		}
 	}
-	if err := <-slow; err == nil || errors.Is(err, context.Canceled) {
+	if _, err := client.Call(ctx, address, borrowFrame(99)); err == nil || errors.Is(err, context.Canceled) {
 		t.Errorf("second stream: got %v, want it closed by the server", err)
 	}
 	second := newTestClient(t)
