rattancache: a follower gets events in whatever order the store returned them

Cause: ChangesSince stopped at the first event that the asker has, counted from the end. An event that came in one response before one of a lower revision was then never passed on. Change: all kept events above the revision are passed on. Measured: TestChangesInAnyOrder fails before, passes after.

--- a/internal/config/rattancache/changelog.go
+++ b/internal/config/rattancache/changelog.go
@@ -5,7 +5,8 @@
 // changeLogSize is the number of events that a daemon keeps for others.
 const changeLogSize = 2000
 
-// A changeLog holds the latest events of the store in the order of their revisions.
+// A changeLog holds the latest events of the store. Those of one response of the store
+// may be in any order.
 type changeLog struct {
 	// base is the revision after which the log holds every event.
 	base   int64
@@ -20,7 +21,9 @@
 func (l *changeLog) add(events []rattankv.Event) {
 	l.events = append(l.events, events...)
 	if surplus := len(l.events) - changeLogSize; surplus > 0 {
-		l.base = l.events[surplus-1].Revision
+		for _, dropped := range l.events[:surplus] {
+			l.base = max(l.base, dropped.Revision)
+		}
 		l.events = append([]rattankv.Event(nil), l.events[surplus:]...)
 	}
 }
@@ -30,11 +33,13 @@
 	if revision < l.base {
 		return nil, false
 	}
-	first := len(l.events)
-	for first > 0 && l.events[first-1].Revision > revision {
-		first--
+	var events []rattankv.Event
+	for _, event := range l.events {
+		if event.Revision > revision {
+			events = append(events, event)
+		}
 	}
-	return l.events[first:], true
+	return events, true
 }
 
 // ChangesSince returns the changes of the store after a revision and true, or all
@@ -45,8 +50,7 @@
 	defer c.mu.Unlock()
 	changes := rattankv.Changes{AsOf: c.revision}
 	if events, ok := c.log.after(revision); ok {
-		changes.Events = append(changes.Events, events...)
-		changes.Events = append(changes.Events, c.groupEventsAfter(max(revision, c.revision))...)
+		changes.Events = append(events, c.groupEventsAfter(max(revision, c.revision))...)
 		return changes, true
 	}
 	for _, item := range c.items {
--- a/internal/config/rattancache/changelog_test.go
+++ b/internal/config/rattancache/changelog_test.go
@@ -78,3 +78,17 @@
 	}
 	return fmt.Sprint(list)
 }
+
+// TestChangesInAnyOrder guards against an event that a follower never gets because the
+// store returned it before one of a lower revision.
+func TestChangesInAnyOrder(t *testing.T) {
+	source, follower := newTestCache(), newTestCache()
+	source.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: item("endpoints/e1", 1, 1)}}, AsOf: 1})
+	follow(source, follower)
+	follower.Apply(rattankv.Changes{AsOf: 3})
+	source.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: item("endpoints/e2", 1, 4)}, {Item: item("endpoints/e1", 2, 2)}}, AsOf: 4})
+	follow(source, follower)
+	if _, ok := follower.Item("endpoints/e2"); !ok {
+		t.Errorf("the follower lacks an event: %s", contents(follower))
+	}
+}
--- a/internal/config/rattancache/records.go
+++ b/internal/config/rattancache/records.go
@@ -27,6 +27,8 @@
 	// Address is where other daemons reach the daemon.
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
+	// ProcessorCores is the processor time that the daemon may use, in cores.
+	ProcessorCores float64 `json:"processor_cores,omitempty"`
 	// Stopped holds, by group, the number of the newest switchover for which the
 	// daemon has stopped sending work that only the primary may run.
 	Stopped map[string]int64 `json:"stopped,omitempty"`
