rattanrendezvous: one package for choices by rendezvous hashing

The same hash and sort stood in rattanfailover, rattanowner, rattanquota, rattanswitchover and rattanfanout.

--- a/internal/config/rattanfanout/fanout.go
+++ b/internal/config/rattanfanout/fanout.go
@@ -8,7 +8,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
 )
 
 const (
@@ -18,6 +18,8 @@
 	// minDomainSize is the number of daemons in a failure domain below which all of
 	// them watch the store.
 	minDomainSize = 4
+	// watcherKey is the key by which watchers are chosen.
+	watcherKey = "watcher"
 )
 
 // A VM is a registered VM.
@@ -33,26 +35,18 @@
 // Watchers returns the VMs of a failure domain that watch the store: those with the most
 // processor time, since each change goes from them to all others at once.
 func (f Fleet) Watchers(domain string) []string {
-	type candidate struct {
-		vm    string
-		cores float64
-		hash  uint64
-	}
-	var candidates []candidate
+	var vms []string
 	for name, vm := range f {
 		if vm.FailureDomain == domain {
-			candidates = append(candidates, candidate{vm: name, cores: vm.ProcessorCores, hash: xxhash.Sum64String(name)})
+			vms = append(vms, name)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(b.hash, a.hash), cmp.Compare(a.vm, b.vm))
+	rattanrendezvous.Sort(vms, watcherKey, func(vm string) string { return vm })
+	slices.SortStableFunc(vms, func(a, b string) int {
+		return cmp.Compare(f[b].ProcessorCores, f[a].ProcessorCores)
 	})
-	if len(candidates) >= minDomainSize {
-		candidates = candidates[:watchersPerDomain]
-	}
-	vms := make([]string, 0, len(candidates))
-	for _, c := range candidates {
-		vms = append(vms, c.vm)
+	if len(vms) >= minDomainSize {
+		vms = vms[:watchersPerDomain]
 	}
 	return vms
 }
@@ -82,7 +76,7 @@
 		return "", false
 	}
 	// Half of the VMs begin with each watcher.
-	first := int(xxhash.Sum64String(vm) % watchersPerDomain)
+	first := int(rattanrendezvous.Weight(vm, watcherKey) % watchersPerDomain)
 	for i := range watchers {
 		watcher := watchers[(first+i)%len(watchers)]
 		if isUsable(watcher) {
--- a/internal/endpoint/rattanfailover/rendezvous.go
+++ b/internal/endpoint/rattanfailover/rendezvous.go
@@ -1,11 +1,10 @@
 package rattanfailover
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
 )
 
 // Monitors returns the daemons that monitor a group: up to perDomain of the live
@@ -38,11 +37,5 @@
 
 // sortByWeight sorts daemons by descending rendezvous weight for key, then by name.
 func sortByWeight(daemons []Daemon, key string) {
-	slices.SortFunc(daemons, func(a, b Daemon) int {
-		return cmp.Or(cmp.Compare(weight(b.Name, key), weight(a.Name, key)), cmp.Compare(a.Name, b.Name))
-	})
-}
-
-func weight(name, key string) uint64 {
-	return xxhash.Sum64String(name + "\x00" + key)
+	rattanrendezvous.Sort(daemons, key, func(d Daemon) string { return d.Name })
 }
--- a/internal/endpoint/rattanowner/owner.go
+++ b/internal/endpoint/rattanowner/owner.go
@@ -6,8 +6,7 @@
 package rattanowner
 
 import (
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 )
 
@@ -29,7 +28,7 @@
 		if isLocal && !vmIsLocal {
 			continue
 		}
-		hash := xxhash.Sum64String(vm.Name + "\x00" + endpoint.ID)
+		hash := rattanrendezvous.Weight(vm.Name, endpoint.ID)
 		if owner == "" || vmIsLocal && !isLocal || hash > highestHash {
 			owner, highestHash, isLocal = vm.Name, hash, vmIsLocal
 		}
--- a/internal/endpoint/rattanswitchover/jury.go
+++ b/internal/endpoint/rattanswitchover/jury.go
@@ -1,11 +1,6 @@
 package rattanswitchover
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
 
 // JurySize is the largest number of daemons that decide whether a primary is lost.
 const JurySize = 15
@@ -22,16 +17,5 @@
 		vm   string
 		hash uint64
 	}
-	candidates := make([]candidate, 0, len(vms))
-	for _, vm := range vms {
-		candidates = append(candidates, candidate{vm: vm, hash: xxhash.Sum64String(vm + "\x00" + endpoint)})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.vm, b.vm))
-	})
-	jury := make([]string, 0, JurySize)
-	for _, juror := range candidates[:JurySize] {
-		jury = append(jury, juror.vm)
-	}
-	return jury
+	return rattanrendezvous.Top(vms, endpoint, JurySize)
 }
--- a/internal/limit/rattanquota/quota.go
+++ b/internal/limit/rattanquota/quota.go
@@ -7,11 +7,10 @@
 package rattanquota
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
 )
 
 const (
@@ -34,21 +33,12 @@
 // at most count with the highest hashes. domains maps the name of each live VM to its
 // failure domain.
 func PoolOwners(account string, domains map[string]string, count int) []string {
-	type candidate struct {
-		vm   string
-		hash uint64
-	}
-	best := make(map[string]candidate)
+	best := make(map[string]string)
 	for vm, domain := range domains {
-		scored := candidate{vm: vm, hash: xxhash.Sum64String(vm + "\x00" + account)}
-		if highest, ok := best[domain]; !ok || scored.hash > highest.hash {
-			best[domain] = scored
+		highest, ok := best[domain]
+		if !ok || rattanrendezvous.Weight(vm, account) > rattanrendezvous.Weight(highest, account) {
+			best[domain] = vm
 		}
 	}
-	candidates := slices.SortedFunc(maps.Values(best), func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
-	var owners []string
-	for _, owner := range candidates[:min(len(candidates), count)] {
-		owners = append(owners, owner.vm)
-	}
-	return owners
+	return rattanrendezvous.Top(slices.Collect(maps.Values(best)), account, count)
 }
