--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/limit/rattanquota"
-	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
@@ -233,24 +231,3 @@
 		Granted: uint32(granted), RetryAfterMs: uint32(retryAfter.Milliseconds()),
 	}}}, nil
 }
-
-// servePeers handles the requests of other daemons.
-func (p *Proxy) servePeers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.settings.PeerAddress())
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
-	}
-	server := rattanlink.NewServer(rattanlink.WithPanicHandler(func(err *rattanlink.PanicError) {
-		p.logPanic("peer "+err.Kind.String(), err.Cause, err.Stack)
-	}))
-	server.Handle(rattanlink.KindToken, p.admission.handleTokens)
-	server.Handle(rattanlink.KindWork, p.forwarded.handle)
-	server.Handle(rattanlink.KindKnowledge, p.relay.handleKnowledge)
-	server.Handle(rattanlink.KindStoreWatch, p.follower.handleWatch)
-	server.Handle(rattanlink.KindStop, p.relay.handleStop)
-	server.Handle(rattanlink.KindPromise, p.extension.handleGrantExtension)
-	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
-		return errors.Wrap(err, "serve peers")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/daemon/rattanproxy/peers.go
@@ -0,0 +1,58 @@
+package rattanproxy
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
+)
+
+// servePeers handles the requests of other daemons.
+func (p *Proxy) servePeers(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.PeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	server := rattanlink.NewServer(rattanlink.WithPanicHandler(func(err *rattanlink.PanicError) {
+		p.logPanic("peer "+err.Kind.String(), err.Cause, err.Stack)
+	}))
+	server.Handle(rattanlink.KindToken, p.admission.handleTokens)
+	server.Handle(rattanlink.KindWork, p.forwarded.handle)
+	server.Handle(rattanlink.KindKnowledge, p.relay.handleKnowledge)
+	server.Handle(rattanlink.KindStoreWatch, p.follower.handleWatch)
+	server.Handle(rattanlink.KindStop, p.relay.handleStop)
+	server.Handle(rattanlink.KindPromise, p.extension.handleGrantExtension)
+	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "serve peers")
+	}
+	return nil
+}
+
+// dialPeer connects to another daemon. The kernel closes a connection whose peer
+// does not answer keep-alive probes, so that a session does not long outlive its
+// network path.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: peerKeepAlive, Interval: peerKeepAlive, Count: 2,
+	}}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+const (
+	// peerDialTimeout limits the connection attempt to another daemon.
+	peerDialTimeout = 300 * time.Millisecond
+	// peerKeepAlive is after how long without traffic a connection is probed.
+	peerKeepAlive = 1 * time.Second
+	// peerBackoff is the longest pause between attempts to reach another daemon,
+	// so that the daemons on both sides of a partition reconnect soon after it has
+	// healed.
+	peerBackoff = 400 * time.Millisecond
+	// peerAckTimeout is how long another daemon may leave a new stream
+	// unacknowledged before a new connection is tried. After a partition the
+	// kernel retransmits lost data only after about as long as the partition has
+	// lasted.
+	peerAckTimeout = 2 * time.Second
+)
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -211,32 +211,6 @@
 	return nil
 }
 
-// dialPeer connects to another daemon. The kernel closes a connection whose peer
-// does not answer keep-alive probes, so that a session does not long outlive its
-// network path.
-func dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: peerKeepAlive, Interval: peerKeepAlive, Count: 2,
-	}}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
-const (
-	// peerDialTimeout limits the connection attempt to another daemon.
-	peerDialTimeout = 300 * time.Millisecond
-	// peerKeepAlive is after how long without traffic a connection is probed.
-	peerKeepAlive = 1 * time.Second
-	// peerBackoff is the longest pause between attempts to reach another daemon,
-	// so that the daemons on both sides of a partition reconnect soon after it has
-	// healed.
-	peerBackoff = 400 * time.Millisecond
-	// peerAckTimeout is how long another daemon may leave a new stream
-	// unacknowledged before a new connection is tried. After a partition the
-	// kernel retransmits lost data only after about as long as the partition has
-	// lasted.
-	peerAckTimeout = 2 * time.Second
-)
-
 // sleep waits for d or until ctx ends; it returns false when ctx has ended.
 func (p *Proxy) sleep(ctx context.Context, d time.Duration) bool {
 	select {
