rattanproxy: large VMs take the failover leadership first

Change: daemons take the leadership, and probe a silent leader, in the order of processor time, then of names. Also: TestFollowers failed once at a write that was in flight when the primary crashed; in doubt is the right answer. It now uses the check of TestFailover (writes resume within the bound, none runs twice or after "not run"), shared by both.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -185,12 +185,11 @@
 // staggerDelay returns how long this daemon waits before it does what only one
 // daemon should do. The delays of the daemons differ by stagger.
 func (p *Proxy) staggerDelay(snapshot *rattancache.Snapshot, stagger time.Duration) time.Duration {
-	rank := 0
-	for name := range snapshot.VMs {
-		if name < p.settings.VM() {
-			rank++
-		}
+	cores := make(map[string]float64, len(snapshot.VMs))
+	for name, vm := range snapshot.VMs {
+		cores[name] = vm.ProcessorCores
 	}
+	rank := rattanswitchover.LeaderRank(p.settings.VM(), cores)
 	return time.Duration(rank) * stagger
 }
 
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -295,6 +295,33 @@
 	}
 }
 
+// assertWritesResume writes until a write is accepted, which must be within
+// switchoverBound. A write that was in flight when the primary was lost may be in doubt;
+// one that is refused as not run must not take effect, and the accepted one once.
+func (f *fleet) assertWritesResume(caller *testCaller) {
+	f.t.Helper()
+	start := time.Now()
+	for n := 0; ; n++ {
+		data := fmt.Sprint("after", n)
+		answer := caller.query("WRITE i1 " + data)
+		runs := f.group.Runs(data)
+		switch {
+		case strings.Contains(answer, "COMPLETE"):
+			if runs != 1 {
+				f.t.Errorf("%s took effect %d times", data, runs)
+			}
+			assertContains(f.t, caller.query("READ i1"), "ROW "+data)
+			return
+		case strings.HasPrefix(answer, "ERROR BUSY") && runs != 0:
+			f.t.Errorf("%s was refused as not run and took effect", data)
+		}
+		if time.Since(start) > switchoverBound {
+			f.t.Fatalf("no write was accepted within %s; last response: %s", switchoverBound, answer)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 func assertContains(t *testing.T, got, want string) {
 	t.Helper()
 	if !strings.Contains(got, want) {
