--- a/internal/endpoint/rattanswitchover/jury.go
+++ b/internal/endpoint/rattanswitchover/jury.go
@@ -13,9 +13,5 @@
 	if len(vms) <= JurySize {
 		return vms
 	}
-	type candidate struct {
-		vm   string
-		hash uint64
-	}
 	return rattanrendezvous.Top(vms, endpoint, JurySize)
 }
