rattanquota: pools grow over one window while their number rises

Each change of the number of pools made them grow over three windows, which is meant for pools that replace one that is gone. After a restart of all daemons the number rises while they register. Change: only a falling number makes them grow slowly.

--- a/internal/limit/rattanquota/pool.go
+++ b/internal/limit/rattanquota/pool.go
@@ -169,7 +169,9 @@
 	switch {
 	case part.Pools != p.part.Pools && after > 0:
 		p.ready = min(1, p.ready*before/after)
-		p.growTime = takeoverWindows * part.Window
+		if part.Pools < p.part.Pools {
+			p.growTime = takeoverWindows * part.Window
+		}
 	case after < before:
 		p.window.scale(after / before)
 	}
--- a/internal/limit/rattanquota/quota_test.go
+++ b/internal/limit/rattanquota/quota_test.go
@@ -307,6 +307,25 @@
 	}
 }
 
+// TestRestartOneAfterTheOther guards against an account that is refused within its rate
+// for many seconds because the number of pools rises while the daemons register.
+func TestRestartOneAfterTheOther(t *testing.T) {
+	a := newAccount(100, 100, 2, 6)
+	now, refused := start(), 0
+	for i := range 1000 {
+		now = now.Add(11 * time.Millisecond)
+		if i == 30 {
+			a.pools = append(a.pools, &Pool{}, &Pool{})
+		}
+		if !a.requestAnywhere(i%6, now) {
+			refused++
+		}
+	}
+	if refused > 10 {
+		t.Errorf("%d of 1000 operations within the rate were refused after a restart, want at most 10", refused)
+	}
+}
+
 // TestMomentWithoutRegistration guards against an account that is refused for long
 // after all daemons were unregistered for a moment, as after an outage of the store
 // during which the leases ended.
