--- a/internal/endpoint/rattanpool/account.go
+++ b/internal/endpoint/rattanpool/account.go
@@ -18,7 +18,7 @@
 	// deficit is the service time that the account may still use in this round;
 	// negative while the account is in debt.
 	deficit time.Duration
-	// meanCost is the mean cost of its requests; 0 until one was measured.
+	// meanCost is the mean cost of its requests; 0 before the first one has ended.
 	meanCost time.Duration
 
 	first, last *waiter
--- a/internal/endpoint/rattanpool/admission_queue.go
+++ b/internal/endpoint/rattanpool/admission_queue.go
@@ -4,7 +4,7 @@
 
 const (
 	// initialServiceTime and initialPinnedTime are the assumed costs of a request
-	// and of a transaction until one was measured.
+	// and of a transaction before the first one has ended.
 	initialServiceTime = 5 * time.Millisecond
 	initialPinnedTime  = 50 * time.Millisecond
 	// meanWeight is the weight of the newest measurement in the means of a queue.
