rattanproxy: log endpoints that begin to drain and switchovers that are blocked

Change: events endpoint_draining (each daemon), switch_blocked and switch_possible (failover leader). No decision changes; Decide is split into functions that Blocked shares.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -80,11 +80,13 @@
 		delete(s.missingSince, id)
 		limits := s.limits(snapshot, endpoint)
 		if upstream, ok := s.upstreams[id]; ok {
+			s.logDrainChange(upstream.Endpoint(), endpoint)
 			upstream.Update(endpoint, limits)
 			continue
 		}
 		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.wakeUp)
-		s.proxy.logger.Info("endpoint_found", "endpoint", id, "group", endpoint.Group, "failure_domain", endpoint.FailureDomain)
+		s.proxy.logger.Info("endpoint_found", "endpoint", id, "group", endpoint.Group, "failure_domain", endpoint.FailureDomain,
+			"draining", endpoint.IsDraining)
 	}
 	for id, upstream := range s.upstreams {
 		if _, ok := snapshot.Endpoints[id]; ok {
@@ -103,6 +105,13 @@
 	s.index(snapshot)
 }
 
+// logDrainChange logs when an endpoint begins to drain, or no longer does.
+func (s *endpointSet) logDrainChange(before, after rattancatalog.Endpoint) {
+	if before.IsDraining != after.IsDraining {
+		s.proxy.logger.Info("endpoint_draining", "endpoint", after.ID, "group", after.Group, "draining", after.IsDraining)
+	}
+}
+
 // index lists the endpoints of each group that may get new requests.
 func (s *endpointSet) index(snapshot *rattancache.Snapshot) {
 	groups := make(map[string][]*rattanupstream.Upstream)
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -91,6 +91,7 @@
 		members:  daemons,
 		running:  make(map[string]bool),
 		lastEnd:  make(map[string]time.Time),
+		blocked:  make(map[string]rattanswitchover.Reason),
 		watchdog: rattanswitchover.NewWatchdog(),
 		coordinator: rattanswitchover.New(p.boot, p.platform.Store, &endpointControl{proxy: p}, p.platform.Promoter,
 			daemons, held, p.grants.Lifetime()),
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -27,6 +27,9 @@
 	// group's last one ended.
 	running map[string]bool
 	lastEnd map[string]time.Time
+	// blocked holds why a group's primary should be replaced and cannot be. Only
+	// checkGroups uses it.
+	blocked map[string]rattanswitchover.Reason
 }
 
 // checkGroups decides for each group whether it needs another primary, and starts
@@ -40,6 +43,7 @@
 		if len(state.Endpoints) == 0 {
 			continue
 		}
+		r.logBlocked(group, state)
 		reason := rattanswitchover.Decide(state)
 		if reason != rattanswitchover.ReasonNone && r.tryStart(group) {
 			request := rattanswitchover.Request{
@@ -54,6 +58,22 @@
 	}
 }
 
+// logBlocked logs when a primary that goes out of service cannot be replaced, and
+// when that ends.
+func (r *switchoverRunner) logBlocked(group string, state rattanswitchover.GroupState) {
+	reason := rattanswitchover.Blocked(state)
+	if reason == r.blocked[group] {
+		return
+	}
+	r.blocked[group] = reason
+	if reason == rattanswitchover.ReasonNone {
+		r.proxy.logger.Info("switch_possible", "group", group, "primary", state.Record.Primary)
+		return
+	}
+	r.proxy.logger.Warn("switch_blocked", "group", group, "reason", string(reason), "primary", state.Record.Primary,
+		"endpoints", len(state.Endpoints))
+}
+
 // isOverdue reports whether a group has needed a switchover for longer than a
 // timeout without the failover leader beginning it, or finishing one in progress.
 func (r *switchoverRunner) isOverdue(snapshot *rattancache.Snapshot, timeout time.Duration) bool {
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -56,7 +56,7 @@
 	case s.Reporters > 0 && 2*s.Reporters >= s.Daemons:
 		return ReasonUnreachable
 	}
-	at := slices.IndexFunc(s.Endpoints, func(e rattancatalog.Endpoint) bool { return e.ID == s.Record.Primary })
+	at := s.primaryIndex()
 	if at < 0 {
 		if s.IsPrimaryGone {
 			return ReasonLeaving
@@ -66,6 +66,26 @@
 	if !hasSuccessor(s, s.Record.Primary) {
 		return ReasonNone
 	}
+	return s.departure(at)
+}
+
+// Blocked returns why the primary should be replaced although no other endpoint can
+// become the primary, or ReasonNone. Decide then returns ReasonNone.
+func Blocked(s GroupState) Reason {
+	at := s.primaryIndex()
+	if !s.HasRecord || s.Record.IsSwitching || at < 0 || hasSuccessor(s, s.Record.Primary) {
+		return ReasonNone
+	}
+	return s.departure(at)
+}
+
+// primaryIndex returns the index of the primary among the endpoints, or -1.
+func (s GroupState) primaryIndex() int {
+	return slices.IndexFunc(s.Endpoints, func(e rattancatalog.Endpoint) bool { return e.ID == s.Record.Primary })
+}
+
+// departure returns why the endpoint at an index goes out of service, or ReasonNone.
+func (s GroupState) departure(at int) Reason {
 	switch {
 	case s.Endpoints[at].IsDraining:
 		return ReasonLeaving
--- a/internal/endpoint/rattanswitchover/decide_test.go
+++ b/internal/endpoint/rattanswitchover/decide_test.go
@@ -49,6 +49,29 @@
 	}
 }
 
+// TestBlocked guards against a primary that cannot be replaced without any log line
+// that says so.
+func TestBlocked(t *testing.T) {
+	settled := rattangrant.PrimaryRecord{Primary: "e1", Version: 1}
+	for _, test := range []struct {
+		name  string
+		state GroupState
+		want  Reason
+	}{
+		{"the last endpoint drains", GroupState{Record: settled, HasRecord: true, Endpoints: leaving()[:1]}, ReasonLeaving},
+		{"all are evacuated", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Evacuated: map[string]bool{"a": true, "b": true, "c": true}}, ReasonEvacuated},
+		{"another endpoint can take over", GroupState{Record: settled, HasRecord: true, Endpoints: leaving()}, ReasonNone},
+		{"the primary stays", GroupState{Record: settled, HasRecord: true, Endpoints: group()[:1]}, ReasonNone},
+		{"the primary has no entry", GroupState{Record: settled, HasRecord: true, Endpoints: group()[1:]}, ReasonNone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Blocked(test.state); got != test.want {
+				t.Errorf("reason %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // TestRankCandidates guards against the promotion of an endpoint that lacks commits
 // which another one holds, or of an endpoint that is draining.
 func TestRankCandidates(t *testing.T) {
