rattandrain: an endpoint that goes out of service gets no new statement after its limit

Cause: whether an endpoint drains was looked at only where reads choose one. Requests to the primary relied on the switchover to move them away. None begins while no other endpoint can become the primary, so nothing ended that work. The same holds for the primary in an evacuated failure domain. Class: a limit that is kept only as the side effect of another mechanism, and not where statements are sent. Change: every daemon knows for each endpoint until when it may get new statements, counted from the last time at which the store confirmed that the endpoint stayed (settings drain_limit, evacuation_limit), and looks at it where a connection is taken, for its own and for forwarded work, before and after the wait for one. Until then the last endpoint of a group also serves reads. What nothing can serve is refused at once. Why it works: the confirmation precedes the acknowledgement from which the users count, so the limit holds however late a daemon learns of it.

--- a/internal/config/rattansettings/proxy.go
+++ b/internal/config/rattansettings/proxy.go
@@ -22,6 +22,8 @@
 	seedPeers        []string
 	stopTimeout      time.Duration
 	rateWindow       time.Duration
+	drainLimit       time.Duration
+	evacuationLimit  time.Duration
 	processorCores   float64
 	logLevel         string
 }
@@ -68,6 +70,8 @@
 	p.seedPeers = r.addresses("seed_peers")
 	p.stopTimeout = r.duration("stop_timeout", time.Second, 10*time.Minute, 6*time.Second)
 	p.rateWindow = r.duration("rate_window", time.Second, time.Minute, 5*time.Second)
+	p.drainLimit = r.duration("drain_limit", time.Second, 10*time.Minute, 7*time.Second)
+	p.evacuationLimit = r.duration("evacuation_limit", time.Second, 10*time.Minute, 5*time.Second)
 	p.processorCores = r.cores("processor_cores", 1)
 	p.logLevel = r.choice("log_level", "info", "debug", "info", "warn", "error")
 }
@@ -110,6 +114,14 @@
 // rate times that length plus its burst.
 func (p *ProxySettings) RateWindow() time.Duration { return p.rateWindow }
 
+// DrainLimit returns how long an endpoint may get new statements after the store
+// acknowledged that it drains.
+func (p *ProxySettings) DrainLimit() time.Duration { return p.drainLimit }
+
+// EvacuationLimit returns how long the endpoints of a failure domain may get new
+// statements after the store acknowledged that the domain is evacuated.
+func (p *ProxySettings) EvacuationLimit() time.Duration { return p.evacuationLimit }
+
 // ProcessorCores returns the processor time that the daemon may use, in cores. Daemons
 // with more of it do more of the work for others.
 func (p *ProxySettings) ProcessorCores() float64 { return p.processorCores }
@@ -135,6 +147,8 @@
 		{"duty_address", p.dutyAddress != next.dutyAddress},
 		{"stop_timeout", p.stopTimeout != next.stopTimeout},
 		{"rate_window", p.rateWindow != next.rateWindow},
+		{"drain_limit", p.drainLimit != next.drainLimit},
+		{"evacuation_limit", p.evacuationLimit != next.evacuationLimit},
 		{"processor_cores", p.processorCores != next.processorCores},
 		{"seed_peers", !slices.Equal(p.seedPeers, next.seedPeers)},
 	} {
--- a/internal/config/rattansettings/proxy_test.go
+++ b/internal/config/rattansettings/proxy_test.go
@@ -18,13 +18,16 @@
 
 // TestParseProxySettings guards against defaults and values that are lost.
 func TestParseProxySettings(t *testing.T) {
-	settings, err := ParseProxySettings("test", proxyText+"rate_window = 4s\nprocessor_cores = 0.192\n")
+	settings, err := ParseProxySettings("test", proxyText+"rate_window = 4s\ndrain_limit = 10000ms\nprocessor_cores = 0.192\n")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if settings.RateWindow() != 4*time.Second || settings.ProcessorCores() != 0.192 || settings.StopTimeout() != 6*time.Second {
 		t.Errorf("got the window %s, %g cores and the stop timeout %s", settings.RateWindow(), settings.ProcessorCores(), settings.StopTimeout())
 	}
+	if settings.DrainLimit() != 10*time.Second || settings.EvacuationLimit() != 5*time.Second {
+		t.Errorf("got the limits %s and %s", settings.DrainLimit(), settings.EvacuationLimit())
+	}
 }
 
 // TestParseProxySettingsErrors guards against a wrong value that is accepted, and
@@ -33,6 +36,8 @@
 	for _, test := range []struct{ line, key, accepted string }{
 		{"rate_window = 0s", "rate_window", "a duration from 1s to 1m0s"},
 		{"rate_window = 5", "rate_window", "a duration from 1s to 1m0s"},
+		{"drain_limit = 500ms", "drain_limit", "a duration from 1s to 10m0s"},
+		{"evacuation_limit = ms", "evacuation_limit", "a duration from 1s to 10m0s"},
 		{"processor_cores = 0", "processor_cores", "a number of cores from 0.001 to 1024"},
 		{"processor_cores = NaN", "processor_cores", "a number of cores from 0.001 to 1024"},
 		{"processor_cores = -1", "processor_cores", "a number of cores from 0.001 to 1024"},
@@ -53,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, line := range []string{"rate_window = 9s", "processor_cores = 2", "seed_peers = 127.0.0.1:9"} {
+	for _, line := range []string{"rate_window = 9s", "drain_limit = 9s", "evacuation_limit = 9s", "processor_cores = 2", "seed_peers = 127.0.0.1:9"} {
 		after, err := ParseProxySettings("test", proxyText+line+"\n")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -8,6 +8,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattandrain"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfreshness"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanowner"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
@@ -35,6 +36,8 @@
 	groups    map[string][]*rattanupstream.Upstream
 	// missingSince is since when an endpoint's entry has been missing.
 	missingSince map[string]time.Time
+	// drains decides until when endpoints that go out of service get new statements.
+	drains *rattandrain.Tracker
 	// histories are the known positions of the groups' primaries.
 	histories map[string]*rattanfreshness.History
 	wake      chan struct{}
@@ -46,8 +49,11 @@
 		upstreams:    make(map[string]*rattanupstream.Upstream),
 		groups:       make(map[string][]*rattanupstream.Upstream),
 		missingSince: make(map[string]time.Time),
-		histories:    make(map[string]*rattanfreshness.History),
-		wake:         make(chan struct{}, 1),
+		drains: rattandrain.New(rattandrain.Limits{
+			Draining: p.settings.DrainLimit(), Evacuated: p.settings.EvacuationLimit(),
+		}),
+		histories: make(map[string]*rattanfreshness.History),
+		wake:      make(chan struct{}, 1),
 	}
 }
 
@@ -55,8 +61,10 @@
 // every refreshInterval.
 func (s *endpointSet) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		// Read before the snapshot, which is then complete as of that time.
+		confirmedAt := s.proxy.grants.SyncedAt()
 		snapshot, changed := s.proxy.cache.Changed()
-		s.update(snapshot)
+		s.update(snapshot, confirmedAt)
 		s.probeReported(snapshot)
 		s.proxy.registration.setUnreachable(s.unreachable(snapshot))
 		select {
@@ -72,7 +80,9 @@
 
 func (s *endpointSet) wakeUp() { notify(s.wake) }
 
-func (s *endpointSet) update(snapshot *rattancache.Snapshot) {
+// update updates the upstreams to a snapshot that the store has confirmed to be
+// complete as of confirmedAt.
+func (s *endpointSet) update(snapshot *rattancache.Snapshot, confirmedAt time.Time) {
 	now := s.proxy.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +90,6 @@
 		delete(s.missingSince, id)
 		limits := s.limits(snapshot, endpoint)
 		if upstream, ok := s.upstreams[id]; ok {
-			s.logDrainChange(upstream.Endpoint(), endpoint)
 			upstream.Update(endpoint, limits)
 			continue
 		}
@@ -99,30 +108,52 @@
 			s.proxy.logger.Info("endpoint_gone", "endpoint", id)
 			delete(s.upstreams, id)
 			delete(s.missingSince, id)
+			s.drains.Forget(id)
 			upstream.Close()
 		}
 	}
+	s.limitNewStatements(snapshot, confirmedAt)
 	s.index(snapshot)
 }
 
-// logDrainChange logs when an endpoint begins to drain, or no longer does.
-func (s *endpointSet) logDrainChange(before, after rattancatalog.Endpoint) {
-	if before.IsDraining != after.IsDraining {
-		s.proxy.logger.Info("endpoint_draining", "endpoint", after.ID, "group", after.Group, "draining", after.IsDraining)
+// limitNewStatements sets until when each endpoint gets new statements.
+func (s *endpointSet) limitNewStatements(snapshot *rattancache.Snapshot, confirmedAt time.Time) {
+	for id, upstream := range s.upstreams {
+		endpoint := upstream.Endpoint()
+		isEvacuated := snapshot.Evacuated[endpoint.FailureDomain]
+		_, wasLimited := s.drains.Deadline(id)
+		s.drains.Observe(endpoint, isEvacuated, confirmedAt)
+		deadline, isLimited := s.drains.Deadline(id)
+		// The tracker's times are those of the boot clock.
+		remaining := deadline.Sub(s.proxy.boot.Now())
+		if isLimited != wasLimited {
+			s.proxy.logger.Info("endpoint_leaving", "endpoint", id, "group", endpoint.Group, "leaving", isLimited,
+				"draining", endpoint.IsDraining, "evacuated", isEvacuated, "new_statements_ms", max(remaining, 0).Milliseconds())
+		}
+		if !isLimited {
+			upstream.SetNewStatementsUntil(time.Time{})
+			continue
+		}
+		upstream.SetNewStatementsUntil(s.proxy.clock.Now().Add(remaining))
 	}
 }
 
 // index lists the endpoints of each group that may get new requests.
 func (s *endpointSet) index(snapshot *rattancache.Snapshot) {
-	groups := make(map[string][]*rattanupstream.Upstream)
-	for _, upstream := range s.upstreams {
+	candidates := make(map[string][]rattandrain.Candidate)
+	for id, upstream := range s.upstreams {
 		endpoint := upstream.Endpoint()
-		if endpoint.IsDraining || snapshot.Evacuated[endpoint.FailureDomain] {
-			continue
+		candidates[endpoint.Group] = append(candidates[endpoint.Group], rattandrain.Candidate{
+			ID: id, IsLeaving: endpoint.IsDraining || snapshot.Evacuated[endpoint.FailureDomain],
+			AcceptsNew: upstream.AcceptsNewStatements(), Answers: !upstream.IsSuspect(),
+		})
+	}
+	s.groups = make(map[string][]*rattanupstream.Upstream, len(candidates))
+	for group, list := range candidates {
+		for _, id := range rattandrain.Usable(list) {
+			s.groups[group] = append(s.groups[group], s.upstreams[id])
 		}
-		groups[endpoint.Group] = append(groups[endpoint.Group], upstream)
 	}
-	s.groups = groups
 }
 
 // limits returns this daemon's part of the connections that an endpoint accepts.
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -170,6 +170,8 @@
 store_address = %s
 duty_address = %s
 stop_timeout = 4s
+drain_limit = 3s
+evacuation_limit = 3s
 `, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address))
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -61,12 +61,13 @@
 }
 
 // workFailures maps the errors of statements to failures in messages between
-// daemons.
+// daemons. A failure is decoded as the first error that has it.
 var workFailures = []struct {
 	failure rattanv1.WorkFailure
 	err     error
 }{
 	{rattanv1.WorkFailure_WORK_FAILURE_OVERLOADED, rattanupstream.ErrOverloaded},
+	{rattanv1.WorkFailure_WORK_FAILURE_OVERLOADED, rattanupstream.ErrLeaving},
 	{rattanv1.WorkFailure_WORK_FAILURE_UNREACHABLE, rattanupstream.ErrUnreachable},
 	{rattanv1.WorkFailure_WORK_FAILURE_UNREACHABLE, rattanupstream.ErrWrongEndpoint},
 	{rattanv1.WorkFailure_WORK_FAILURE_NO_GRANT, rattanupstream.ErrNoGrant},
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -200,14 +200,20 @@
 var errNoPrimary = errors.New("no primary of the group can be used now")
 
 // primary returns the upstream of the primary for which the daemon holds a grant.
-// While there is none it waits until the request's primaryWaitDeadline.
+// While there is none it waits until the request's primaryWaitDeadline. A primary that
+// gets no new statements because it goes out of service is reported at once: nothing
+// can replace it, or a switchover would have begun long before.
 func (d *Dispatcher) primary(request Request) (*rattanupstream.Upstream, error) {
 	group := request.Route.Group
 	for {
 		changed := d.grants.Changed()
 		id, ok := d.grants.Primary(group)
 		if ok {
-			if upstream, known := d.endpoints.Upstream(id); known {
+			upstream, known := d.endpoints.Upstream(id)
+			if known && !upstream.AcceptsNewStatements() {
+				return nil, rattanupstream.ErrLeaving
+			}
+			if known {
 				return upstream, nil
 			}
 		}
--- a/internal/endpoint/rattandispatch/read.go
+++ b/internal/endpoint/rattandispatch/read.go
@@ -41,7 +41,8 @@
 }
 
 // read runs a read that replicas may serve. Without a recent observation of the
-// primary's position it runs the read at the primary.
+// primary's position it runs the read at the primary. It is refused at once while the
+// group has no endpoint that gets new statements.
 func (d *Dispatcher) read(request Request, operation rattanstatemachine.Operation) Outcome {
 	runner := attemptRunner{dispatcher: d}
 	for {
@@ -49,7 +50,11 @@
 		if !ok {
 			return d.readPrimary(request, operation)
 		}
-		if runner.try(d.candidates(request.Route.Group, minPosition), minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
+		candidates := d.candidates(request.Route.Group, minPosition)
+		if len(candidates) == 0 {
+			return d.refuseBusy(runner.last)
+		}
+		if runner.try(candidates, minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
 			return d.readAt(upstream, request, operation, minPosition)
 		}) {
 			return runner.last
--- a/internal/endpoint/rattandispatch/transaction.go
+++ b/internal/endpoint/rattandispatch/transaction.go
@@ -65,6 +65,9 @@
 			}
 			minPosition, candidates = rattanmodel.Position{}, []*rattanupstream.Upstream{upstream}
 		}
+		if len(candidates) == 0 {
+			return d.refuseBusy(runner.last)
+		}
 		if runner.try(candidates, minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
 			return t.beginAt(upstream, request, operation, minPosition, ok)
 		}) {
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// SyncedAt returns since when the cache is known to have been up to date with the
+// whole store, the zero time before the first sync.
+func (g *Grants) SyncedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.syncedAt
+}
+
 // Extend extends the grants until a time, after a quorum of daemons has agreed. The
 // extension ends at the latest when limit has passed since the last renewal of the
 // lease or since the last sync with the store, whichever is earlier.
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -68,12 +68,20 @@
 	return setup, request
 }
 
-// acquire returns a connection unless the deadline has passed by then.
+// acquire returns a connection for a new statement or transaction. It returns an error
+// if by then the deadline has passed, or the endpoint gets no new statements.
 func (u *Upstream) acquire(request AcquireRequest) (*PooledConn, error) {
+	if !u.AcceptsNewStatements() {
+		return nil, ErrLeaving
+	}
 	pooled, err := u.Acquire(request)
 	if err != nil {
 		return nil, err
 	}
+	if !u.AcceptsNewStatements() {
+		u.Release(pooled)
+		return nil, ErrLeaving
+	}
 	if !u.clock.Now().Before(request.Deadline) {
 		u.Release(pooled)
 		return nil, ErrOverloaded
@@ -81,7 +89,7 @@
 	return pooled, nil
 }
 
-// Read runs a read. The error is ErrOverloaded, ErrUnreachable or
+// Read runs a read. The error is ErrOverloaded, ErrUnreachable, ErrLeaving or
 // ErrWrongEndpoint, when nothing has been sent, or ErrTimeout.
 func (u *Upstream) Read(statement StatementRequest) (rattanstatement.Result, error) {
 	start := u.clock.Now()
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -40,6 +40,8 @@
 	ErrUnreachable = errors.New("the endpoint does not answer")
 	// ErrWrongEndpoint says that another endpoint answers at the address.
 	ErrWrongEndpoint = errors.New("another endpoint answers at the address")
+	// ErrLeaving says that the endpoint goes out of service and gets no new statements.
+	ErrLeaving = errors.New("the endpoint goes out of service and gets no new statements")
 )
 
 // DialFunc connects to an address (host:port) within a timeout.
@@ -67,9 +69,12 @@
 	latencyAt time.Time
 	// fullUntil is the end of the pause after the endpoint refused a connection
 	// because it has too many.
-	fullUntil    time.Time
-	reachability reachability
-	isClosed     bool
+	fullUntil time.Time
+	// newStatementsUntil is when the endpoint stops getting new statements, zero while
+	// it stays in service.
+	newStatementsUntil time.Time
+	reachability       reachability
+	isClosed           bool
 }
 
 // New returns the Upstream of an endpoint. OnReachabilityChange is called when the
@@ -105,6 +110,26 @@
 	return u.queue.SetLimits(limits, u.clock.Now())
 }
 
+// SetNewStatementsUntil sets when the endpoint stops getting new statements, since it
+// goes out of service. The zero time means that it stays.
+func (u *Upstream) SetNewStatementsUntil(until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.newStatementsUntil = until
+}
+
+// AcceptsNewStatements reports whether the endpoint may get new statements now.
+func (u *Upstream) AcceptsNewStatements() bool {
+	until, isLimited := u.newStatementsLimit()
+	return !isLimited || u.clock.Now().Before(until)
+}
+
+func (u *Upstream) newStatementsLimit() (until time.Time, isLimited bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.newStatementsUntil, !u.newStatementsUntil.IsZero()
+}
+
 // Candidate returns the endpoint's state for the choice of an endpoint for a read.
 func (u *Upstream) Candidate() rattanplacement.Candidate {
 	u.mu.Lock()
@@ -382,15 +407,18 @@
 	Waiting     int    `json:"waiting"`
 	Position    string `json:"position"`
 	IsSuspect   bool   `json:"suspect"`
+	AcceptsNew  bool   `json:"accepts_new"`
 }
 
 // State returns the current state.
 func (u *Upstream) State() State {
+	acceptsNew := u.AcceptsNewStatements()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return State{
 		ID: u.endpoint.ID, Address: u.endpoint.Address,
 		Connections: u.queue.Connections(), Limit: u.queue.Limits().Connections, Busy: u.queue.Busy(), Waiting: u.queue.Waiting(),
 		Position: u.knownPosition.String(), IsSuspect: u.reachability.isSuspect(),
+		AcceptsNew: acceptsNew,
 	}
 }
