rattanswitchover: promote no endpoint past its limit, begin no failover without a candidate

One past its limit could be promoted; no daemon would send it anything, and commits that only the old primary holds would be lost. A group whose only endpoint does not answer began a switchover that could not end: its grants were gone until the switching record was resumed, some 0.3 s after the endpoint answered again. Ruled out: excluding every endpoint that drains; until its limit it can serve, and its log outlives it. Change: candidates are the endpoints that may get new statements, and the present primary; a failover needs a candidate other than the primary.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -262,6 +262,13 @@
 	return !ok
 }
 
+// acceptsNewStatements reports whether an endpoint may get new statements. One that is
+// not yet known may.
+func (s *endpointSet) acceptsNewStatements(id string) bool {
+	upstream, ok := s.Upstream(id)
+	return !ok || upstream.AcceptsNewStatements()
+}
+
 func (s *endpointSet) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -49,7 +49,7 @@
 			request := rattanswitchover.Request{
 				Group: group, Key: rattancache.GroupPrefix + group, Reason: reason,
 				Record: state.Record, Revision: snapshot.Groups[group].Revision,
-				Endpoints: state.Endpoints, Evacuated: snapshot.Evacuated,
+				Endpoints: state.Candidates(), Evacuated: snapshot.Evacuated,
 			}
 			r.proxy.logger.Info("switch_begin", "group", group, "reason", string(reason), "primary", request.Record.Primary,
 				"reporters", state.Reporters, "daemons", state.Daemons, "revision", request.Revision)
@@ -89,10 +89,13 @@
 
 func (r *switchoverRunner) groupState(snapshot *rattancache.Snapshot, group string) rattanswitchover.GroupState {
 	entry, ok := snapshot.Groups[group]
-	state := rattanswitchover.GroupState{Record: entry.Record, HasRecord: ok, Evacuated: snapshot.Evacuated}
+	state := rattanswitchover.GroupState{
+		Record: entry.Record, HasRecord: ok, Evacuated: snapshot.Evacuated, Unusable: make(map[string]bool),
+	}
 	for _, endpoint := range snapshot.Endpoints {
 		if endpoint.Group == group {
 			state.Endpoints = append(state.Endpoints, endpoint)
+			state.Unusable[endpoint.ID] = !r.proxy.endpoints.acceptsNewStatements(endpoint.ID)
 		}
 	}
 	slices.SortFunc(state.Endpoints, func(a, b rattancatalog.Endpoint) int {
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -38,6 +38,9 @@
 	Endpoints []rattancatalog.Endpoint
 	// Evacuated are the failure domains out of service.
 	Evacuated map[string]bool
+	// Unusable are the endpoints that get no new statements any more, since their
+	// limit after they went out of service has passed.
+	Unusable map[string]bool
 	// IsPrimaryGone is true when the primary's entry has been missing from the store
 	// for so long that the primary counts as gone.
 	IsPrimaryGone bool
@@ -53,7 +56,7 @@
 		return ReasonInitial
 	case s.Record.IsSwitching:
 		return ReasonResume
-	case s.Reporters > 0 && 2*s.Reporters >= s.Daemons:
+	case s.Reporters > 0 && 2*s.Reporters >= s.Daemons && s.hasOtherCandidate():
 		return ReasonUnreachable
 	}
 	at := s.primaryIndex()
@@ -69,6 +72,20 @@
 	return s.departure(at)
 }
 
+// Candidates returns the endpoints that may be the primary: those that may get new
+// statements, and the present primary.
+func (s GroupState) Candidates() []rattancatalog.Endpoint {
+	return slices.DeleteFunc(slices.Clone(s.Endpoints), func(e rattancatalog.Endpoint) bool {
+		return s.Unusable[e.ID] && e.ID != s.Record.Primary
+	})
+}
+
+// hasOtherCandidate reports whether an endpoint other than the primary may be promoted.
+// Without one, the primary keeps its role until it answers again.
+func (s GroupState) hasOtherCandidate() bool {
+	return slices.ContainsFunc(s.Candidates(), func(e rattancatalog.Endpoint) bool { return e.ID != s.Record.Primary })
+}
+
 // Blocked returns why the primary should be replaced although no other endpoint can
 // become the primary, or ReasonNone. Decide then returns ReasonNone.
 func Blocked(s GroupState) Reason {
--- a/internal/endpoint/rattanswitchover/decide_test.go
+++ b/internal/endpoint/rattanswitchover/decide_test.go
@@ -1,6 +1,7 @@
 package rattanswitchover
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
@@ -35,6 +36,10 @@
 		{"one daemon cannot reach the primary", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Reporters: 1, Daemons: 7}, ReasonNone},
 		{"half of the daemons cannot reach the primary", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Reporters: 4, Daemons: 7}, ReasonUnreachable},
 		{"the only daemon registered after a partition cannot reach the primary", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Reporters: 1, Daemons: 9}, ReasonNone},
+		{"unreachable without another endpoint", GroupState{Record: settled, HasRecord: true, Endpoints: group()[:1], Reporters: 7, Daemons: 7}, ReasonNone},
+		{"unreachable, entry missing, one other endpoint", GroupState{Record: settled, HasRecord: true, Endpoints: group()[1:2], Reporters: 7, Daemons: 7}, ReasonUnreachable},
+		{"unreachable while the others are past their limit", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Unusable: map[string]bool{"e2": true, "e3": true}, Reporters: 7, Daemons: 7}, ReasonNone},
+		{"unreachable while another endpoint drains", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Unusable: map[string]bool{"e2": true}, Reporters: 7, Daemons: 7}, ReasonUnreachable},
 		{"draining", GroupState{Record: settled, HasRecord: true, Endpoints: leaving(), Daemons: 7}, ReasonLeaving},
 		{"draining without a successor", GroupState{Record: settled, HasRecord: true, Endpoints: leaving()[:1], Daemons: 7}, ReasonNone},
 		{"evacuated", GroupState{Record: settled, HasRecord: true, Endpoints: group(), Evacuated: map[string]bool{"a": true}, Daemons: 7}, ReasonEvacuated},
@@ -49,6 +54,23 @@
 	}
 }
 
+// TestCandidates guards against the promotion of an endpoint that gets no new
+// statements any more: nothing could run there, and commits that only the old primary
+// holds would be lost.
+func TestCandidates(t *testing.T) {
+	state := GroupState{
+		Record: rattangrant.PrimaryRecord{Primary: "e1"}, HasRecord: true, Endpoints: group(),
+		Unusable: map[string]bool{"e1": true, "e2": true},
+	}
+	var ids []string
+	for _, endpoint := range state.Candidates() {
+		ids = append(ids, endpoint.ID)
+	}
+	if !slices.Equal(ids, []string{"e1", "e3"}) {
+		t.Errorf("candidates %q, want the primary and the endpoint that stays", ids)
+	}
+}
+
 // TestBlocked guards against a primary that cannot be replaced without any log line
 // that says so.
 func TestBlocked(t *testing.T) {
