rattansoak: endpoints drain and failure domains are evacuated beside the faults

Change: one planned work after another, with random numbers of its own, takes one or all endpoints out by drain or evacuation and back; the endpoints record new statements that arrive later than 3 s after it, with daemons whose limit is 2 s. Arrivals while a daemon is suspended, or up to 1 s after, do not count: it may send what it had decided to send.

--- a/internal/daemon/rattanproxy/leaving_test.go
+++ b/internal/daemon/rattanproxy/leaving_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rattanstream/rattanstream/platform/platformtest"
 )
 
 const (
@@ -28,7 +30,7 @@
 		bound time.Duration
 	}{
 		{"draining", func(f *fleet) error { return f.store.Put("servers/e1", f.endpoints["e1"].Entry("a", "draining")) }, drainBound},
-		{"evacuated", func(f *fleet) error { return f.store.Put("op/evacuate/a", map[string]any{}) }, evacuationBound},
+		{"evacuated", func(f *fleet) error { return f.store.Put(platformtest.EvacuationKey("a"), map[string]any{}) }, evacuationBound},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/proof/rattansoak/faults.go
+++ b/internal/proof/rattansoak/faults.go
@@ -34,7 +34,11 @@
 		}},
 		{"suspend a daemon", func(f *Fleet, r *rand.Rand) (func() error, error) {
 			d := f.randomDaemon(r)
-			return func() error { return d.Signal(syscall.SIGCONT) }, d.Signal(syscall.SIGSTOP)
+			resumed := f.recordSuspension()
+			return func() error {
+				defer resumed()
+				return d.Signal(syscall.SIGCONT)
+			}, d.Signal(syscall.SIGSTOP)
 		}},
 		{"reload a daemon", func(f *Fleet, r *rand.Rand) (func() error, error) {
 			return noop, f.randomDaemon(r).Signal(syscall.SIGHUP)
--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -44,9 +44,19 @@
 	links     map[string]*Link
 	daemons   []*Daemon
 	version   int
-	mu        sync.Mutex
+	// suspended are the times in which a daemon could not run; the last one may have
+	// no end yet.
+	suspended []interval
+
+	mu sync.Mutex
+	// draining holds the endpoints that drain, starts how often each has started.
+	draining map[string]bool
+	starts   map[string]int
 }
 
+// domains are the failure domains of the endpoints.
+var domains = map[string]string{"e1": "a", "e2": "b", "e3": "c"}
+
 // A Daemon is a daemon process that can be restarted. Its addresses stay the same
 // over restarts.
 type Daemon struct {
@@ -70,6 +80,7 @@
 	f := &Fleet{
 		program: program, directory: directory, group: rattanlineserver.NewGroup("orders", replicationLag),
 		endpoints: make(map[string]*rattanlineserver.Endpoint), links: make(map[string]*Link),
+		draining: make(map[string]bool), starts: make(map[string]int),
 	}
 	f.store = rattankvserver.New(func(_, id string) bool {
 		ok := f.group.Promote(id)
@@ -107,8 +118,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, endpoint := range f.endpoints {
-		entry := endpoint.Entry(map[string]string{"e1": "a", "e2": "b", "e3": "c"}[id], "ready")
-		entry["address"] = f.links[id].Address()
+		state := "ready"
+		if f.draining[id] {
+			state = "draining"
+		}
+		entry := endpoint.Entry(domains[id], state)
+		entry["address"], entry["born"] = f.links[id].Address(), 1+f.starts[id]
 		if err := f.store.Put("servers/"+id, entry); err != nil {
 			return err
 		}
@@ -148,8 +163,8 @@
 	}
 	d := &Daemon{name: name, callers: addresses[0], store: store, fleet: f, config: filepath.Join(f.directory, name+".ini")}
 	text := fmt.Sprintf("[proxy]\nvm = %s\nfailure_domain = %s\ncaller_address = %s\nreadiness_address = %s\npeer_address = %s\n"+
-		"store_address = %s\nduty_address = %s\nstop_timeout = 4s\n",
-		name, domain, addresses[0], addresses[1], addresses[2], store.Address(), store.Address())
+		"store_address = %s\nduty_address = %s\nstop_timeout = 4s\ndrain_limit = %s\nevacuation_limit = %s\n",
+		name, domain, addresses[0], addresses[1], addresses[2], store.Address(), store.Address(), leavingLimit, leavingLimit)
 	if err := os.WriteFile(d.config, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/proof/rattansoak/run.go
+++ b/internal/proof/rattansoak/run.go
@@ -29,6 +29,8 @@
 	Acknowledged, Refused, InDoubt, Reads int
 	// Faults are the injected faults, in order.
 	Faults []string
+	// Planned are the works that took endpoints out of service, in order.
+	Planned []string
 	// Violations are the violations of guarantees that were found.
 	Violations []string
 }
@@ -60,7 +62,14 @@
 	for i := range callers {
 		calling.Go(func() { r.call(ctx, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
+	// The planned work has random numbers of its own, so that it does not change the
+	// faults of a seed.
+	planned := make(chan error, 1)
+	go func() { planned <- r.plan(rand.New(rand.NewPCG(seed, callers+1)), duration) }()
 	err := r.inject(rand.New(rand.NewPCG(seed, callers)), duration)
+	if planErr := <-planned; err == nil {
+		err = planErr
+	}
 	if err == nil {
 		err = r.awaitService("end")
 	}
@@ -68,6 +77,7 @@
 	calling.Wait()
 	r.checkWrites()
 	r.checkReads()
+	r.checkLateStatements()
 	return r.result, err
 }
 
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -78,7 +78,7 @@
 // saveLogs logs the faults of a failed seed and writes the daemons' logs to files.
 func saveLogs(t *testing.T, fleet *Fleet, result Result, seed uint64) {
 	t.Helper()
-	for _, fault := range result.Faults {
+	for _, fault := range append(result.Faults, result.Planned...) {
 		t.Log(fault)
 	}
 	if *logs == "" {
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -49,6 +50,10 @@
 	tenants       map[string]int
 	opened        int
 	lostResponses int
+	// closesAt is when the endpoint stops expecting new statements, zero for never;
+	// late holds the arrivals of those that came later.
+	closesAt time.Time
+	late     []time.Time
 }
 
 // Add starts an endpoint on a loopback address; the first one is the primary.
@@ -107,6 +112,28 @@
 	e.lostResponses = n
 }
 
+// CloseToNew makes the endpoint record the new statements that arrive after a time.
+// A statement of an open transaction is not new. The zero time ends that.
+func (e *Endpoint) CloseToNew(at time.Time) {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	e.closesAt = at
+}
+
+// Late returns when new statements arrived after the times set with CloseToNew.
+func (e *Endpoint) Late() []time.Time {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return slices.Clone(e.late)
+}
+
+// recordNew records the arrival of a new statement. The caller holds the group's mutex.
+func (e *Endpoint) recordNew() {
+	if now := time.Now(); !e.closesAt.IsZero() && now.After(e.closesAt) {
+		e.late = append(e.late, now)
+	}
+}
+
 // Opened returns how many sessions have been opened at the endpoint so far.
 func (e *Endpoint) Opened() int {
 	e.group.mu.Lock()
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -124,6 +124,9 @@
 func (s *session) execute(verb, rest string) (string, bool) {
 	e := s.endpoint
 	isPrimary := e.group.primary == e.id
+	if isNew := verb == "BEGIN" || verb == "READ" || verb == "WRITE"; isNew && s.state == "I" {
+		e.recordNew()
+	}
 	switch verb {
 	case "BEGIN":
 		s.isReadWrite = rest != "READ"
