rattankv: revisions and leases hold the store's era; lost records of groups are written again

The conditions of writes never hold, so no primary can be replaced, and a lease id can be another daemon's. Change: a Revision is the era (header Store-Era, read in platform/) above the number, so that comparisons hold across eras everywhere and between daemons; a Lease is era and id. What depends on an era that has ended is not sent: a watch reads everything again, a condition does not hold, a lease counts as ended. A late response of an ended era is an error. A group's record is ordered by its version, and versions and fencing tokens of an era begin above those of the eras before, so none is given out twice. The failover leader writes the newest known records again before it decides anything for their groups; a daemon that has just started asks five others for them before it holds grants. Events store_restored and record_restored, counter store_restored. Ruled out: dropping the cache at a restoration; daemons would go back to the old primary of the copy.

--- a/internal/config/rattancache/cache.go
+++ b/internal/config/rattancache/cache.go
@@ -33,7 +33,7 @@
 // An InvalidEntry is an entry of the store that cannot be decoded.
 type InvalidEntry struct {
 	Key      string
-	Revision int64
+	Revision rattankv.Revision
 	Err      error
 }
 
@@ -55,13 +55,13 @@
 	HasLeader bool
 
 	// catalogRevision is the revision of the item that Catalog was decoded from.
-	catalogRevision int64
+	catalogRevision rattankv.Revision
 }
 
 // A GroupEntry is the record of a group's primary with its revision.
 type GroupEntry struct {
 	Record   rattangrant.PrimaryRecord
-	Revision int64
+	Revision rattankv.Revision
 }
 
 // Cache is safe for concurrent use.
@@ -73,9 +73,9 @@
 	items map[string]rattankv.Item
 	// deleted holds the revision at which each deleted key was removed, so that
 	// an older read cannot bring the key back.
-	deleted map[string]int64
+	deleted map[string]rattankv.Revision
 	// revision is the store's revision up to which items holds every change.
-	revision int64
+	revision rattankv.Revision
 	// log holds the latest changes up to revision.
 	log      changeLog
 	snapshot *Snapshot
@@ -93,7 +93,7 @@
 	return &Cache{
 		clock: clock, decoder: decoder,
 		items:     make(map[string]rattankv.Item),
-		deleted:   make(map[string]int64),
+		deleted:   make(map[string]rattankv.Revision),
 		snapshot:  &Snapshot{},
 		removedAt: make(map[string]time.Time),
 		changed:   make(chan struct{}),
@@ -188,7 +188,7 @@
 
 // AdvanceRevision records that the cache holds every change up to a revision.
 // The first call ends the initial sync.
-func (c *Cache) AdvanceRevision(revision int64) {
+func (c *Cache) AdvanceRevision(revision rattankv.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.syncedAt.IsZero() {
@@ -201,7 +201,7 @@
 }
 
 // Revision returns the store's revision up to which the cache holds every change.
-func (c *Cache) Revision() int64 {
+func (c *Cache) Revision() rattankv.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.revision
@@ -246,7 +246,7 @@
 
 // remove deletes a key unless its item is newer than the deletion. It reports
 // whether the cache changed.
-func (c *Cache) remove(key string, revision int64) bool {
+func (c *Cache) remove(key string, revision rattankv.Revision) bool {
 	item, ok := c.items[key]
 	if !ok || revision < item.Revision {
 		c.deleted[key] = max(c.deleted[key], revision)
--- a/internal/config/rattancache/cache_test.go
+++ b/internal/config/rattancache/cache_test.go
@@ -40,7 +40,7 @@
 
 func newTestCache() *Cache { return New(clockwork.NewFakeClock(), testDecoder{}) }
 
-func item(key string, value byte, revision int64) rattankv.Item {
+func item(key string, value byte, revision rattankv.Revision) rattankv.Item {
 	return rattankv.Item{Key: key, Value: []byte{value}, Revision: revision}
 }
 
@@ -52,11 +52,11 @@
 		newest := int64(0)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			version := rapid.IntRange(1, 100).Draw(t, "version")
-			offered := item("config", byte(version), int64(version))
+			offered := item("config", byte(version), rattankv.Revision(version))
 			if rapid.Bool().Draw(t, "full read") {
-				c.Replace("", rattankv.Page{Items: []rattankv.Item{offered}, AsOf: int64(version)})
+				c.Replace("", rattankv.Page{Items: []rattankv.Item{offered}, AsOf: rattankv.Revision(version)})
 			} else {
-				c.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: offered}}, AsOf: int64(version)})
+				c.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: offered}}, AsOf: rattankv.Revision(version)})
 			}
 			newest = max(newest, int64(version))
 			if got := c.Snapshot().Catalog.Version(); got != newest {
--- a/internal/config/rattancache/changelog.go
+++ b/internal/config/rattancache/changelog.go
@@ -9,12 +9,12 @@
 // may be in any order.
 type changeLog struct {
 	// base is the revision after which the log holds every event.
-	base   int64
+	base   rattankv.Revision
 	events []rattankv.Event
 }
 
 // reset empties the log; it then holds every event after a revision.
-func (l *changeLog) reset(revision int64) {
+func (l *changeLog) reset(revision rattankv.Revision) {
 	l.base, l.events = revision, nil
 }
 
@@ -29,7 +29,7 @@
 }
 
 // after returns the events after a revision, or false when some of them are gone.
-func (l *changeLog) after(revision int64) ([]rattankv.Event, bool) {
+func (l *changeLog) after(revision rattankv.Revision) ([]rattankv.Event, bool) {
 	if revision < l.base {
 		return nil, false
 	}
@@ -45,7 +45,7 @@
 // ChangesSince returns the changes of the store after a revision and true, or all
 // items and false when the daemon no longer holds these changes. It includes records
 // of groups that were received outside of the order of revisions.
-func (c *Cache) ChangesSince(revision int64) (rattankv.Changes, bool) {
+func (c *Cache) ChangesSince(revision rattankv.Revision) (rattankv.Changes, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := rattankv.Changes{AsOf: c.revision}
@@ -60,7 +60,7 @@
 }
 
 // groupEventsAfter returns the records of groups that are newer than a revision.
-func (c *Cache) groupEventsAfter(revision int64) []rattankv.Event {
+func (c *Cache) groupEventsAfter(revision rattankv.Revision) []rattankv.Event {
 	var events []rattankv.Event
 	for name, entry := range c.snapshot.Groups {
 		if entry.Revision > revision {
--- a/internal/config/rattancache/changelog_test.go
+++ b/internal/config/rattancache/changelog_test.go
@@ -15,7 +15,7 @@
 func TestFollowedCacheHasEverything(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source, follower := newTestCache(), newTestCache()
-		revision := int64(0)
+		revision := rattankv.Revision(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			revision++
 			key := rapid.SampledFrom([]string{"config", "endpoints/e1", "endpoints/e2", "evacuate/a"}).Draw(t, "key")
@@ -46,7 +46,7 @@
 
 // assertGroupKnown checks that changes after a revision include the record of a group
 // that was received outside of the order of revisions.
-func assertGroupKnown(t *rapid.T, source *Cache, after, recordRevision int64) {
+func assertGroupKnown(t *rapid.T, source *Cache, after, recordRevision rattankv.Revision) {
 	changes, _ := source.ChangesSince(after)
 	for _, event := range changes.Events {
 		if event.Key == GroupPrefix+"g" && event.Revision == recordRevision {
@@ -72,7 +72,7 @@
 
 // contents lists the items of a cache.
 func contents(c *Cache) string {
-	list := make(map[string]int64)
+	list := make(map[string]rattankv.Revision)
 	for _, item := range c.Items().Items {
 		list[item.Key] = item.Revision
 	}
--- a/internal/config/rattancache/records.go
+++ b/internal/config/rattancache/records.go
@@ -1,6 +1,10 @@
 package rattancache
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+)
 
 // The keys of the daemons' own records in the store.
 const (
@@ -39,7 +43,7 @@
 	IsStopping bool `json:"stopping,omitempty"`
 	// Lease is the lease that the entry is bound to. It comes from the store's item,
 	// not from the value.
-	Lease int64 `json:"-"`
+	Lease rattankv.Lease `json:"-"`
 }
 
 // A MemberRecord names the newest registered daemon of a VM in the membership.
@@ -50,8 +54,8 @@
 	// CreateRevision is the revision at which the VM became a member, and Revision
 	// that of the entry's last change. Both come from the store's item, not from the
 	// value.
-	CreateRevision int64 `json:"-"`
-	Revision       int64 `json:"-"`
+	CreateRevision rattankv.Revision `json:"-"`
+	Revision       rattankv.Revision `json:"-"`
 }
 
 // A LeaderRecord names the failover leader.
--- a/internal/config/rattankv/store.go
+++ b/internal/config/rattankv/store.go
@@ -21,6 +21,9 @@
 	ErrUnavailable = errors.New("the store refused the call")
 	// ErrMalformed means that the store's response cannot be decoded.
 	ErrMalformed = errors.New("the store's response cannot be decoded")
+	// ErrEraEnded means that the store was restored from an older copy during the
+	// call: what the response says holds no longer, and a change may be lost.
+	ErrEraEnded = errors.New("the store was restored from an older copy during the call")
 )
 
 // An Item is a key with its value.
@@ -28,11 +31,11 @@
 	Key   string
 	Value []byte
 	// Revision is the revision of the last change.
-	Revision int64
+	Revision Revision
 	// CreateRevision is the revision at which the key was created.
-	CreateRevision int64
-	// Lease is the lease that the key is bound to, 0 for none.
-	Lease int64
+	CreateRevision Revision
+	// Lease is the lease that the key is bound to, zero for none.
+	Lease Lease
 }
 
 // An Event is one change of a key.
@@ -44,20 +47,21 @@
 // A Page is the result of a read. AsOf is the store's revision at that time.
 type Page struct {
 	Items []Item
-	AsOf  int64
+	AsOf  Revision
 }
 
 // Changes is the result of a watch. The next watch continues after AsOf.
 type Changes struct {
 	Events []Event
-	AsOf   int64
+	AsOf   Revision
 }
 
 // An Expectation is a condition of a transaction: the key must have this
-// revision. Revision 0 means that the key must not exist.
+// revision. Revision 0 means that the key must not exist. A revision of an era that has
+// ended never matches.
 type Expectation struct {
 	Key      string
-	Revision int64
+	Revision Revision
 }
 
 // A Txn changes several keys atomically, provided that all its expectations hold.
@@ -97,16 +101,16 @@
 	Range(ctx context.Context, prefix string) (Page, error)
 	// Watch waits, at most for wait, until a key that begins with prefix changes
 	// after the given revision. It returns ErrCompacted when the history after that
-	// revision is no longer kept.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
+	// revision is no longer kept, or its era has ended.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
 	// Commit runs a transaction and returns its revision. It returns a
 	// *ConflictError when a condition does not hold and ErrLeaseEnded when the lease
 	// of a written item has ended.
-	Commit(ctx context.Context, txn Txn) (int64, error)
+	Commit(ctx context.Context, txn Txn) (Revision, error)
 	// GrantLease returns a new lease and its time to live.
-	GrantLease(ctx context.Context, ttl time.Duration) (int64, time.Duration, error)
-	// KeepAlive renews a lease. It returns ErrLeaseEnded when it has ended.
-	KeepAlive(ctx context.Context, lease int64) error
+	GrantLease(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
+	// KeepAlive renews a lease. It returns ErrLeaseEnded when it, or its era, has ended.
+	KeepAlive(ctx context.Context, lease Lease) error
 	// RevokeLease ends a lease and removes its keys.
-	RevokeLease(ctx context.Context, lease int64) error
+	RevokeLease(ctx context.Context, lease Lease) error
 }
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -37,7 +37,7 @@
 	proxy *Proxy
 
 	mu    sync.Mutex
-	lease int64
+	lease rattankv.Lease
 	token int64
 	// toleranceLoweredAt is when this daemon took the leadership, or last removed
 	// a member so that the quorum tolerates fewer missing daemons.
@@ -60,7 +60,7 @@
 	return l.proxy.settings.VM() + "/" + l.proxy.registration.incarnation
 }
 
-func (l *leadership) set(lease, token int64) {
+func (l *leadership) set(lease rattankv.Lease, token int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease, l.token = lease, token
@@ -197,7 +197,7 @@
 // takeLeadership takes the failover leadership with the next fencing token.
 func (p *Proxy) takeLeadership(ctx context.Context, held *leadership) {
 	lease, _ := p.registration.Lease()
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	token, err := p.commitLeadership(ctx, lease)
@@ -212,14 +212,15 @@
 	p.logger.Info("duty_taken", "token", token)
 }
 
-func (p *Proxy) commitLeadership(ctx context.Context, lease int64) (int64, error) {
+func (p *Proxy) commitLeadership(ctx context.Context, lease rattankv.Lease) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	page, err := p.platform.Store.Range(callCtx, rattancache.FencingTokenKey)
 	if err != nil {
 		return 0, err
 	}
-	var last, revision int64
+	var last int64
+	var revision rattankv.Revision
 	for _, item := range page.Items {
 		if item.Key == rattancache.FencingTokenKey {
 			revision = item.Revision
@@ -228,7 +229,7 @@
 			}
 		}
 	}
-	token := last + 1
+	token := rattankv.NextNumber(last, page.AsOf.Era())
 	record, err := json.Marshal(rattancache.LeaderRecord{VM: p.settings.VM(), Incarnation: p.registration.incarnation, Token: token})
 	if err != nil {
 		return 0, err
--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -110,7 +110,7 @@
 	reply, err := f.proxy.peers.Call(callCtx, address, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_StoreWatchRequest{
 		StoreWatchRequest: &rattanv1.StoreWatchRequest{
 			Vm: f.proxy.settings.VM(), Address: f.proxy.settings.PeerAddress(),
-			Revision: f.proxy.cache.Revision(), WaitMs: uint32(followWait.Milliseconds()),
+			Revision: int64(f.proxy.cache.Revision()), WaitMs: uint32(followWait.Milliseconds()),
 		},
 	}})
 	response := reply.GetStoreWatchResponse()
@@ -130,7 +130,7 @@
 }
 
 func (f *follower) apply(ctx context.Context, response *rattanv1.StoreWatchResponse) {
-	changes := rattankv.Changes{AsOf: response.GetAsOf()}
+	changes := rattankv.Changes{AsOf: rattankv.Revision(response.GetAsOf())}
 	for _, event := range response.GetEvents() {
 		changes.Events = append(changes.Events, rattankv.Event{Item: itemFromWire(event.GetItem()), Deleted: event.GetIsDeleted()})
 	}
@@ -143,8 +143,7 @@
 	for _, event := range changes.Events {
 		page.Items = append(page.Items, event.Item)
 	}
-	f.proxy.logInvalidEntries(f.proxy.cache.Replace("", page))
-	f.proxy.cache.AdvanceRevision(page.AsOf)
+	f.proxy.replaceCache(ctx, page)
 	f.proxy.applyChanges(ctx, changes)
 }
 
@@ -183,8 +182,8 @@
 		f.proxy.relay.recordDelegation(request.GetVm(), request.GetAddress(), until)
 		response.GrantMs = uint32(until.Sub(f.proxy.boot.Now()).Milliseconds())
 	}
-	changes, isPartial := f.proxy.cache.ChangesSince(request.GetRevision())
-	response.AsOf, response.IsComplete = changes.AsOf, !isPartial
+	changes, isPartial := f.proxy.cache.ChangesSince(rattankv.Revision(request.GetRevision()))
+	response.AsOf, response.IsComplete = int64(changes.AsOf), !isPartial
 	for _, event := range changes.Events {
 		response.Events = append(response.Events, &rattanv1.StoreEvent{Item: itemToWire(event.Item), IsDeleted: event.Deleted})
 	}
@@ -207,7 +206,7 @@
 	timeout := f.proxy.clock.After(min(time.Duration(request.GetWaitMs())*time.Millisecond, watchWait))
 	for {
 		_, changed := f.proxy.cache.Changed()
-		if changes, _ := f.proxy.cache.ChangesSince(request.GetRevision()); len(changes.Events) > 0 {
+		if changes, _ := f.proxy.cache.ChangesSince(rattankv.Revision(request.GetRevision())); len(changes.Events) > 0 {
 			return
 		}
 		select {
--- a/internal/daemon/rattanproxy/members.go
+++ b/internal/daemon/rattanproxy/members.go
@@ -48,7 +48,7 @@
 }
 
 // Active implements rattanswitchover.Daemons.
-func (m *members) Active(group string, number, revision int64, since time.Time) (rattanswitchover.ActiveDaemons, error) {
+func (m *members) Active(group string, number int64, revision rattankv.Revision, since time.Time) (rattanswitchover.ActiveDaemons, error) {
 	if m.proxy.cache.Revision() < revision {
 		return rattanswitchover.ActiveDaemons{}, errRecordNotSeen
 	}
@@ -150,7 +150,7 @@
 	snapshot := m.proxy.cache.Snapshot()
 	for _, name := range vms {
 		vm, ok := snapshot.VMs[name]
-		if !ok || vm.Lease == 0 || name == m.proxy.settings.VM() {
+		if !ok || vm.Lease.IsZero() || name == m.proxy.settings.VM() {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -159,7 +159,7 @@
 		if err != nil && !errors.Is(err, rattankv.ErrLeaseEnded) {
 			return errors.Wrapf(err, "revoke the lease of VM %s", name)
 		}
-		m.proxy.logger.Warn("vm_expelled", "expelled", name, "lease", vm.Lease)
+		m.proxy.logger.Warn("vm_expelled", "expelled", name, "lease", vm.Lease.String())
 	}
 	return nil
 }
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -82,7 +82,7 @@
 	VM                    string                 `json:"vm"`
 	Incarnation           string                 `json:"incarnation"`
 	Configuration         int64                  `json:"configuration"`
-	Revision              int64                  `json:"revision"`
+	Revision              string                 `json:"revision"`
 	HoldsGrants           bool                   `json:"holds_grants"`
 	IsIsolated            bool                   `json:"isolated"`
 	IsStoreLost           bool                   `json:"store_lost"`
@@ -96,7 +96,7 @@
 func (p *Proxy) dump() dump {
 	snapshot := p.cache.Snapshot()
 	d := dump{
-		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision(),
+		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
 	}
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -100,7 +100,9 @@
 	admission    *admission
 	peers        *rattanlink.Client
 	sessions     sessions
-	stopping     atomic.Bool
+	// hasInitialSync is true after the first initial sync. Only runInitialSyncs uses it.
+	hasInitialSync bool
+	stopping       atomic.Bool
 }
 
 // New returns a daemon that Run starts. Reload reads its settings again. The boot
--- a/internal/daemon/rattanproxy/registration.go
+++ b/internal/daemon/rattanproxy/registration.go
@@ -63,7 +63,7 @@
 
 	mu         sync.Mutex
 	record     rattancache.VMRecord
-	lease      int64
+	lease      rattankv.Lease
 	leaseUntil time.Time
 	// unregistered is the length of the times between the end of a lease and the next
 	// one, as unregisteredTime counts them.
@@ -73,7 +73,7 @@
 	reportedAt time.Time
 	// directStops holds the newest revision of each record for which this daemon
 	// confirmed directly that it stopped, by key.
-	directStops map[string]int64
+	directStops map[string]rattankv.Revision
 	// isRegistered is true while the store holds the entry under the current
 	// lease.
 	isRegistered bool
@@ -89,7 +89,7 @@
 		incarnation:     incarnation,
 		initialSyncWake: make(chan struct{}, 1),
 		wake:            make(chan struct{}, 1),
-		directStops:     make(map[string]int64),
+		directStops:     make(map[string]rattankv.Revision),
 		isDirty:         true,
 		record: rattancache.VMRecord{
 			Incarnation:    incarnation,
@@ -113,7 +113,7 @@
 func (r *registration) requestInitialSync() { notify(r.initialSyncWake) }
 
 // Lease returns the VM's lease and until when it certainly lasts.
-func (r *registration) Lease() (int64, time.Time) {
+func (r *registration) Lease() (rattankv.Lease, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.lease, r.leaseUntil
@@ -156,7 +156,7 @@
 	defer cancel()
 	lease, until := r.Lease()
 	sentAt := r.proxy.boot.Now()
-	if lease != 0 {
+	if !lease.IsZero() {
 		if leaseTTL-leaseMargin-until.Sub(sentAt) < leaseRenewal/2 {
 			return nil
 		}
@@ -173,7 +173,9 @@
 			return err
 		}
 		r.proxy.grants.MarkLeaseLost()
-		r.proxy.logger.Warn("lease_ended", "lease", lease)
+		// The store may have been restored: a watch in progress then shows nothing more.
+		r.proxy.restartWatch()
+		r.proxy.logger.Warn("lease_ended", "lease", lease.String())
 		r.reconfirmStops(ctx)
 	}
 	lease, ttl, err := r.proxy.platform.Store.GrantLease(callCtx, leaseTTL)
@@ -216,7 +218,7 @@
 	return max(0, now.Sub(r.leaseUntil))
 }
 
-func (r *registration) setLease(lease int64, until time.Time) {
+func (r *registration) setLease(lease rattankv.Lease, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if lease != r.lease {
@@ -253,7 +255,7 @@
 		r.mu.Lock()
 		r.isDirty = true
 		if errors.Is(err, rattankv.ErrLeaseEnded) {
-			r.lease, r.isRegistered = 0, false
+			r.lease, r.isRegistered = rattankv.Lease{}, false
 			r.proxy.grants.MarkLeaseLost()
 			defer r.reconfirmStops(ctx)
 		}
@@ -285,7 +287,7 @@
 
 // markRegistered records that the store holds the entry under a lease. It returns
 // true when the daemon was unregistered before.
-func (r *registration) markRegistered(lease int64) bool {
+func (r *registration) markRegistered(lease rattankv.Lease) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	isFirst := !r.isRegistered
@@ -343,7 +345,7 @@
 // unregister removes the VM's entry by revoking its lease.
 func (r *registration) unregister(ctx context.Context) error {
 	lease, _ := r.Lease()
-	if lease == 0 {
+	if lease.IsZero() {
 		return nil
 	}
 	return r.proxy.platform.Store.RevokeLease(ctx, lease)
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
@@ -23,6 +25,8 @@
 	relayTimeout = 150 * time.Millisecond
 	// relayPeers is how many daemons are called in one round, one after the other.
 	relayPeers = 3
+	// recordPeers is how many daemons are asked for the groups' records at the start.
+	recordPeers = 5
 	// The store counts as unavailable to all once the share of the recently called
 	// daemons that answered reaches enterOutageShare, and no longer counts so
 	// below leaveOutageShare: then the daemons that do not answer may reach the
@@ -124,14 +128,30 @@
 
 // knowledgeRequest requests the contents of the store if they are newer than a
 // revision, and delegated grants.
-func (r *relay) knowledgeRequest(known int64) *rattanv1.PeerFrame {
+func (r *relay) knowledgeRequest(known rattankv.Revision) *rattanv1.PeerFrame {
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeRequest{
 		KnowledgeRequest: &rattanv1.KnowledgeRequest{
-			Vm: r.proxy.settings.VM(), Address: r.proxy.settings.PeerAddress(), Revision: known,
+			Vm: r.proxy.settings.VM(), Address: r.proxy.settings.PeerAddress(), Revision: int64(known),
 		},
 	}}
 }
 
+// askForRecords asks some other daemons for the groups' records that they know. One
+// that was running when the store was restored knows at least that a switchover had
+// begun, since a switchover waits for every daemon.
+func (r *relay) askForRecords(ctx context.Context) {
+	addresses := r.peerAddresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	var pending sync.WaitGroup
+	for _, address := range addresses[:min(len(addresses), recordPeers)] {
+		pending.Go(func() {
+			// A daemon that does not answer is one of several.
+			_, _ = r.queryPeer(ctx, address)
+		})
+	}
+	pending.Wait()
+}
+
 // queryPeer applies what another daemon has cached of the store. It returns true
 // when that daemon delegates grants.
 func (r *relay) queryPeer(ctx context.Context, address string) (bool, error) {
@@ -144,15 +164,12 @@
 		return false, err
 	}
 	response := reply.GetKnowledgeResponse()
-	page := rattankv.Page{AsOf: response.GetAsOf(), Items: itemsFromWire(response.GetItems())}
+	page := rattankv.Page{AsOf: rattankv.Revision(response.GetAsOf()), Items: itemsFromWire(response.GetItems())}
 	if response.GetIsComplete() {
-		r.proxy.logInvalidEntries(r.proxy.cache.Replace("", page))
-		r.proxy.cache.AdvanceRevision(page.AsOf)
-		r.proxy.logger.Info("knowledge_relayed", "peer", address, "from_revision", known, "revision", page.AsOf)
-		r.proxy.applyGroupRecords(ctx)
-	} else {
-		r.proxy.applyItems(ctx, page.Items)
+		r.proxy.replaceCache(ctx, page)
+		r.proxy.logger.Info("knowledge_relayed", "peer", address, "from_revision", known.String(), "revision", page.AsOf.String())
 	}
+	r.proxy.applyItems(ctx, page.Items)
 	delegated := time.Duration(response.GetGrantMs()) * time.Millisecond
 	if delegated <= delegationMargin {
 		return false, nil
@@ -161,7 +178,8 @@
 	return true, nil
 }
 
-// applyItems applies single items that another daemon has sent.
+// applyItems applies single items that another daemon has sent. Its records of groups
+// count even where the store, restored from an older copy, holds older ones.
 func (p *Proxy) applyItems(ctx context.Context, items []rattankv.Item) {
 	events := make([]rattankv.Event, 0, len(items))
 	for _, item := range items {
@@ -169,19 +187,43 @@
 	}
 	p.logInvalidEntries(p.cache.Apply(rattankv.Changes{Events: events}))
 	p.applyGroupRecords(ctx)
+	for _, item := range items {
+		if group, ok := strings.CutPrefix(item.Key, rattancache.GroupPrefix); ok {
+			p.applyGroupItem(ctx, group, item)
+		}
+	}
+}
+
+// applyGroupItem acts on the record of a group in an item of another daemon.
+func (p *Proxy) applyGroupItem(ctx context.Context, group string, item rattankv.Item) {
+	var record rattangrant.PrimaryRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		p.logInvalidEntries([]rattancache.InvalidEntry{{Key: item.Key, Revision: item.Revision, Err: err}})
+		return
+	}
+	p.applyGroupRecord(ctx, group, record, item.Revision)
 }
 
-// groupItems returns the groups' records for another daemon.
+// groupItems returns the newest known records of the groups for another daemon.
 func (p *Proxy) groupItems() []*rattanv1.StoreItem {
 	var items []*rattanv1.StoreItem
-	for _, item := range p.cache.Items().Items {
-		if strings.HasPrefix(item.Key, rattancache.GroupPrefix) {
-			items = append(items, itemToWire(item))
+	for group, known := range p.grants.Records() {
+		item, err := groupItem(group, known)
+		if err != nil {
+			p.logger.Error("record_not_encoded", "group", group, "error", err)
+			continue
 		}
+		items = append(items, itemToWire(item))
 	}
 	return items
 }
 
+// groupItem returns the item of a group's record.
+func groupItem(group string, known rattangrant.KnownRecord) (rattankv.Item, error) {
+	value, err := json.Marshal(known.PrimaryRecord)
+	return rattankv.Item{Key: rattancache.GroupPrefix + group, Value: value, Revision: known.Revision}, err
+}
+
 func itemsFromWire(items []*rattanv1.StoreItem) []rattankv.Item {
 	list := make([]rattankv.Item, 0, len(items))
 	for _, item := range items {
@@ -191,11 +233,20 @@
 }
 
 func itemFromWire(item *rattanv1.StoreItem) rattankv.Item {
-	return rattankv.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), CreateRevision: item.GetCreated(), Lease: item.GetLease()}
+	decoded := rattankv.Item{
+		Key: item.GetKey(), Value: item.GetValue(),
+		Revision: rattankv.Revision(item.GetRevision()), CreateRevision: rattankv.Revision(item.GetCreated()),
+	}
+	if item.GetLease() != 0 {
+		decoded.Lease = rattankv.Lease{Era: decoded.Revision.Era(), ID: item.GetLease()}
+	}
+	return decoded
 }
 
 func itemToWire(item rattankv.Item) *rattanv1.StoreItem {
-	return &rattanv1.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Created: item.CreateRevision, Lease: item.Lease}
+	return &rattanv1.StoreItem{
+		Key: item.Key, Value: item.Value, Revision: int64(item.Revision), Created: int64(item.CreateRevision), Lease: item.Lease.ID,
+	}
 }
 
 // handleKnowledge answers a daemon that cannot reach the store. The delegation is
@@ -209,15 +260,14 @@
 		response.GrantMs = uint32(until.Sub(r.proxy.boot.Now()).Milliseconds())
 	}
 	page := r.proxy.cache.Items()
-	response.AsOf = page.AsOf
-	response.IsComplete = page.AsOf > request.GetRevision()
-	if !response.IsComplete {
-		response.Items = r.proxy.groupItems()
-		return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeResponse{KnowledgeResponse: response}}, nil
-	}
-	for _, item := range page.Items {
-		response.Items = append(response.Items, itemToWire(item))
+	response.AsOf = int64(page.AsOf)
+	response.IsComplete = page.AsOf > rattankv.Revision(request.GetRevision())
+	if response.IsComplete {
+		for _, item := range page.Items {
+			response.Items = append(response.Items, itemToWire(item))
+		}
 	}
+	response.Items = append(response.Items, r.proxy.groupItems()...)
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeResponse{KnowledgeResponse: response}}, nil
 }
 
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -54,7 +54,7 @@
 		}
 		p.markStoreAvailable()
 		if err := p.watch(ctx); err != nil && ctx.Err() == nil {
-			p.logger.Info("history_lost", "revision", p.cache.Revision(), "error", err)
+			p.logger.Info("history_lost", "revision", p.cache.Revision().String(), "error", err)
 		}
 	}
 	return nil
@@ -68,10 +68,22 @@
 	if err != nil {
 		return err
 	}
+	p.replaceCache(ctx, page)
+	return nil
+}
+
+// replaceCache replaces the cache by all that the store holds, as read from the store
+// or from another daemon.
+func (p *Proxy) replaceCache(ctx context.Context, page rattankv.Page) {
+	before := p.cache.Revision()
 	p.logInvalidEntries(p.cache.Replace("", page))
 	p.cache.AdvanceRevision(page.AsOf)
 	p.applyGroupRecords(ctx)
-	return nil
+	if before != 0 && page.AsOf.Era() > before.Era() {
+		p.metrics.count("store_restored")
+		p.logger.Warn("store_restored", "era_before", before.Era(), "era", page.AsOf.Era(),
+			"revision_before", before.String(), "revision", page.AsOf.String())
+	}
 }
 
 // watch applies the store's changes, from the store or from a daemon that watches it,
@@ -108,7 +120,7 @@
 	return nil
 }
 
-func (p *Proxy) watchOnce(ctx context.Context, after int64) (rattankv.Changes, error) {
+func (p *Proxy) watchOnce(ctx context.Context, after rattankv.Revision) (rattankv.Changes, error) {
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	p.registration.watching.Store(&cancel)
@@ -122,7 +134,7 @@
 	snapshot := p.cache.Snapshot()
 	for _, event := range changes.Events {
 		if p.platform.Decoder.IsConfig(event.Key) && snapshot.Catalog != nil {
-			p.logger.Info("configuration_in_force", "version", snapshot.Catalog.Version(), "revision", event.Revision)
+			p.logger.Info("configuration_in_force", "version", snapshot.Catalog.Version(), "revision", event.Revision.String())
 		}
 	}
 }
@@ -131,18 +143,21 @@
 // known to the grants.
 func (p *Proxy) applyGroupRecords(ctx context.Context) {
 	for name, entry := range p.cache.Snapshot().Groups {
-		_, revision, _ := p.grants.Record(name)
-		if revision >= entry.Revision {
-			continue
-		}
-		p.grants.UpdateRecord(name, entry.Record, entry.Revision)
-		p.switchovers.Observe(name, entry.Record)
-		p.handleGroupRecord(ctx, name, entry.Record)
+		p.applyGroupRecord(ctx, name, entry.Record, entry.Revision)
+	}
+}
+
+// applyGroupRecord acts on a group's record unless a newer one is known.
+func (p *Proxy) applyGroupRecord(ctx context.Context, group string, record rattangrant.PrimaryRecord, revision rattankv.Revision) {
+	if p.grants.UpdateRecord(group, record, revision) {
+		p.switchovers.Observe(group, record)
+		p.handleGroupRecord(ctx, group, record)
 	}
 }
 
 // runInitialSyncs reads the groups' records each time the VM has been registered:
-// its grants need this initial sync.
+// its grants need this initial sync. A daemon that has just started also asks others for
+// the records: the store may have been restored and lack the newest ones.
 func (p *Proxy) runInitialSyncs(ctx context.Context) error {
 	for ctx.Err() == nil {
 		select {
@@ -172,6 +187,10 @@
 	}
 	p.logInvalidEntries(p.cache.Replace(rattancache.GroupPrefix, page))
 	p.applyGroupRecords(ctx)
+	if !p.hasInitialSync && page.AsOf.Era() > 0 {
+		p.relay.askForRecords(ctx)
+	}
+	p.hasInitialSync = true
 	if !sentAt.IsZero() {
 		p.grants.MarkInitialSync(sentAt)
 	}
@@ -190,7 +209,7 @@
 
 func (p *Proxy) logInvalidEntries(entries []rattancache.InvalidEntry) {
 	for _, entry := range entries {
-		p.logger.Warn("entry_unreadable", "key", entry.Key, "revision", entry.Revision, "error", entry.Err)
+		p.logger.Warn("entry_unreadable", "key", entry.Key, "revision", entry.Revision.String(), "error", entry.Err)
 	}
 }
 
@@ -207,8 +226,13 @@
 	if p.registration.storeLost.CompareAndSwap(true, false) {
 		p.logger.Info("store_regained")
 		// The response to a watch that began during the outage may be lost.
-		if cancel := p.registration.watching.Load(); cancel != nil {
-			(*cancel)()
-		}
+		p.restartWatch()
+	}
+}
+
+// restartWatch ends the watch in progress, if there is one; another one begins.
+func (p *Proxy) restartWatch() {
+	if cancel := p.registration.watching.Load(); cancel != nil {
+		(*cancel)()
 	}
 }
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -8,7 +8,9 @@
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanswitchover"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 )
@@ -43,21 +45,61 @@
 		if len(state.Endpoints) == 0 {
 			continue
 		}
+		if state.IsLost {
+			r.startRestore(ctx, group, snapshot.Groups[group].Revision)
+			continue
+		}
 		r.logBlocked(group, state)
 		reason := rattanswitchover.Decide(state)
 		if reason != rattanswitchover.ReasonNone && r.tryStart(group) {
 			request := rattanswitchover.Request{
 				Group: group, Key: rattancache.GroupPrefix + group, Reason: reason,
 				Record: state.Record, Revision: snapshot.Groups[group].Revision,
-				Endpoints: state.Candidates(), Evacuated: snapshot.Evacuated,
+				Endpoints: state.Candidates(), Evacuated: snapshot.Evacuated, Era: r.proxy.cache.Revision().Era(),
 			}
 			r.proxy.logger.Info("switch_begin", "group", group, "reason", string(reason), "primary", request.Record.Primary,
-				"reporters", state.Reporters, "daemons", state.Daemons, "revision", request.Revision)
+				"reporters", state.Reporters, "daemons", state.Daemons, "revision", request.Revision.String())
 			go r.run(ctx, request)
 		}
 	}
 }
 
+// startRestore writes the newest known record of a group to the store, which has lost
+// it, if the store still holds the older record of the given revision, 0 for none.
+func (r *switchoverRunner) startRestore(ctx context.Context, group string, revision rattankv.Revision) {
+	known, ok := r.proxy.grants.Records()[group]
+	if !ok || !r.tryStart(group) {
+		return
+	}
+	go func() {
+		defer r.end(group)
+		item, err := groupItem(group, known)
+		if err == nil {
+			err = r.writeRestored(ctx, item, revision)
+		}
+		r.proxy.logger.Warn("record_restored", "group", group, "number", known.Version, "primary", known.Primary,
+			"switching", known.IsSwitching, "error", err)
+	}()
+}
+
+func (r *switchoverRunner) writeRestored(ctx context.Context, item rattankv.Item, revision rattankv.Revision) error {
+	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := r.proxy.platform.Store.Commit(callCtx, rattankv.Txn{
+		Expect: []rattankv.Expectation{{Key: item.Key, Revision: revision}},
+		Writes: []rattankv.Item{{Key: item.Key, Value: item.Value}},
+	})
+	return err
+}
+
+// end records that a group's switchover has ended.
+func (r *switchoverRunner) end(group string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[group] = false
+	r.lastEnd[group] = r.proxy.clock.Now()
+}
+
 // logBlocked logs when a primary that goes out of service cannot be replaced, and
 // when that ends.
 func (r *switchoverRunner) logBlocked(group string, state rattanswitchover.GroupState) {
@@ -92,6 +134,9 @@
 	state := rattanswitchover.GroupState{
 		Record: entry.Record, HasRecord: ok, Evacuated: snapshot.Evacuated, Unusable: make(map[string]bool),
 	}
+	if known, isKnown := r.proxy.grants.Records()[group]; isKnown && r.isLost(known, entry) {
+		state.Record, state.HasRecord, state.IsLost = known.PrimaryRecord, true, true
+	}
 	for _, endpoint := range snapshot.Endpoints {
 		if endpoint.Group == group {
 			state.Endpoints = append(state.Endpoints, endpoint)
@@ -104,17 +149,23 @@
 		}
 		return 1
 	})
-	state.IsPrimaryGone = r.proxy.endpoints.isRemoved(entry.Record.Primary)
-	jury := r.proxy.juries.of(snapshot, entry.Record.Primary)
+	state.IsPrimaryGone = r.proxy.endpoints.isRemoved(state.Record.Primary)
+	jury := r.proxy.juries.of(snapshot, state.Record.Primary)
 	state.Daemons = len(jury)
 	for _, juror := range jury {
-		if slices.Contains(snapshot.VMs[juror].Unreachable, entry.Record.Primary) {
+		if slices.Contains(snapshot.VMs[juror].Unreachable, state.Record.Primary) {
 			state.Reporters++
 		}
 	}
 	return state
 }
 
+// isLost reports whether the store was restored since a record was read, and its entry
+// is older than that record.
+func (r *switchoverRunner) isLost(known rattangrant.KnownRecord, entry rattancache.GroupEntry) bool {
+	return known.Version > entry.Record.Version && known.Revision.Era() < r.proxy.cache.Revision().Era()
+}
+
 func (r *switchoverRunner) tryStart(group string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,10 +178,7 @@
 
 func (r *switchoverRunner) run(ctx context.Context, request rattanswitchover.Request) {
 	report, err := r.coordinator.Run(ctx, request)
-	r.mu.Lock()
-	r.running[request.Group] = false
-	r.lastEnd[request.Group] = r.proxy.clock.Now()
-	r.mu.Unlock()
+	r.end(request.Group)
 	fields := []any{
 		"group", request.Group, "reason", string(request.Reason), "from", report.From, "to", report.To, "missing", report.Unconfirmed,
 		"stopped_ms", report.StoppedAfter.Milliseconds(), "chosen_ms", report.ChosenAfter.Milliseconds(),
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 )
 
 // A PrimaryRecord is the stored record of a group's primary.
@@ -36,7 +37,7 @@
 // has in flight there.
 type entry struct {
 	record   PrimaryRecord
-	revision int64
+	revision rattankv.Revision
 	inFlight map[*operation]struct{}
 }
 
@@ -75,17 +76,39 @@
 // Now returns the time of the clock by which grants expire.
 func (g *Grants) Now() time.Time { return g.clock.Now() }
 
-// UpdateRecord sets a group's primary record if the revision is newer than that of
-// the known record.
-func (g *Grants) UpdateRecord(group string, record PrimaryRecord, revision int64) {
+// UpdateRecord sets a group's primary record unless the known record has a higher
+// version, and reports whether the record is new. A store that was restored from an
+// older copy holds records of lower versions at higher revisions: the known ones stay.
+func (g *Grants) UpdateRecord(group string, record PrimaryRecord, revision rattankv.Revision) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.entry(group)
-	if revision <= e.revision {
-		return
+	isKnown := e.revision != 0
+	if isKnown && (record.Version < e.record.Version || record.Version == e.record.Version && revision <= e.revision) {
+		return false
 	}
 	e.record, e.revision = record, revision
 	g.broadcastChange()
+	return true
+}
+
+// A KnownRecord is a group's newest known record with the revision at which it was read.
+type KnownRecord struct {
+	PrimaryRecord
+	Revision rattankv.Revision
+}
+
+// Records returns the newest known records by group.
+func (g *Grants) Records() map[string]KnownRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	records := make(map[string]KnownRecord, len(g.entries))
+	for group, e := range g.entries {
+		if e.revision != 0 {
+			records[group] = KnownRecord{PrimaryRecord: e.record, Revision: e.revision}
+		}
+	}
+	return records
 }
 
 // MarkInitialSync records that all primary records were read with a request sent at
@@ -217,7 +240,7 @@
 }
 
 // Record returns the newest known record of a group with its revision.
-func (g *Grants) Record(group string) (record PrimaryRecord, revision int64, ok bool) {
+func (g *Grants) Record(group string) (record PrimaryRecord, revision rattankv.Revision, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, known := g.entries[group]
--- a/internal/endpoint/rattanquorum/membership.go
+++ b/internal/endpoint/rattanquorum/membership.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 )
 
 // A Member is one VM of the membership.
@@ -14,7 +16,7 @@
 	Incarnation string
 	// Created is the store revision at which the VM became a member. Revision is the
 	// revision of its newest membership entry.
-	Created, Revision int64
+	Created, Revision rattankv.Revision
 }
 
 // A Membership holds each VM whose daemon may hold grants, by name. The store keeps it
--- a/internal/endpoint/rattanquorum/model_test.go
+++ b/internal/endpoint/rattanquorum/model_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanquorum"
 )
@@ -43,7 +44,7 @@
 	omitted string
 	record  rattangrant.PrimaryRecord
 	// recordRevision is the revision of the record, revision that of the store.
-	recordRevision, revision int64
+	recordRevision, revision rattankv.Revision
 	membership               rattanquorum.Membership
 	registered               map[string]time.Time // when each daemon's lease ends
 	leader                   string
@@ -64,7 +65,7 @@
 	grants      *rattangrant.Grants
 	membership  rattanquorum.Membership
 	record      rattangrant.PrimaryRecord
-	revision    int64
+	revision    rattankv.Revision
 	// registeredSeen are the daemons that were registered at the last read, and
 	// unregisteredAt is when others were first seen to be no longer.
 	registeredSeen map[string]bool
@@ -76,8 +77,9 @@
 // A switchover is one that a node runs, with the daemons that have confirmed to it
 // that they stopped.
 type switchover struct {
-	version, revision int64
-	confirmed         map[string]time.Time
+	version   int64
+	revision  rattankv.Revision
+	confirmed map[string]time.Time
 }
 
 func newModel(omitted string, names []string) *model {
@@ -117,7 +119,7 @@
 	}
 }
 
-func (n *node) updateRecord(record rattangrant.PrimaryRecord, revision int64) {
+func (n *node) updateRecord(record rattangrant.PrimaryRecord, revision rattankv.Revision) {
 	if revision > n.revision {
 		n.record, n.revision = record, revision
 		n.grants.UpdateRecord(group, record, revision)
--- a/internal/endpoint/rattanswitchover/coordinator.go
+++ b/internal/endpoint/rattanswitchover/coordinator.go
@@ -82,7 +82,7 @@
 	// switchover with the given record version, and those whose entry disappeared
 	// after since. It returns an error until this daemon knows the store up to the
 	// revision of the switching record.
-	Active(group string, version, revision int64, since time.Time) (ActiveDaemons, error)
+	Active(group string, version int64, revision rattankv.Revision, since time.Time) (ActiveDaemons, error)
 	// Notify notifies the known daemons that have not confirmed directly that a
 	// switchover has begun. It does not wait for them; Active no longer returns those
 	// that confirm.
@@ -107,9 +107,11 @@
 	Key       string
 	Reason    Reason
 	Record    rattangrant.PrimaryRecord
-	Revision  int64
+	Revision  rattankv.Revision
 	Endpoints []rattancatalog.Endpoint
 	Evacuated map[string]bool
+	// Era is the store's era, above whose numbers those of earlier eras never are.
+	Era int64
 }
 
 // A Report says what a switchover did, for the log.
@@ -167,7 +169,7 @@
 	report.To, report.Position = successor.Endpoint.ID, successor.Received
 	report.PromotedAfter = c.clock.Now().Sub(start)
 	record.Primary, record.IsSwitching = successor.Endpoint.ID, false
-	record.Version++
+	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	_, err = c.write(ctx, request.Key, record, revision)
 	return report, errors.Wrap(err, "record the new primary")
 }
@@ -176,7 +178,7 @@
 // one when all endpoints have answered and none is.
 func (c *Coordinator) recordInitialPrimary(ctx context.Context, request Request) (Report, error) {
 	statuses := c.status(request.Endpoints, "")
-	record := rattangrant.PrimaryRecord{Version: request.Record.Version + 1}
+	record := rattangrant.PrimaryRecord{Version: rattankv.NextNumber(request.Record.Version, request.Era)}
 	for _, status := range statuses {
 		if status.IsPrimary {
 			record.Primary = status.Endpoint.ID
@@ -198,17 +200,17 @@
 
 // begin writes the switching record. Daemons that have read it hold no grant for the
 // group until the switchover ends.
-func (c *Coordinator) begin(ctx context.Context, request Request) (rattangrant.PrimaryRecord, int64, error) {
+func (c *Coordinator) begin(ctx context.Context, request Request) (rattangrant.PrimaryRecord, rattankv.Revision, error) {
 	record := request.Record
 	record.IsSwitching, record.IsPlanned = true, request.Reason != ReasonUnreachable
-	record.Version++
+	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	revision, err := c.write(ctx, request.Key, record, request.Revision)
 	return record, revision, err
 }
 
 // write writes a primary record with the fencing token, if its revision in the store
 // is still the given one.
-func (c *Coordinator) write(ctx context.Context, key string, record rattangrant.PrimaryRecord, revision int64) (int64, error) {
+func (c *Coordinator) write(ctx context.Context, key string, record rattangrant.PrimaryRecord, revision rattankv.Revision) (rattankv.Revision, error) {
 	token, ok := c.leadership.Token()
 	if !ok {
 		return 0, ErrLeadershipLost
@@ -230,7 +232,7 @@
 // operations. It revokes the leases of those that do not confirm. They can then not
 // renew their grants, which have ended when the lifetime has passed. It returns the
 // daemons that were still active at the last check before the end.
-func (c *Coordinator) awaitStopped(ctx context.Context, group string, version, revision int64) ([]string, error) {
+func (c *Coordinator) awaitStopped(ctx context.Context, group string, version int64, revision rattankv.Revision) ([]string, error) {
 	var expelAfter, notifyAfter time.Time
 	var unconfirmed []string
 	for {
--- a/internal/endpoint/rattanswitchover/coordinator_test.go
+++ b/internal/endpoint/rattanswitchover/coordinator_test.go
@@ -15,10 +15,10 @@
 // testStore accepts every commit; the other calls are not used.
 type testStore struct {
 	rattankv.Store
-	revision int64
+	revision rattankv.Revision
 }
 
-func (s *testStore) Commit(context.Context, rattankv.Txn) (int64, error) {
+func (s *testStore) Commit(context.Context, rattankv.Txn) (rattankv.Revision, error) {
 	s.revision++
 	return s.revision, nil
 }
@@ -28,7 +28,7 @@
 	lostResponses, notified, expelled int
 }
 
-func (d *testDaemons) Active(string, int64, int64, time.Time) (ActiveDaemons, error) {
+func (d *testDaemons) Active(string, int64, rattankv.Revision, time.Time) (ActiveDaemons, error) {
 	if d.notified > d.lostResponses {
 		return ActiveDaemons{}, nil
 	}
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -34,6 +34,9 @@
 type GroupState struct {
 	Record    rattangrant.PrimaryRecord
 	HasRecord bool
+	// IsLost is true when the store was restored from an older copy and lacks Record.
+	// It has to be written again before anything else.
+	IsLost bool
 	// Endpoints are the registered endpoints of the group.
 	Endpoints []rattancatalog.Endpoint
 	// Evacuated are the failure domains out of service.
@@ -52,6 +55,8 @@
 // Decide returns why the group needs a switchover now, or ReasonNone.
 func Decide(s GroupState) Reason {
 	switch {
+	case s.IsLost:
+		return ReasonNone
 	case !s.HasRecord || s.Record.Primary == "" && !s.Record.IsSwitching:
 		return ReasonInitial
 	case s.Record.IsSwitching:
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -32,11 +32,13 @@
 type Server struct {
 	promote func(group, endpoint string) bool
 
-	mu             sync.Mutex
-	items          map[string]item
-	history        []item
-	leases         map[int64]*lease
-	revision       int64
+	mu       sync.Mutex
+	items    map[string]item
+	history  []item
+	leases   map[int64]*lease
+	revision int64
+	// era is the number of the store's life: it rises with each restoration.
+	era            int64
 	lastLease      int64
 	isDown         bool
 	refusedClients map[string]bool
@@ -53,7 +55,7 @@
 func New(promote func(group, endpoint string) bool) *Server {
 	return &Server{
 		promote: promote, items: make(map[string]item), leases: make(map[int64]*lease),
-		revision: 1, refusedClients: make(map[string]bool), calls: make(map[string]int), changed: make(chan struct{}),
+		revision: 1, era: 1, refusedClients: make(map[string]bool), calls: make(map[string]int), changed: make(chan struct{}),
 	}
 }
 
@@ -189,6 +191,7 @@
 	s.mu.Lock()
 	s.calls["/"+strings.SplitN(r.URL.Path, "/", 3)[1]]++
 	isUnavailable := s.isDown || s.refusedClients[r.Header.Get("Test-Client")]
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	if isUnavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -276,7 +279,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	isComplete := after >= s.revision || len(s.history) > 0 && s.history[0].Revision <= after+1
+	isComplete := after == s.revision || after < s.revision && len(s.history) > 0 && s.history[0].Revision <= after+1
 	events := []item{}
 	for _, event := range s.history {
 		if event.Revision > after && strings.HasPrefix(event.Key, prefix) {
