rattancache: endpoints and evacuations that a restored store has lost stay in force

Change: of two entries of an endpoint from different eras the one that it wrote later counts (start, then number of the report); one that is gone stays gone until it writes a newer entry; an entry that the store lost is no departure.

--- a/internal/config/rattancache/cache.go
+++ b/internal/config/rattancache/cache.go
@@ -82,6 +82,11 @@
 	// removedAt holds, for each VM without an entry, when this daemon saw the
 	// entry removed.
 	removedAt map[string]time.Time
+	// knownEndpoints holds the newest entry of each endpoint, also of those that are
+	// gone, and heldEvacuations until when an evacuation that the store has lost stays
+	// in force.
+	knownEndpoints  map[string]knownEndpoint
+	heldEvacuations map[string]time.Time
 	// changed is closed and replaced when the snapshot changes.
 	changed chan struct{}
 	// syncedAt is when the initial sync ended, the zero time before that.
@@ -92,11 +97,12 @@
 func New(clock rattanclock.Clock, decoder Decoder) *Cache {
 	return &Cache{
 		clock: clock, decoder: decoder,
-		items:     make(map[string]rattankv.Item),
-		deleted:   make(map[string]rattankv.Revision),
-		snapshot:  &Snapshot{},
-		removedAt: make(map[string]time.Time),
-		changed:   make(chan struct{}),
+		items:          make(map[string]rattankv.Item),
+		deleted:        make(map[string]rattankv.Revision),
+		snapshot:       &Snapshot{},
+		removedAt:      make(map[string]time.Time),
+		knownEndpoints: make(map[string]knownEndpoint), heldEvacuations: make(map[string]time.Time),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -254,6 +260,7 @@
 	}
 	delete(c.items, key)
 	c.deleted[key] = revision
+	c.noteRemoval(item, revision)
 	if name, ok := vmName(key); ok {
 		c.removedAt[name] = c.clock.Now()
 	}
@@ -279,6 +286,8 @@
 			invalid = append(invalid, InvalidEntry{Key: key, Revision: item.Revision, Err: err})
 		}
 	}
+	c.holdEvacuations(snapshot)
+	c.forgetGone()
 	c.snapshot = snapshot
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -296,10 +305,13 @@
 	}
 	if id, ok := c.decoder.EndpointID(key); ok {
 		endpoint, err := c.decoder.DecodeEndpoint(id, item.Value)
-		if err == nil {
-			snapshot.Endpoints[id] = endpoint
+		if err != nil {
+			return err
 		}
-		return err
+		if newest, isThere := c.newestEndpoint(endpoint, item.Revision); isThere {
+			snapshot.Endpoints[id] = newest
+		}
+		return nil
 	}
 	if name, ok := vmName(key); ok {
 		var record VMRecord
--- a/internal/config/rattancatalog/endpoint.go
+++ b/internal/config/rattancatalog/endpoint.go
@@ -23,4 +23,7 @@
 	// StartedUnixMS is when the endpoint's process started, in Unix milliseconds, as
 	// the endpoint reports it.
 	StartedUnixMS int64
+	// Heartbeat is the number of the endpoint's report that its entry holds. It rises
+	// while the process runs.
+	Heartbeat int64
 }
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -61,6 +61,7 @@
 // every refreshInterval.
 func (s *endpointSet) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		s.proxy.cache.Refresh()
 		// Read before the snapshot, which is then complete as of that time.
 		confirmedAt := s.proxy.grants.SyncedAt()
 		snapshot, changed := s.proxy.cache.Changed()
