--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -49,9 +49,11 @@
 	suspended []interval
 
 	mu sync.Mutex
-	// draining holds the endpoints that drain, starts how often each has started.
-	draining map[string]bool
-	starts   map[string]int
+	// draining holds the endpoints that drain, starts how often each has started, and
+	// evacuated the failure domains that are out of service.
+	draining  map[string]bool
+	starts    map[string]int
+	evacuated map[string]bool
 }
 
 // domains are the failure domains of the endpoints.
@@ -80,7 +82,7 @@
 	f := &Fleet{
 		program: program, directory: directory, group: rattanlineserver.NewGroup("orders", replicationLag),
 		endpoints: make(map[string]*rattanlineserver.Endpoint), links: make(map[string]*Link),
-		draining: make(map[string]bool), starts: make(map[string]int),
+		draining: make(map[string]bool), starts: make(map[string]int), evacuated: make(map[string]bool),
 	}
 	f.store = rattankvserver.New(func(_, id string) bool {
 		ok := f.group.Promote(id)
@@ -133,9 +135,12 @@
 
 // configure writes the next version of the configuration to the store.
 func (f *Fleet) configure() error {
+	f.mu.Lock()
 	f.version++
+	version := f.version
+	f.mu.Unlock()
 	config := platformtest.Config{
-		Version: f.version, Account: account, Keys: []string{key}, Rate: 5000, Connections: 40,
+		Version: version, Account: account, Keys: []string{key}, Rate: 5000, Connections: 40,
 		Timeout: time.Second, Objective: 200 * time.Millisecond, Staleness: maxStaleness,
 	}
 	return f.store.Put(platformtest.ConfigKey, config.Entry())
--- a/internal/proof/rattansoak/planned.go
+++ b/internal/proof/rattansoak/planned.go
@@ -107,13 +107,10 @@
 // evacuate takes the failure domains of endpoints out of service, or back.
 func (f *Fleet) evacuate(ids []string, isLeaving bool) error {
 	for _, id := range ids {
-		key := platformtest.EvacuationKey(domains[id])
 		if !isLeaving {
 			f.endpoints[id].CloseToNew(time.Time{})
-			f.store.Delete(key)
-			continue
 		}
-		if err := f.store.Put(key, map[string]any{}); err != nil {
+		if err := f.setEvacuated(domains[id], isLeaving); err != nil {
 			return err
 		}
 	}
@@ -123,6 +120,24 @@
 	return nil
 }
 
+func (f *Fleet) setEvacuated(domain string, isEvacuated bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated[domain] = isEvacuated
+	return f.writeEvacuation(domain)
+}
+
+// writeEvacuation writes or removes the evacuation of a failure domain as it should be.
+// The caller holds f.mu.
+func (f *Fleet) writeEvacuation(domain string) error {
+	key := platformtest.EvacuationKey(domain)
+	if !f.evacuated[domain] {
+		f.store.Delete(key)
+		return nil
+	}
+	return f.store.Put(key, map[string]any{})
+}
+
 func (f *Fleet) closeToNew(ids []string) {
 	for _, id := range ids {
 		f.endpoints[id].CloseToNew(time.Now().Add(leavingBound))
--- a/internal/proof/rattansoak/run.go
+++ b/internal/proof/rattansoak/run.go
@@ -29,7 +29,8 @@
 	Acknowledged, Refused, InDoubt, Reads int
 	// Faults are the injected faults, in order.
 	Faults []string
-	// Planned are the works that took endpoints out of service, in order.
+	// Planned are the works that took endpoints out of service, in order, and the
+	// restorations of the store.
 	Planned []string
 	// Violations are the violations of guarantees that were found.
 	Violations []string
@@ -62,13 +63,16 @@
 	for i := range callers {
 		calling.Go(func() { r.call(ctx, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
-	// The planned work has random numbers of its own, so that it does not change the
-	// faults of a seed.
-	planned := make(chan error, 1)
-	go func() { planned <- r.plan(rand.New(rand.NewPCG(seed, callers+1)), duration) }()
+	// The planned work and the restorations of the store have random numbers of their
+	// own, so that they do not change the faults of a seed.
+	others := make(chan error, 2)
+	go func() { others <- r.plan(rand.New(rand.NewPCG(seed, callers+1)), duration) }()
+	go func() { others <- r.restoreStore(rand.New(rand.NewPCG(seed, callers+2)), duration) }()
 	err := r.inject(rand.New(rand.NewPCG(seed, callers)), duration)
-	if planErr := <-planned; err == nil {
-		err = planErr
+	for range cap(others) {
+		if otherErr := <-others; err == nil {
+			err = otherErr
+		}
 	}
 	if err == nil {
 		err = r.awaitService("end")
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -25,6 +25,8 @@
 	cause string
 }{
 	{123, "SIGHUP ended a daemon that did not handle it yet"},
+	{9, "statements ran at the last endpoints after they had drained"},
+	{10, "statements ran at the last endpoints after they had been evacuated"},
 	{149, "a write with an unknown outcome took effect late and was reported as a stale read"},
 }
 
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -50,6 +50,8 @@
 	tenants       map[string]int
 	opened        int
 	lostResponses int
+	// reports counts the entries that the endpoint has published.
+	reports int
 	// closesAt is when the endpoint stops expecting new statements, zero for never;
 	// late holds the arrivals of those that came later.
 	closesAt time.Time
@@ -79,7 +81,7 @@
 // Address returns the address that the endpoint listens on.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
-// Entry returns the entry that the endpoint publishes in the platform's store.
+// Entry returns the next entry that the endpoint publishes in the platform's store.
 func (e *Endpoint) Entry(domain, state string) map[string]any {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
@@ -87,9 +89,10 @@
 	if e.group.primary == e.id {
 		role = "primary"
 	}
+	e.reports++
 	return map[string]any{
 		"service": e.group.name, "address": e.Address(), "zone": domain, "version": "v1", "slots": 3,
-		"state": state, "cold_left_ms": 0, "db_role": role, "born": 1,
+		"state": state, "cold_left_ms": 0, "db_role": role, "born": 1, "seq": e.reports,
 	}
 }
 
