--- a/internal/daemon/rattanproxy/restore_test.go
+++ b/internal/daemon/rattanproxy/restore_test.go
@@ -117,3 +117,87 @@
 		}
 	}
 }
+
+const (
+	// servedBound is the goal for the longest time without writes at a daemon after the
+	// store's return.
+	servedBound = 2 * time.Second
+	// callsBound is the goal for the calls of a daemon in callsWindow after the store's
+	// return, in addition to the calls of an equal time before.
+	callsBound  = 8
+	callsWindow = 10 * time.Second
+	// platformPage is the page size of the users' store.
+	platformPage = 500
+)
+
+// TestRestorationCost guards against daemons that serve no writes for long after the
+// store was restored, that all read it again and again, and that expel each other or
+// replace primaries because entries went with the copy.
+func TestRestorationCost(t *testing.T) {
+	t.Parallel()
+	const daemons = 7
+	f := newFleet(t, daemons)
+	f.store.SetPageSize(platformPage)
+	callers := make([]*testCaller, daemons)
+	for i, daemon := range f.daemons {
+		callers[i] = f.dial(daemon, "checkout", testKey)
+		callers[i].retryUntilOK("WRITE i1 before", waitBound)
+	}
+	time.Sleep(settleTime)
+	before := f.chargedCalls()
+	time.Sleep(callsWindow)
+	usual := f.chargedCalls() - before
+	expelled, switched := f.countLog(`"vm_expelled"`), f.countLog(`"switch_begin"`)
+	saved := f.store.Copy()
+	time.Sleep(settleTime)
+	f.store.SetDown(true)
+	time.Sleep(storeAway)
+	f.store.Restore(saved)
+	before = f.chargedCalls()
+	f.store.SetDown(false)
+	returned := time.Now()
+	f.register()
+	f.configure(2, 1000, testKey)
+	longest := time.Duration(0)
+	for time.Since(returned) < callsWindow {
+		for _, caller := range callers {
+			longest = max(longest, caller.retryUntilOK("WRITE i1 after", waitBound))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	extra := float64(f.chargedCalls()-before-usual) / daemons
+	t.Logf("longest time until a write was served: %s; %.1f calls a daemon more than usual", longest, extra)
+	if longest > servedBound {
+		t.Errorf("a write was served after %s, want at most %s", longest, servedBound)
+	}
+	if extra > callsBound {
+		t.Errorf("%.1f calls of a daemon more than usual in %s, want at most %d", extra, callsWindow, callsBound)
+	}
+	if got := f.countLog(`"vm_expelled"`) - expelled; got != 0 {
+		t.Errorf("%d daemons were expelled", got)
+	}
+	if got := f.countLog(`"switch_begin"`) - switched; got != 0 {
+		t.Errorf("%d switchovers began", got)
+	}
+}
+
+// chargedCalls returns the number of the daemons' calls to the store but for renewals of
+// leases, which are charged a tenth.
+func (f *fleet) chargedCalls() int {
+	count := 0
+	for path, calls := range f.store.Calls() {
+		if path != "/kv-keep" {
+			count += calls
+		}
+	}
+	return count
+}
+
+// countLog returns how often the daemons have logged an event.
+func (f *fleet) countLog(event string) int {
+	count := 0
+	for _, daemon := range f.daemons {
+		count += strings.Count(daemon.log.String(), event)
+	}
+	return count
+}
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -42,6 +42,8 @@
 	lastLease      int64
 	isDown         bool
 	refusedClients map[string]bool
+	// pageSize is the largest number of items in a response to a read.
+	pageSize int
 	// calls counts the calls by the first part of their path.
 	calls map[string]int
 	// stallCount is the number of calls of SilenceWatches.
@@ -55,10 +57,20 @@
 func New(promote func(group, endpoint string) bool) *Server {
 	return &Server{
 		promote: promote, items: make(map[string]item), leases: make(map[int64]*lease),
-		revision: 1, era: 1, refusedClients: make(map[string]bool), calls: make(map[string]int), changed: make(chan struct{}),
+		revision: 1, era: 1, refusedClients: make(map[string]bool), pageSize: smallPage, calls: make(map[string]int), changed: make(chan struct{}),
 	}
 }
 
+// smallPage is the page size of a new store, small so that reads have several pages.
+const smallPage = 3
+
+// SetPageSize sets the largest number of items in a response to a read.
+func (s *Server) SetPageSize(items int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = items
+}
+
 // SetDown makes the store answer 503 to every call.
 func (s *Server) SetDown(isDown bool) {
 	s.mu.Lock()
@@ -225,7 +237,6 @@
 }
 
 func (s *Server) serveRange(w http.ResponseWriter, r *http.Request) {
-	const pageSize = 3
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -237,8 +248,8 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	hasMore := len(items) > pageSize
-	respond(w, http.StatusOK, map[string]any{"items": items[:min(len(items), pageSize)], "has_more": hasMore, "as_of": s.revision})
+	hasMore := len(items) > s.pageSize
+	respond(w, http.StatusOK, map[string]any{"items": items[:min(len(items), s.pageSize)], "has_more": hasMore, "as_of": s.revision})
 }
 
 func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
