rattanproxy: a daemon that has just started waits for an answer about the groups' records

Change: it asks once its copy of the store is complete, and again every 50 ms until one daemon has answered, for 1 s at most. Tests of the numbers that daemons give out in an era: TestNextNumber, TestVersionAboveLostRecords.

--- a/internal/config/rattankv/revision_test.go
+++ b/internal/config/rattankv/revision_test.go
@@ -36,3 +36,19 @@
 		}
 	}
 }
+
+// TestNextNumber guards against a number that is given out in two eras, or that is lower
+// than one that a restored store has lost.
+func TestNextNumber(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		era := rapid.Int64Range(1, 1000).Draw(t, "era")
+		copied := rapid.Int64Range(0, era*numbersPerEra).Draw(t, "copied")
+		lost := copied
+		for range rapid.IntRange(1, 1000).Draw(t, "lost") {
+			lost = NextNumber(lost, era)
+		}
+		if next := NextNumber(copied, era+1); next <= lost {
+			t.Fatalf("%d in era %d after %d in era %d", next, era+1, lost, era)
+		}
+	})
+}
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -27,6 +27,9 @@
 	relayPeers = 3
 	// recordPeers is how many daemons are asked for the groups' records at the start.
 	recordPeers = 5
+	// recordTimeout limits that, and recordRetry separates two attempts.
+	recordTimeout = 1 * time.Second
+	recordRetry   = 50 * time.Millisecond
 	// The store counts as unavailable to all once the share of the recently called
 	// daemons that answered reaches enterOutageShare, and no longer counts so
 	// below leaveOutageShare: then the daemons that do not answer may reach the
@@ -136,20 +139,37 @@
 	}}
 }
 
-// askForRecords asks some other daemons for the groups' records that they know. One
-// that was running when the store was restored knows at least that a switchover had
-// begun, since a switchover waits for every daemon.
+// askForRecords asks some other daemons for the groups' records that they know, until
+// one has answered, for recordTimeout at most. One that was running when the store was
+// restored knows at least that a switchover had begun, since a switchover waits for
+// every daemon.
 func (r *relay) askForRecords(ctx context.Context) {
-	addresses := r.peerAddresses()
+	until := r.proxy.clock.Now().Add(recordTimeout)
+	for r.proxy.clock.Now().Before(until) && ctx.Err() == nil {
+		addresses := r.peerAddresses()
+		isSynced := !r.proxy.cache.SyncedAt().IsZero()
+		if isSynced && len(addresses) == 0 || r.askAny(ctx, addresses) {
+			return
+		}
+		r.proxy.sleep(ctx, recordRetry)
+	}
+}
+
+// askAny asks some of the daemons at the addresses for the groups' records, and reports
+// whether one has answered.
+func (r *relay) askAny(ctx context.Context, addresses []string) bool {
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	var pending sync.WaitGroup
+	var isAnswered atomic.Bool
 	for _, address := range addresses[:min(len(addresses), recordPeers)] {
 		pending.Go(func() {
-			// A daemon that does not answer is one of several.
-			_, _ = r.queryPeer(ctx, address)
+			if _, err := r.queryPeer(ctx, address); err == nil {
+				isAnswered.Store(true)
+			}
 		})
 	}
 	pending.Wait()
+	return isAnswered.Load()
 }
 
 // queryPeer applies what another daemon has cached of the store. It returns true
--- a/internal/daemon/rattanproxy/restore_test.go
+++ b/internal/daemon/rattanproxy/restore_test.go
@@ -201,3 +201,32 @@
 	}
 	return count
 }
+
+// TestFreshDaemonAsksForRecords guards against a daemon that starts while the store lacks
+// a switchover and uses the old primary, because no daemon that knows better reaches the
+// store.
+func TestFreshDaemonAsksForRecords(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	caller := f.dial(f.daemons[0], "checkout", testKey)
+	caller.retryUntilOK("WRITE i1 kept", waitBound)
+	time.Sleep(settleTime)
+	saved := f.store.Copy()
+	if err := f.store.Put("servers/e1", f.endpoints["e1"].Entry("a", "draining")); err != nil {
+		t.Fatal(err)
+	}
+	f.await("the primary is replaced", func() bool {
+		return f.group.Primary() != "e1" && strings.Contains(f.storedRecord(), `"switching":false`)
+	})
+	primary := f.group.Primary()
+	for _, daemon := range f.daemons {
+		f.store.Refuse(daemon.name, true)
+	}
+	f.store.Restore(saved)
+	f.register()
+	fresh := f.start("vm-3", "a")
+	f.dial(fresh, "checkout", testKey).retryUntilOK("WRITE i1 after", waitBound)
+	if got := f.group.Primary(); got != primary {
+		t.Errorf("the primary is %s, want %s", got, primary)
+	}
+}
--- a/internal/endpoint/rattanswitchover/coordinator_test.go
+++ b/internal/endpoint/rattanswitchover/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -12,13 +13,20 @@
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 )
 
-// testStore accepts every commit; the other calls are not used.
+// testStore accepts every commit and keeps the records written; the other calls are not
+// used.
 type testStore struct {
 	rattankv.Store
 	revision rattankv.Revision
+	records  []rattangrant.PrimaryRecord
 }
 
-func (s *testStore) Commit(context.Context, rattankv.Txn) (rattankv.Revision, error) {
+func (s *testStore) Commit(_ context.Context, txn rattankv.Txn) (rattankv.Revision, error) {
+	var record rattangrant.PrimaryRecord
+	if err := json.Unmarshal(txn.Writes[0].Value, &record); err != nil {
+		return 0, err
+	}
+	s.records = append(s.records, record)
 	s.revision++
 	return s.revision, nil
 }
@@ -86,3 +94,26 @@
 		t.Errorf("primary moved to %q after %d notifications, want e2 after %d", report.To, daemons.notified, daemons.lostResponses+1)
 	}
 }
+
+// TestVersionAboveLostRecords guards against a switchover in a restored store whose
+// record other daemons ignore, because they know a later one that the store has lost.
+func TestVersionAboveLostRecords(t *testing.T) {
+	group, store := &testGroup{primary: "e1"}, &testStore{}
+	coordinator := New(rattanclock.System(), store, group, group, &testDaemons{lostResponses: -1}, testLeadership{}, time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	lost := rattankv.NextNumber(4, 1) + 2
+	if _, err := coordinator.Run(ctx, Request{
+		Group: "orders", Reason: ReasonLeaving, Record: rattangrant.PrimaryRecord{Primary: "e1", Version: rattankv.NextNumber(3, 1)},
+		Endpoints: []rattancatalog.Endpoint{{ID: "e1", IsDraining: true}, {ID: "e2"}}, Era: 2,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	last := lost
+	for _, record := range store.records {
+		if record.Version <= last {
+			t.Errorf("a record has version %d after %d", record.Version, last)
+		}
+		last = record.Version
+	}
+}
