--- a/internal/cmd/rattancmd/explaincmd.go
+++ b/internal/cmd/rattancmd/explaincmd.go
@@ -27,9 +27,11 @@
 // stateEvents are the log events that record a change of a daemon's own state or of
 // its view of the fleet, the groups and the shared store.
 var stateEvents = []string{
-	"configuration_in_force", "daemon_start", "duty_taken", "endpoint_found", "endpoint_gone", "endpoints_unreachable",
-	"group_record", "holder_silent", "isolation", "keeper_silent", "knowledge_relayed", "lease_ended", "log_lines_dropped",
-	"reload", "stop_begin", "store_lost", "store_regained", "switch_begin", "switch_end", "switch_failed", "vm_expelled",
+	"configuration_in_force", "daemon_start", "duty_taken", "endpoint_found", "endpoint_gone", "endpoint_leaving",
+	"endpoints_unreachable", "grants_extended", "group_record", "holder_silent", "isolation", "keeper_silent",
+	"knowledge_relayed", "lease_ended", "log_lines_dropped", "record_restored", "reload", "stop_begin", "store_lost",
+	"store_regained", "store_restored", "switch_begin", "switch_blocked", "switch_end", "switch_failed",
+	"switch_possible", "vm_expelled",
 }
 
 // A logLine is one event of a daemon's log.
@@ -94,7 +96,10 @@
 			continue
 		}
 		line := logLine{}
-		if json.Unmarshal([]byte("{"+text), &line.fields) != nil {
+		decoder := json.NewDecoder(strings.NewReader("{" + text))
+		// Numbers such as leases have more digits than a float64 prints.
+		decoder.UseNumber()
+		if decoder.Decode(&line.fields) != nil {
 			continue
 		}
 		at, err := time.Parse(time.RFC3339Nano, line.text("time"))
