rattanproxy: watchers pass records on that a restored store lacks

Cause: found by reading the ways on which a daemon gets grants after a restoration: a follower that has just started takes the old record of a group from its watcher's copy of the store and the grants with it, and uses the old primary until the leader has written the record again. TestWatcherPassesLostRecordsOn: the follower uses e1, the watcher knows e2. Change: each response of a watcher also has the records that it read in an era of the store that has ended; the follower applies them before the grants. Ruled out: no grants from watchers after a restoration; all followers would have to register and read at the same time. Measured: the test fails before, passes after; TestFollowers and the tests of restoration pass.

--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -134,17 +134,17 @@
 	for _, event := range response.GetEvents() {
 		changes.Events = append(changes.Events, rattankv.Event{Item: itemFromWire(event.GetItem()), Deleted: event.GetIsDeleted()})
 	}
-	if !response.GetIsComplete() {
+	if response.GetIsComplete() {
+		page := rattankv.Page{AsOf: changes.AsOf}
+		for _, event := range changes.Events {
+			page.Items = append(page.Items, event.Item)
+		}
+		f.proxy.replaceCache(ctx, page)
+	} else {
 		f.proxy.logInvalidEntries(f.proxy.cache.Apply(changes))
-		f.proxy.applyChanges(ctx, changes)
-		return
 	}
-	page := rattankv.Page{AsOf: changes.AsOf}
-	for _, event := range changes.Events {
-		page.Items = append(page.Items, event.Item)
-	}
-	f.proxy.replaceCache(ctx, page)
 	f.proxy.applyChanges(ctx, changes)
+	f.proxy.applyLostRecords(ctx, changes)
 }
 
 // acceptGrants accepts the grants that a response delegates, after its records have
@@ -187,6 +187,9 @@
 	for _, event := range changes.Events {
 		response.Events = append(response.Events, &rattanv1.StoreEvent{Item: itemToWire(event.Item), IsDeleted: event.Deleted})
 	}
+	for _, item := range f.proxy.lostGroupItems() {
+		response.Events = append(response.Events, &rattanv1.StoreEvent{Item: item})
+	}
 }
 
 // syncAge returns the time since the store last confirmed to this daemon itself that
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -208,14 +208,27 @@
 	p.logInvalidEntries(p.cache.Apply(rattankv.Changes{Events: events}))
 	p.applyGroupRecords(ctx)
 	for _, item := range items {
-		if group, ok := strings.CutPrefix(item.Key, rattancache.GroupPrefix); ok {
-			p.applyGroupItem(ctx, group, item)
+		p.applyGroupItem(ctx, item)
+	}
+}
+
+// applyLostRecords acts on the records of groups among changes that another daemon has
+// sent, which a restored store lacks: the cache does not take them.
+func (p *Proxy) applyLostRecords(ctx context.Context, changes rattankv.Changes) {
+	for _, event := range changes.Events {
+		if !event.Deleted && event.Revision.Era() < changes.AsOf.Era() {
+			p.applyGroupItem(ctx, event.Item)
 		}
 	}
 }
 
-// applyGroupItem acts on the record of a group in an item of another daemon.
-func (p *Proxy) applyGroupItem(ctx context.Context, group string, item rattankv.Item) {
+// applyGroupItem acts on the record of a group in an item of another daemon. Other items
+// are ignored.
+func (p *Proxy) applyGroupItem(ctx context.Context, item rattankv.Item) {
+	group, ok := strings.CutPrefix(item.Key, rattancache.GroupPrefix)
+	if !ok {
+		return
+	}
 	var record rattangrant.PrimaryRecord
 	if err := json.Unmarshal(item.Value, &record); err != nil {
 		p.logInvalidEntries([]rattancache.InvalidEntry{{Key: item.Key, Revision: item.Revision, Err: err}})
@@ -225,9 +238,17 @@
 }
 
 // groupItems returns the newest known records of the groups for another daemon.
-func (p *Proxy) groupItems() []*rattanv1.StoreItem {
+func (p *Proxy) groupItems() []*rattanv1.StoreItem { return p.recordItems(p.grants.Records()) }
+
+// lostGroupItems returns the known records of the groups that were read in an era of the
+// store which has ended, for another daemon.
+func (p *Proxy) lostGroupItems() []*rattanv1.StoreItem {
+	return p.recordItems(p.grants.RecordsBefore(p.cache.Revision().Era()))
+}
+
+func (p *Proxy) recordItems(records map[string]rattangrant.KnownRecord) []*rattanv1.StoreItem {
 	var items []*rattanv1.StoreItem
-	for group, known := range p.grants.Records() {
+	for group, known := range records {
 		item, err := groupItem(group, known)
 		if err != nil {
 			p.logger.Error("record_not_encoded", "group", group, "error", err)
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		if state.IsLost {
-			r.startRestore(ctx, group, snapshot.Groups[group].Revision)
+			r.startRestore(ctx, group, state.Record, snapshot.Groups[group].Revision)
 			continue
 		}
 		r.logBlocked(group, state)
@@ -66,14 +66,13 @@
 
 // startRestore writes the newest known record of a group to the store, which has lost
 // it, if the store still holds the older record of the given revision, 0 for none.
-func (r *switchoverRunner) startRestore(ctx context.Context, group string, revision rattankv.Revision) {
-	known, ok := r.proxy.grants.Records()[group]
-	if !ok || !r.tryStart(group) {
+func (r *switchoverRunner) startRestore(ctx context.Context, group string, known rattangrant.PrimaryRecord, revision rattankv.Revision) {
+	if !r.tryStart(group) {
 		return
 	}
 	go func() {
 		defer r.end(group)
-		item, err := groupItem(group, known)
+		item, err := groupItem(group, rattangrant.KnownRecord{PrimaryRecord: known})
 		if err == nil {
 			err = r.writeRestored(ctx, item, revision)
 		}
@@ -134,8 +133,8 @@
 	state := rattanswitchover.GroupState{
 		Record: entry.Record, HasRecord: ok, Evacuated: snapshot.Evacuated, Unusable: make(map[string]bool),
 	}
-	if known, isKnown := r.proxy.grants.Records()[group]; isKnown && r.isLost(known, entry) {
-		state.Record, state.HasRecord, state.IsLost = known.PrimaryRecord, true, true
+	if known, isLost := r.lostRecord(group, entry); isLost {
+		state.Record, state.HasRecord, state.IsLost = known, true, true
 	}
 	for _, endpoint := range snapshot.Endpoints {
 		if endpoint.Group == group {
@@ -160,10 +159,12 @@
 	return state
 }
 
-// isLost reports whether the store was restored since a record was read, and its entry
-// is older than that record.
-func (r *switchoverRunner) isLost(known rattangrant.KnownRecord, entry rattancache.GroupEntry) bool {
-	return known.Version > entry.Record.Version && known.Revision.Era() < r.proxy.cache.Revision().Era()
+// lostRecord returns a group's newest known record if the store, restored since it was
+// read, has an older entry or none.
+func (r *switchoverRunner) lostRecord(group string, entry rattancache.GroupEntry) (rattangrant.PrimaryRecord, bool) {
+	known, revision, ok := r.proxy.grants.Record(group)
+	isBefore := revision.Era() < r.proxy.cache.Revision().Era()
+	return known, ok && isBefore && known.Version > entry.Record.Version
 }
 
 func (r *switchoverRunner) tryStart(group string) bool {
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -100,12 +100,23 @@
 
 // Records returns the newest known records by group.
 func (g *Grants) Records() map[string]KnownRecord {
+	return g.recordsIf(func(KnownRecord) bool { return true })
+}
+
+// RecordsBefore returns the records by group that were read before an era of the store
+// and not again since: the store may lack them.
+func (g *Grants) RecordsBefore(era int64) map[string]KnownRecord {
+	return g.recordsIf(func(known KnownRecord) bool { return known.Revision.Era() < era })
+}
+
+func (g *Grants) recordsIf(isWanted func(KnownRecord) bool) map[string]KnownRecord {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	records := make(map[string]KnownRecord, len(g.entries))
+	records := make(map[string]KnownRecord)
 	for group, e := range g.entries {
-		if e.revision != 0 {
-			records[group] = KnownRecord{PrimaryRecord: e.record, Revision: e.revision}
+		known := KnownRecord{PrimaryRecord: e.record, Revision: e.revision}
+		if e.revision != 0 && isWanted(known) {
+			records[group] = known
 		}
 	}
 	return records
