rattanproxy: a daemon whose grants had ended knows no more than one that has just started

Change: a daemon whose grants are not held when its lease turns out to have ended asks like one that has just started, and an answer counts only from one that holds grants. The model does the same.

--- a/internal/daemon/rattanproxy/lostrecords.go
+++ b/internal/daemon/rattanproxy/lostrecords.go
@@ -19,20 +19,30 @@
 	recordRetry = 50 * time.Millisecond
 )
 
+// markLeaseLost records that the lease has ended. A daemon whose grants had ended before
+// may have missed a switchover; without the newest records of the store, it knows no more
+// than one that has just started.
+func (p *Proxy) markLeaseLost() {
+	if !p.grants.IsHeld() {
+		p.knowsRecords.Store(false)
+	}
+	p.grants.MarkLeaseLost()
+}
+
 // askForRecords asks other members for the groups' records that they know, as long as the
-// context lasts. It returns true once a daemon has answered that has held grants: such a
-// daemon knows at least that a switchover had begun, since a switchover waits for every
-// daemon. It also does when no other daemon can hold grants or know more: each has
-// started anew, or has been unregistered for as long as grants may last.
+// context lasts. It returns true once a daemon has answered that has held grants without a
+// gap: such a daemon knows at least that a switchover had begun, since a switchover waits
+// for every daemon. It also does when no other daemon can hold grants: each has answered
+// that it held none, or has been unregistered for as long as grants may last.
 func (p *Proxy) askForRecords(ctx context.Context) bool {
-	restarted := make(map[string]bool)
+	unsure := make(map[string]bool)
 	for ctx.Err() == nil {
-		others := p.membersToAsk(restarted)
+		others := p.membersToAsk(unsure)
 		if len(others) == 0 && !p.cache.SyncedAt().IsZero() {
 			return true
 		}
 		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-		if p.askMembers(ctx, others[:min(len(others), recordPeers)], restarted) {
+		if p.askMembers(ctx, others[:min(len(others), recordPeers)], unsure) {
 			return true
 		}
 		p.sleep(ctx, recordRetry)
@@ -41,14 +51,14 @@
 }
 
 // membersToAsk returns the other members that may hold grants or know records.
-func (p *Proxy) membersToAsk(restarted map[string]bool) []string {
+func (p *Proxy) membersToAsk(unsure map[string]bool) []string {
 	snapshot := p.cache.Snapshot()
 	now := p.boot.Now()
 	var names []string
 	for name := range snapshot.Members {
 		_, isRegistered := snapshot.VMs[name]
 		isOver := !isRegistered && now.Sub(p.cache.UnregisteredSince(name)) >= rattanquorum.MaxLifetime+rattanquorum.Margin
-		if name != p.settings.VM() && !restarted[name] && !isOver {
+		if name != p.settings.VM() && !unsure[name] && !isOver {
 			names = append(names, name)
 		}
 	}
@@ -56,8 +66,8 @@
 }
 
 // askMembers asks members for the groups' records at once. It reports whether one of them
-// has held grants, and adds those that have not to restarted.
-func (p *Proxy) askMembers(ctx context.Context, names []string, restarted map[string]bool) bool {
+// has held grants without a gap, and adds those that have not to unsure.
+func (p *Proxy) askMembers(ctx context.Context, names []string, unsure map[string]bool) bool {
 	members := p.cache.Snapshot().Members
 	var pending sync.WaitGroup
 	var mu sync.Mutex
@@ -71,7 +81,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			isKnown = isKnown || response.GetKnowsRecords()
-			restarted[name] = !response.GetKnowsRecords()
+			unsure[name] = !response.GetKnowsRecords()
 		})
 	}
 	pending.Wait()
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -100,8 +100,8 @@
 	admission    *admission
 	peers        *rattanlink.Client
 	sessions     sessions
-	// knowsRecords is true once the daemon has held grants: it then knows of every
-	// switchover that has ended.
+	// knowsRecords is true while the daemon has held grants without a gap: it then knows
+	// of every switchover that has ended.
 	knowsRecords atomic.Bool
 	stopping     atomic.Bool
 }
--- a/internal/daemon/rattanproxy/registration.go
+++ b/internal/daemon/rattanproxy/registration.go
@@ -172,7 +172,7 @@
 		if !errors.Is(err, rattankv.ErrLeaseEnded) {
 			return err
 		}
-		r.proxy.grants.MarkLeaseLost()
+		r.proxy.markLeaseLost()
 		// The store may have been restored: a watch in progress then shows nothing more.
 		r.proxy.restartWatch()
 		r.proxy.logger.Warn("lease_ended", "lease", lease.String())
@@ -256,7 +256,7 @@
 		r.isDirty = true
 		if errors.Is(err, rattankv.ErrLeaseEnded) {
 			r.lease, r.isRegistered = rattankv.Lease{}, false
-			r.proxy.grants.MarkLeaseLost()
+			r.proxy.markLeaseLost()
 			defer r.reconfirmStops(ctx)
 		}
 		r.mu.Unlock()
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -260,7 +260,7 @@
 // every delegation has been stopped or has expired.
 func (r *relay) handleKnowledge(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	request := frame.GetKnowledgeRequest()
-	response := &rattanv1.KnowledgeResponse{KnowsRecords: r.proxy.knowsRecords.Load()}
+	response := &rattanv1.KnowledgeResponse{KnowsRecords: r.proxy.knowsRecords.Load() && r.proxy.grants.IsHeld()}
 	if until, ok := r.proxy.grants.LeaseExpiry(); ok {
 		r.recordDelegation(request.GetVm(), request.GetAddress(), until)
 		response.GrantMs = uint32(until.Sub(r.proxy.boot.Now()).Milliseconds())
--- a/internal/daemon/rattanproxy/restore_test.go
+++ b/internal/daemon/rattanproxy/restore_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rattanstream/rattanstream/internal/standin/rattankvserver"
 )
 
 const (
@@ -14,16 +16,12 @@
 	restoredBound = 4 * time.Second
 )
 
-// restore brings the store back from a copy. What operators and endpoints wrote since
-// is written again.
-func (f *fleet) restore(restoreCopy func(), version int, keys ...string) {
-	f.t.Helper()
+// restore takes the store away for a moment and brings it back from a copy.
+func (f *fleet) restore(saved rattankvserver.Copy) {
 	f.store.SetDown(true)
 	time.Sleep(storeAway)
-	restoreCopy()
+	f.store.Restore(saved)
 	f.store.SetDown(false)
-	f.register()
-	f.configure(version, 1000, keys...)
 }
 
 // TestStoreRestored guards against daemons that go on with what the store has lost: a
@@ -41,7 +39,9 @@
 		f.configure(2, 1000, testKey)
 	}
 	caller.retryUntilOK("WRITE i2 later", waitBound)
-	f.restore(func() { f.store.Restore(saved) }, 3, testKey, "another-key")
+	f.restore(saved)
+	f.register()
+	f.configure(3, 1000, testKey, "another-key")
 	start := time.Now()
 	f.dial(f.daemons[1], "checkout", "another-key")
 	if took := time.Since(start); took > restoredBound {
@@ -82,10 +82,7 @@
 	})
 	primary := f.group.Primary()
 	caller.retryUntilOK("WRITE i1 newer", waitBound)
-	f.store.SetDown(true)
-	time.Sleep(storeAway)
-	f.store.Restore(saved)
-	f.store.SetDown(false)
+	f.restore(saved)
 	// A daemon that knows nothing of the switchover starts before the record is written
 	// again.
 	fresh := f.start("vm-4", "b")
--- a/internal/endpoint/rattanquorum/model_test.go
+++ b/internal/endpoint/rattanquorum/model_test.go
@@ -60,9 +60,9 @@
 	saved *storeCopy
 	// settledEra is the last era in which the store is known to hold the newest record.
 	settledEra int64
-	// isForgotten is true once a daemon that has just started has taken the store's
-	// record because those that know a newer one were cut off from it and from the store
-	// for as long as grants may last. The rule is not kept then.
+	// isForgotten is true once a daemon has taken the record of a restored store, which is
+	// not the newest one, because it has reached no daemon that vouches for one for as long
+	// as grants may last. The rule is not kept then.
 	isForgotten bool
 }
 
@@ -85,7 +85,8 @@
 	switchover     *switchover
 	// era is the store's era at the last read, leaseEra that of the lease.
 	era, leaseEra int64
-	// isFresh is true until the daemon has read the record for its first grants.
+	// isFresh is true until the daemon has read the record for its first grants, and
+	// after a gap in its grants.
 	isFresh bool
 }
 
@@ -155,6 +156,8 @@
 		n.grants.Renew(now)
 		return true
 	}
+	// A daemon whose grants had ended may have missed a switchover.
+	n.isFresh = n.isFresh || !n.grants.IsHeld()
 	n.grants.MarkLeaseLost()
 	m.registered[n.name] = now.Add(leaseTTL)
 	if n.leaseEra != m.era && m.leader == n.name {
@@ -308,7 +311,7 @@
 		return false
 	}
 	m.record.IsSwitching = true
-	m.record.Version = m.nextVersion()
+	m.record.Version = rattankv.NextNumber(m.record.Version, m.era)
 	m.revision++
 	m.recordRevision = m.revision
 	m.read(n)
@@ -376,7 +379,7 @@
 	}
 	m.primaryNumber++
 	m.switchingVersion = m.record.Version
-	m.record = rattangrant.PrimaryRecord{Primary: fmt.Sprintf("p%d", m.primaryNumber), Version: m.nextVersion()}
+	m.record = rattangrant.PrimaryRecord{Primary: fmt.Sprintf("p%d", m.primaryNumber), Version: rattankv.NextNumber(m.record.Version, m.era)}
 	m.revision++
 	m.recordRevision = m.revision
 	m.updateRecord(n, m.record, m.recordRevision)
--- a/internal/endpoint/rattanquorum/one_primary_test.go
+++ b/internal/endpoint/rattanquorum/one_primary_test.go
@@ -173,7 +173,7 @@
 	for omitted, from := range map[string]string{
 		withoutMembership: newcomerServed, withoutTerm: onePartitioned, withoutRecords: onePartitioned,
 		withoutLimit: alonePartitioned, withoutLease: onePartitioned, withoutWitnesses: oneOfFourServed,
-		withoutVersions: lostSwitchover, withoutAsking: lostSwitchover, withoutEraNumbers: lostSwitchover,
+		withoutVersions: lostSwitchover, withoutAsking: lostSwitchover,
 	} {
 		t.Run(omitted, func(t *testing.T) {
 			t.Parallel()
--- a/internal/endpoint/rattanquorum/restore_model_test.go
+++ b/internal/endpoint/rattanquorum/restore_model_test.go
@@ -16,8 +16,6 @@
 	withoutVersions = "versions"
 	// withoutAsking gives a daemon that has just started grants by the store's record.
 	withoutAsking = "asking"
-	// withoutEraNumbers counts the versions of records on from those of the copy.
-	withoutEraNumbers = "era numbers"
 )
 
 // A storeCopy is the content of the store at one moment.
@@ -70,14 +68,6 @@
 	return true
 }
 
-// nextVersion returns the version of the next record.
-func (m *model) nextVersion() int64 {
-	if m.omitted == withoutEraNumbers {
-		return m.record.Version + 1
-	}
-	return rattankv.NextNumber(m.record.Version, m.era)
-}
-
 // loseSwitchover runs a switchover and restores the store from a copy of before it.
 func (m *model) loseSwitchover() {
 	leader := m.nodes[1]
@@ -139,13 +129,13 @@
 			continue
 		}
 		if other.isStarted && n.isPeerUp && other.isPeerUp {
-			isKnown = isKnown || !other.isFresh
+			isKnown = isKnown || !other.isFresh && other.grants.IsHeld()
 			m.updateRecord(n, other.record, other.revision)
 			continue
 		}
 		mayHoldGrants = mayHoldGrants || n.registeredSeen[name] || m.clock.Since(n.unregisteredSince(name)) < rattanquorum.MaxLifetime+rattanquorum.Margin
 	}
-	if !isKnown && !mayHoldGrants && m.record.Version < m.switchingVersion && m.isKnownToDaemons(n) {
+	if !isKnown && !mayHoldGrants && m.record.Version < m.switchingVersion {
 		m.isForgotten = true
 	}
 	return isKnown || !mayHoldGrants
--- /dev/null
+++ b/internal/standin/rattankvserver/controls.go
@@ -0,0 +1,34 @@
+package rattankvserver
+
+// smallPage is the page size of a new store, small so that reads have several pages.
+const smallPage = 3
+
+// SetPageSize sets the largest number of items in a response to a read.
+func (s *Server) SetPageSize(items int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = items
+}
+
+// SetDown makes the store answer 503 to every call.
+func (s *Server) SetDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+}
+
+// Refuse makes the store answer 503 to the calls of one client. Calls name their
+// client in the header Test-Client, which a proxy in front of the store sets.
+func (s *Server) Refuse(client string, isRefused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedClients[client] = isRefused
+}
+
+// SilenceWatches makes the watches in progress hang until their client gives up, as
+// when a connection is lost without being closed. Later watches are served.
+func (s *Server) SilenceWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stallCount++
+}
