rattancmd: the demo's script and its load write to standard error in turn

Both write to the writer that the command was given; beside load the demo lasts long enough that they meet. Not a matter of load itself: nothing orders the two. Change: the demo's standard error takes one write at a time.

--- a/internal/cmd/rattancmd/democmd.go
+++ b/internal/cmd/rattancmd/democmd.go
@@ -44,6 +44,8 @@
 	if err != nil {
 		return usageError{err}
 	}
+	// The script and the load report at the same time.
+	c.stderr = &syncWriter{w: c.stderr}
 	startCtx, cancel := context.WithTimeout(ctx, demoStartTimeout)
 	defer cancel()
 	cluster, err := rattancluster.Start(startCtx, scenario, rattancluster.WithTLS())
