rattaninventory: split the connections of an endpoint off the admission queue

Change: the accounting of open, idle and pinned connections moves to a package of its own; no decision changes.

--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -8,6 +8,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattaninventory"
 )
 
 // smoothingFactor is the weight of a new sample in the moving average of the service
@@ -35,21 +37,11 @@
 	// Ready is closed when a waiting request gets its Assignment.
 	Ready chan struct{}
 	// Assignment is valid once Request has returned Assigned or Ready is closed.
-	Assignment Assignment[C]
+	Assignment rattaninventory.Assignment[C]
 
 	isWaiting bool
 }
 
-// An Assignment is the connection that a request may use.
-type Assignment[C comparable] struct {
-	// Conn is an open connection of the account. The zero value means that the
-	// caller opens a new one, which the queue counts already.
-	Conn C
-	// Evict is a connection of another account that the caller closes before it
-	// opens the new one, or the zero value.
-	Evict C
-}
-
 // A Decision is the result of a request for a connection.
 type Decision int
 
@@ -91,41 +83,32 @@
 	return l
 }
 
-type idleConn[C comparable] struct {
-	conn    C
-	account string
+// inventoryLimits returns the limits of the queue's inventory.
+func (l Limits) inventoryLimits() rattaninventory.Limits {
+	return rattaninventory.Limits{Connections: l.Connections, Idle: l.Idle}
 }
 
 // A Queue assigns the connections of this daemon to one endpoint.
 type Queue[C comparable] struct {
-	limits Limits
-	// held counts connections that are open, being opened or being closed.
-	held int
-	// pinned counts connections that are reserved for open transactions.
-	pinned int
-	// idle is ordered by last use, the least recently used first.
-	idle        []idleConn[C]
+	limits      Limits
+	inventory   *rattaninventory.Inventory[C]
 	waiting     []*Waiter[C]
 	serviceTime time.Duration
 }
 
 // New returns a Queue with the given limits.
 func New[C comparable](limits Limits) *Queue[C] {
-	return &Queue[C]{limits: limits.normalized(), serviceTime: initialServiceTime}
+	limits = limits.normalized()
+	return &Queue[C]{
+		limits: limits, inventory: rattaninventory.New[C](limits.inventoryLimits()), serviceTime: initialServiceTime,
+	}
 }
 
 // SetLimits changes the limits. It returns the idle connections above a lower limit,
-// which the caller must close at once: the endpoint counts them until then, and the
-// daemon that they are now meant for could not open any. Busy connections above the
-// limit are returned by Release when they become free.
+// which the caller must close at once.
 func (q *Queue[C]) SetLimits(limits Limits, now time.Time) []C {
 	q.limits = limits.normalized()
-	var surplus []C
-	for len(q.idle) > 0 && (q.held > q.limits.Connections || len(q.idle) > q.limits.Idle) {
-		surplus = append(surplus, q.idle[0].conn)
-		q.idle = slices.Delete(q.idle, 0, 1)
-		q.held--
-	}
+	surplus := q.inventory.SetLimits(q.limits.inventoryLimits())
 	q.dispatch(now)
 	return surplus
 }
@@ -135,29 +118,29 @@
 
 // Connections returns the number of connections that are open, being opened or being
 // closed.
-func (q *Queue[C]) Connections() int { return q.held }
+func (q *Queue[C]) Connections() int { return q.inventory.Held() }
 
 // Busy returns the number of connections that serve requests outside transactions.
-func (q *Queue[C]) Busy() int { return q.held - len(q.idle) - q.pinned }
+func (q *Queue[C]) Busy() int { return q.inventory.Busy() }
 
 // Pin reserves an assigned connection for a transaction. The connection then no longer
 // counts as busy, since transactions are idle between their statements. Pin returns
 // false when too many connections are pinned already.
 func (q *Queue[C]) Pin(now time.Time) bool {
-	if q.pinned >= max(q.limits.Connections-q.limits.InFlight, 1) {
+	if q.inventory.Pinned() >= max(q.limits.Connections-q.limits.InFlight, 1) {
 		return false
 	}
-	q.pinned++
+	q.inventory.Pin()
 	q.dispatch(now)
 	return true
 }
 
 // Unpin ends the reservation of a pinned connection, which the caller then releases or
 // closes.
-func (q *Queue[C]) Unpin() { q.pinned-- }
+func (q *Queue[C]) Unpin() { q.inventory.Unpin() }
 
 // Pinned returns the number of connections that are reserved for transactions.
-func (q *Queue[C]) Pinned() int { return q.pinned }
+func (q *Queue[C]) Pinned() int { return q.inventory.Pinned() }
 
 // Waiting returns the number of waiting requests.
 func (q *Queue[C]) Waiting() int { return len(q.waiting) }
@@ -216,30 +199,17 @@
 	return a.Priority < b.Priority
 }
 
-// assign gives w a connection if one is available: an idle one of its account, else a
-// new one, else a new one that replaces the least recently used one of another account.
+// assign gives w a connection if one is available and the endpoint may run one more
+// request.
 func (q *Queue[C]) assign(w *Waiter[C]) bool {
 	if q.Busy() >= q.limits.InFlight {
 		return false
 	}
-	for i := len(q.idle) - 1; i >= 0; i-- {
-		if q.idle[i].account == w.Account {
-			w.Assignment = Assignment[C]{Conn: q.idle[i].conn}
-			q.idle = slices.Delete(q.idle, i, i+1)
-			return true
-		}
+	assignment, ok := q.inventory.Take(w.Account)
+	if ok {
+		w.Assignment = assignment
 	}
-	if q.held < q.limits.Connections {
-		q.held++
-		w.Assignment = Assignment[C]{}
-		return true
-	}
-	if len(q.idle) > 0 {
-		w.Assignment = Assignment[C]{Evict: q.idle[0].conn}
-		q.idle = slices.Delete(q.idle, 0, 1)
-		return true
-	}
-	return false
+	return ok
 }
 
 // Cancel removes a waiting request. It returns false when the request has got an
@@ -259,35 +229,21 @@
 // one that the caller closes and reports with Closed.
 func (q *Queue[C]) Release(conn C, account string, held time.Duration, now time.Time) (surplus C, ok bool) {
 	q.recordServiceTime(held)
-	if q.held > q.limits.Connections {
+	if !q.inventory.Put(conn, account) {
 		return conn, true
 	}
-	q.idle = append(q.idle, idleConn[C]{conn: conn, account: account})
 	q.dispatch(now)
-	if len(q.idle) <= q.limits.Idle {
-		return surplus, false
-	}
-	surplus = q.idle[0].conn
-	q.idle = slices.Delete(q.idle, 0, 1)
-	return surplus, true
+	return q.inventory.Surplus()
 }
 
 // Closed records that a connection was closed, or that one could not be opened.
 func (q *Queue[C]) Closed(now time.Time) {
-	q.held--
+	q.inventory.Closed()
 	q.dispatch(now)
 }
 
 // TakeIdle removes all idle connections from the queue; the caller closes them.
-func (q *Queue[C]) TakeIdle() []C {
-	conns := make([]C, 0, len(q.idle))
-	for _, idle := range q.idle {
-		conns = append(conns, idle.conn)
-	}
-	q.held -= len(conns)
-	q.idle = nil
-	return conns
-}
+func (q *Queue[C]) TakeIdle() []C { return q.inventory.TakeIdle() }
 
 func (q *Queue[C]) recordServiceTime(held time.Duration) {
 	q.serviceTime += time.Duration(smoothingFactor * float64(min(held, maxServiceSample)-q.serviceTime))
