rattanproxy: daemons whose leases end one after the other keep the owners of the rate pools

Cause: in an outage of the store the leases end one after the other, and the last changes that a watch reports may leave any VM. In the recorded failure of TestStoreOutageWithoutOne the daemons saw only vm-1, which had stopped, and asked it alone for tokens: every refusal for lack of tokens comes after tokens_unavailable for vm-1, and no other owner is ever asked. Ruled out: pools that shrink (isOutageShared holds their time back), the limit itself (1,000 a second, 40 asked). Change: a daemon whose own lease has ended, and which sees less than half of the VMs that it knew, keeps those. Measured: TestPoolOwnersInAnOutage fails before (all_but_one_lease_have_ended: owners [vm-1]) and passes after.

--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -53,7 +53,7 @@
 		proxy:    p,
 		accounts: make(map[string]*accountAdmission),
 		pools:    make(map[string]*rattanquota.Pool),
-		owners:   poolOwners{window: p.settings.RateWindow()},
+		owners:   poolOwners{vm: p.settings.VM(), window: p.settings.RateWindow()},
 	}
 }
 
--- a/internal/daemon/rattanproxy/poolowners.go
+++ b/internal/daemon/rattanproxy/poolowners.go
@@ -17,11 +17,13 @@
 // poolOwners holds the owners of the accounts' pools for one snapshot of the store.
 // The caller serializes the calls.
 type poolOwners struct {
+	// vm is the name of this daemon's VM.
+	vm string
 	// window is the time over which the accounts' limits count.
 	window   time.Duration
 	snapshot *rattancache.Snapshot
-	// vms are the registered VMs. When the leases of all have ended, during an outage
-	// of the store, they are those that were registered before.
+	// vms are the registered VMs. When this daemon's lease and those of most others have
+	// ended, as in an outage of the store, they are those that were registered before.
 	vms       map[string]rattancache.VMRecord
 	domains   map[string]string
 	byAccount map[string][]string
@@ -33,7 +35,7 @@
 	}
 	o.snapshot = snapshot
 	o.byAccount = make(map[string][]string)
-	if len(snapshot.VMs) == 0 && o.vms != nil {
+	if o.vms != nil && len(snapshot.VMs) == 0 || o.haveMostLeasesEnded(snapshot) {
 		return
 	}
 	o.vms = snapshot.VMs
@@ -43,6 +45,25 @@
 	}
 }
 
+// haveMostLeasesEnded reports whether a snapshot lacks this daemon and more than half of
+// the VMs that were registered before. Those that it has may be just the last whose
+// leases end.
+func (o *poolOwners) haveMostLeasesEnded(snapshot *rattancache.Snapshot) bool {
+	if _, wasRegistered := o.vms[o.vm]; !wasRegistered {
+		return false
+	}
+	if _, isRegistered := snapshot.VMs[o.vm]; isRegistered {
+		return false
+	}
+	left := 0
+	for name := range o.vms {
+		if _, ok := snapshot.VMs[name]; ok {
+			left++
+		}
+	}
+	return 2*left < len(o.vms)
+}
+
 // of returns the VMs that own an account's pools.
 func (o *poolOwners) of(account rattancatalog.Account, snapshot *rattancache.Snapshot) []string {
 	o.update(snapshot)
