rattanisolation: a daemon that no other failure domain answers checks store and endpoints at once

The first owners are silent after 0.34 s, but the store counts as lost only with the next renewal of the lease, which times out (34.14 s), and the endpoints are probed only then (0.35 s). About 1,000 statements are refused meanwhile for want of a primary. Change: two VMs of other failure domains that are late, with no answer from any to a later request, make the daemon probe the endpoints and check the store at once. What makes a daemon isolated stays as it was.

--- a/internal/daemon/rattanproxy/isolation.go
+++ b/internal/daemon/rattanproxy/isolation.go
@@ -2,19 +2,52 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanisolation"
 )
 
-// isolationInterval separates two checks of whether the daemon is isolated.
-const isolationInterval = 100 * time.Millisecond
+const (
+	// isolationInterval separates two checks of whether the daemon is isolated.
+	isolationInterval = 100 * time.Millisecond
+	// contactCheckTimeout limits the call to the store when no VM of another failure
+	// domain answers.
+	contactCheckTimeout = 250 * time.Millisecond
+)
 
 // isolation holds whether the daemon is partitioned from what it needs to serve
 // callers.
 type isolation struct {
 	isIsolated atomic.Bool
+
+	mu       sync.Mutex
+	contacts rattanisolation.Contacts
+}
+
+// recordAnswer records that another VM answered a request that was sent at sentAt.
+func (i *isolation) recordAnswer(vm string, sentAt time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.contacts.Answered(vm, sentAt)
+}
+
+// recordLate records that another VM has not answered a request in time that was sent at
+// sentAt.
+func (i *isolation) recordLate(vm string, sentAt time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.contacts.Late(vm, sentAt)
+}
+
+func (i *isolation) areContactsLost(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.contacts.AreLost(now)
 }
 
 // watchIsolation takes the daemon out of the load balancer's rotation while it is
@@ -22,8 +55,15 @@
 // that can serve them.
 func (p *Proxy) watchIsolation(ctx context.Context) error {
 	var decider rattanisolation.Decider
-	probed := false
+	probed, checked := false, false
 	for p.sleep(ctx, isolationInterval) {
+		areContactsLost := p.isolation.areContactsLost(p.clock.Now())
+		if areContactsLost && !checked {
+			p.logger.Info("contacts_lost")
+			p.endpoints.probeAll()
+			p.checkStore(ctx)
+		}
+		checked = areContactsLost
 		isLost := p.registration.storeLost.Load()
 		if isLost && !probed {
 			p.endpoints.probeAll()
@@ -45,3 +85,23 @@
 	}
 	return nil
 }
+
+// checkStore finds out at once whether the store answers, which the renewals of the
+// lease would show later.
+func (p *Proxy) checkStore(ctx context.Context) {
+	lease, _ := p.registration.Lease()
+	if lease.IsZero() {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, contactCheckTimeout)
+	defer cancel()
+	if err := p.platform.Store.KeepAlive(callCtx, lease); err != nil && !errors.Is(err, rattankv.ErrLeaseEnded) {
+		p.markStoreLost(ctx, "check", err)
+	}
+}
+
+// isOutside reports whether a VM is in another failure domain.
+func (p *Proxy) isOutside(vm string) bool {
+	record, ok := p.cache.Snapshot().VMs[vm]
+	return ok && record.FailureDomain != p.settings.FailureDomain()
+}
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -181,7 +181,13 @@
 	request.DeadlineMs = uint32(remaining.Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), remaining+forwardSlack)
 	defer cancel()
-	probe := time.AfterFunc(ownerProbeDelay, upstream.ObserveTimeout)
+	isOutside := o.proxy.isOutside(vm)
+	probe := time.AfterFunc(ownerProbeDelay, func() {
+		upstream.ObserveTimeout()
+		if isOutside {
+			o.proxy.isolation.recordLate(vm, now)
+		}
+	})
 	defer probe.Stop()
 	sent := o.proxy.boot.Now()
 	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkRequest{WorkRequest: request}}
@@ -191,6 +197,9 @@
 		o.markUnresponsive(vm, callErr)
 		return rattanstatement.Result{}, callErr
 	}
+	if isOutside {
+		o.proxy.isolation.recordAnswer(vm, now)
+	}
 	o.proxy.applyObservation(reply.GetWorkResponse(), upstream.Endpoint().Group, sent)
 	return decodeWorkResponse(reply.GetWorkResponse())
 }
