rattanpressure, rattanplacement: load reports between daemons, and reads where they complete soonest

Seen on: a daemon ranks endpoints by its own empty queue, and reads whose position both replicas lack are sent to them in three rounds. Owners now attach their load to each response, daemons pass reports on inside a failure domain with the store watch, and each read goes where path, wait, service time and the moment at which a replica holds its position let it complete soonest; it is refused at once when nothing completes in time. WorkResponse has the time that the owner took, from which the path is learnt.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +42,9 @@
 	drains *rattandrain.Tracker
 	// histories are the known positions of the groups' primaries.
 	histories map[string]*rattanfreshness.History
-	wake      chan struct{}
+	// replicas are the known positions of all endpoints.
+	replicas *rattanfreshness.Replicas
+	wake     chan struct{}
 }
 
 func newEndpointSet(p *Proxy) *endpointSet {
@@ -53,6 +57,7 @@
 			Draining: p.settings.DrainLimit(), Evacuated: p.settings.EvacuationLimit(),
 		}),
 		histories: make(map[string]*rattanfreshness.History),
+		replicas:  rattanfreshness.NewReplicas(),
 		wake:      make(chan struct{}, 1),
 	}
 }
@@ -66,6 +71,10 @@
 		confirmedAt := s.proxy.grants.SyncedAt()
 		snapshot, changed := s.proxy.cache.Changed()
 		s.update(snapshot, confirmedAt)
+		s.proxy.loads.prune(func(id string) bool { return !s.isRemoved(id) }, func(vm string) bool {
+			_, ok := snapshot.VMs[vm]
+			return ok
+		})
 		s.probeReported(snapshot)
 		s.proxy.registration.setUnreachable(s.unreachable(snapshot))
 		select {
@@ -110,6 +119,7 @@
 			delete(s.upstreams, id)
 			delete(s.missingSince, id)
 			s.drains.Forget(id)
+			s.replicas.Forget(id)
 			upstream.Close()
 		}
 	}
@@ -205,6 +215,16 @@
 	return history
 }
 
+// Replicas implements rattandispatch.Endpoints.
+func (s *endpointSet) Replicas() *rattanfreshness.Replicas { return s.replicas }
+
+// all returns the upstreams of all endpoints.
+func (s *endpointSet) all() []*rattanupstream.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.upstreams))
+}
+
 // unreachable returns the endpoints that do not answer this daemon and on which it
 // reports.
 func (s *endpointSet) unreachable(snapshot *rattancache.Snapshot) []string {
--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -111,6 +111,7 @@
 		StoreWatchRequest: &rattanv1.StoreWatchRequest{
 			Vm: f.proxy.settings.VM(), Address: f.proxy.settings.PeerAddress(),
 			Revision: int64(f.proxy.cache.Revision()), WaitMs: uint32(followWait.Milliseconds()),
+			Loads: f.proxy.loads.news(vm),
 		},
 	}})
 	response := reply.GetStoreWatchResponse()
@@ -123,6 +124,9 @@
 		f.mu.Unlock()
 		return false
 	}
+	for _, load := range response.GetLoads() {
+		f.proxy.loads.learn(load, vm)
+	}
 	f.apply(ctx, response)
 	f.proxy.grants.MarkSynced(sentAt.Add(-time.Duration(response.GetSyncAgeMs()) * time.Millisecond))
 	f.acceptGrants(response, sentAt)
@@ -164,6 +168,9 @@
 // relay.handleKnowledge, the delegation is recorded before the changes are read.
 func (f *follower) handleWatch(ctx context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	request := frame.GetStoreWatchRequest()
+	for _, load := range request.GetLoads() {
+		f.proxy.loads.learn(load, request.GetVm())
+	}
 	response := &rattanv1.StoreWatchResponse{}
 	if f.syncAge() < maxSyncAge {
 		f.awaitChange(ctx, request)
@@ -173,6 +180,7 @@
 	response.SyncAgeMs = uint32(age.Milliseconds()) + 1
 	if response.IsSource {
 		f.fill(response, request)
+		response.Loads = f.proxy.loads.news(request.GetVm())
 	}
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_StoreWatchResponse{StoreWatchResponse: response}}, nil
 }
--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
@@ -47,7 +48,9 @@
 
 // handle runs a request that another daemon has forwarded.
 func (f *forwardedWork) handle(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	begun := f.proxy.boot.Now()
 	response := f.run(frame.GetWorkRequest())
+	response.TookUs = uint32(f.proxy.boot.Now().Sub(begun).Microseconds())
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkResponse{WorkResponse: response}}, nil
 }
 
@@ -64,13 +67,26 @@
 			return unknownWorkResponse()
 		}
 		response := f.start(upstream, request, statement)
+		f.observePosition(upstream, response)
 		f.proxy.attachObservation(response, upstream.Endpoint().Group)
+		f.proxy.loads.attach(response, upstream)
 		return response
 	default:
-		return f.continueTransaction(request, statement)
+		response := f.continueTransaction(request, statement)
+		if upstream, ok := f.proxy.endpoints.Upstream(request.GetEndpoint()); ok {
+			f.proxy.loads.attach(response, upstream)
+		}
+		return response
 	}
 }
 
+// observePosition records the position in the answer of an endpoint, if there was one.
+func (f *forwardedWork) observePosition(upstream *rattanupstream.Upstream, response *rattanv1.WorkResponse) {
+	endpoint := upstream.Endpoint()
+	f.proxy.endpoints.Replicas().Observe(endpoint.ID, endpoint.StartedUnixMS,
+		rattanmodel.PositionFromWire(response.GetPosition()), f.proxy.boot.Now())
+}
+
 func (f *forwardedWork) start(upstream *rattanupstream.Upstream, request *rattanv1.WorkRequest, statement rattanupstream.StatementRequest) *rattanv1.WorkResponse {
 	switch request.GetKind() {
 	case rattanv1.WorkKind_WORK_KIND_READ:
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -91,6 +91,7 @@
 	VMs                   []string               `json:"vms"`
 	Primaries             map[string]string      `json:"primaries"`
 	Endpoints             []rattanupstream.State `json:"endpoints"`
+	Loads                 []loadState            `json:"loads"`
 }
 
 func (p *Proxy) dump() dump {
@@ -99,6 +100,7 @@
 		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
+		Loads: p.loads.State(),
 	}
 	if snapshot.Catalog != nil {
 		d.Configuration = snapshot.Catalog.Version()
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -37,6 +37,9 @@
 	unresponsiveUntil map[string]time.Time
 	// next numbers the forwarded transactions of this daemon.
 	next uint64
+	// chosen are the owners of endpoints by a snapshot.
+	chosen   map[rattancatalog.Endpoint]string
+	snapshot *rattancache.Snapshot
 }
 
 var _ rattandispatch.Owners = (*owners)(nil)
@@ -47,6 +50,20 @@
 
 // owner returns the VM that owns the connections to an endpoint.
 func (o *owners) owner(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.snapshot != snapshot {
+		o.snapshot, o.chosen = snapshot, make(map[rattancatalog.Endpoint]string)
+	}
+	owner, ok := o.chosen[endpoint]
+	if !ok {
+		owner, _ = chooseOwner(snapshot, endpoint)
+		o.chosen[endpoint] = owner
+	}
+	return owner, owner != ""
+}
+
+func chooseOwner(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) (string, bool) {
 	vms := make([]rattanowner.VM, 0, len(snapshot.VMs))
 	for name, vm := range snapshot.VMs {
 		if !vm.IsStopping {
@@ -67,13 +84,27 @@
 	return owner, snapshot.VMs[owner].Address, true
 }
 
+// isOwned reports whether this daemon owns the connections to an endpoint.
+func (o *owners) isOwned(upstream *rattanupstream.Upstream) bool {
+	owner, ok := o.owner(o.proxy.cache.Snapshot(), upstream.Endpoint())
+	return ok && owner == o.proxy.settings.VM()
+}
+
+// Expect implements rattandispatch.Owners.
+func (o *owners) Expect(upstream *rattanupstream.Upstream) rattandispatch.Expectation {
+	vm, _, ok := o.remote(upstream)
+	if !ok {
+		return rattandispatch.Expectation{Load: upstream.Load()}
+	}
+	return o.proxy.loads.expect(upstream, vm)
+}
+
 // Read implements rattandispatch.Owners.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	vm, address, ok := o.remote(upstream)
 	if !ok {
 		return upstream.Read(statement)
 	}
-	start := o.proxy.clock.Now()
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_READ, upstream.Endpoint().ID, statement)
 	result, err := o.forward(upstream, vm, address, request, o.forwardDeadline(statement.Deadline))
 	var callErr *ownerCallError
@@ -81,7 +112,7 @@
 		return upstream.Read(statement)
 	}
 	if err == nil {
-		upstream.ObserveForwarded(result, statement.MinPosition, o.proxy.clock.Now().Sub(start))
+		upstream.ObserveForwarded(result)
 	}
 	return result, err
 }
@@ -125,7 +156,7 @@
 	case err != nil:
 		return nil, result, err
 	}
-	upstream.ObserveForwarded(result, begin.First.MinPosition, 0)
+	upstream.ObserveForwarded(result)
 	if !result.OK() {
 		return nil, result, nil
 	}
@@ -189,6 +220,7 @@
 		}
 	})
 	defer probe.Stop()
+	defer o.proxy.loads.begin(upstream.Endpoint().ID)()
 	sent := o.proxy.boot.Now()
 	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkRequest{WorkRequest: request}}
 	reply, err := o.proxy.peers.Call(ctx, address, frame)
@@ -200,8 +232,11 @@
 	if isOutside {
 		o.proxy.isolation.recordAnswer(vm, now)
 	}
-	o.proxy.applyObservation(reply.GetWorkResponse(), upstream.Endpoint().Group, sent)
-	return decodeWorkResponse(reply.GetWorkResponse())
+	response := reply.GetWorkResponse()
+	o.proxy.loads.observePath(vm, o.proxy.boot.Now().Sub(sent), time.Duration(response.GetTookUs())*time.Microsecond)
+	o.proxy.loads.learn(response.GetLoad(), "")
+	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
+	return decodeWorkResponse(response)
 }
 
 func (o *owners) transactionName() string {
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -22,6 +23,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandispatch"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanswitchover"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
@@ -87,6 +89,7 @@
 	switchovers *rattangrant.SwitchoverEstimator
 	endpoints   *endpointSet
 	owners      *owners
+	loads       *loads
 	// forwarded holds the transactions of other daemons on this one's connections.
 	forwarded    *forwardedWork
 	metrics      *metrics
@@ -122,13 +125,15 @@
 	}
 	p.endpoints = newEndpointSet(p)
 	p.owners = newOwners(p)
+	p.loads = newLoads(p)
 	p.forwarded = newForwardedWork(p)
 	p.metrics = newMetrics()
 	p.relay = newRelay(p)
 	p.follower = newFollower(p)
 	p.juries = &juries{proxy: p}
 	p.extension = newExtension(p)
-	p.dispatch = rattandispatch.New(clock, p.endpoints, p.owners, p.grants, p.switchovers)
+	p.dispatch = rattandispatch.New(clock, p.endpoints, p.owners, p.grants, p.switchovers,
+		rattanplacement.New(rattanplacement.FixedEgress{}, rand.Float64))
 	p.registration = newRegistration(p)
 	p.admission = newAdmission(p)
 	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -17,7 +17,9 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfreshness"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 const (
@@ -43,6 +45,8 @@
 	IsLocal(endpoint rattancatalog.Endpoint) bool
 	// History returns the positions of a group's primary.
 	History(group string) *rattanfreshness.History
+	// Replicas returns the positions that endpoints are known to hold.
+	Replicas() *rattanfreshness.Replicas
 }
 
 // Owners runs statements through the connection owners of the endpoints. The errors
@@ -51,6 +55,16 @@
 	Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error)
 	Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error)
 	Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error)
+	// Expect returns what a new statement is expected to find at an endpoint.
+	Expect(upstream *rattanupstream.Upstream) Expectation
+}
+
+// An Expectation is what a new statement is expected to find at an endpoint.
+type Expectation struct {
+	// Load is zero when nothing is known of it.
+	Load rattanwork.Load
+	// Path is the round trip to the daemon that owns the connections.
+	Path time.Duration
 }
 
 // A Request is the context in which a statement runs: its route, session and
@@ -146,11 +160,12 @@
 	owners      Owners
 	grants      *rattangrant.Grants
 	switchovers *rattangrant.SwitchoverEstimator
+	placer      *rattanplacement.Placer
 }
 
 // New returns a Dispatcher.
-func New(clock rattanclock.Clock, endpoints Endpoints, owners Owners, grants *rattangrant.Grants, switchovers *rattangrant.SwitchoverEstimator) *Dispatcher {
-	return &Dispatcher{clock: clock, endpoints: endpoints, owners: owners, grants: grants, switchovers: switchovers}
+func New(clock rattanclock.Clock, endpoints Endpoints, owners Owners, grants *rattangrant.Grants, switchovers *rattangrant.SwitchoverEstimator, placer *rattanplacement.Placer) *Dispatcher {
+	return &Dispatcher{clock: clock, endpoints: endpoints, owners: owners, grants: grants, switchovers: switchovers, placer: placer}
 }
 
 // RunAutocommit runs a statement outside a transaction.
--- a/internal/endpoint/rattandispatch/read.go
+++ b/internal/endpoint/rattandispatch/read.go
@@ -6,7 +6,6 @@
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatemachine"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
-	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 )
 
@@ -19,51 +18,12 @@
 	return minPosition.Max(history.Resolve(request.SessionPosition)), ok
 }
 
-// candidates returns the upstreams of a group in the order in which a read that
-// needs a minimum position tries them.
-func (d *Dispatcher) candidates(group string, minPosition rattanmodel.Position) []*rattanupstream.Upstream {
-	upstreams := d.endpoints.Upstreams(group)
-	byID := make(map[string]*rattanupstream.Upstream, len(upstreams))
-	candidates := make([]rattanplacement.Candidate, 0, len(upstreams))
-	record, _, _ := d.grants.Record(group)
-	for _, u := range upstreams {
-		candidate := u.Candidate()
-		candidate.IsLocal = d.endpoints.IsLocal(u.Endpoint())
-		candidate.IsPrimary = candidate.ID == record.Primary
-		byID[candidate.ID] = u
-		candidates = append(candidates, candidate)
-	}
-	ordered := make([]*rattanupstream.Upstream, 0, len(upstreams))
-	for _, id := range rattanplacement.Rank(candidates, minPosition, d.clock.Now()) {
-		ordered = append(ordered, byID[id])
-	}
-	return ordered
-}
-
 // read runs a read that replicas may serve. Without a recent observation of the
-// primary's position it runs the read at the primary. It is refused at once while the
-// group has no endpoint that gets new statements.
+// primary's position it runs the read at the primary.
 func (d *Dispatcher) read(request Request, operation rattanstatemachine.Operation) Outcome {
-	runner := attemptRunner{dispatcher: d}
-	for {
-		minPosition, ok := d.minPosition(request)
-		if !ok {
-			return d.readPrimary(request, operation)
-		}
-		candidates := d.candidates(request.Route.Group, minPosition)
-		if len(candidates) == 0 {
-			return d.refuseBusy(runner.last)
-		}
-		if runner.try(candidates, minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
-			return d.readAt(upstream, request, operation, minPosition)
-		}) {
-			return runner.last
-		}
-		if d.clock.Now().Add(retryPause).After(request.endpointWaitDeadline()) {
-			return d.refuseBusy(runner.last)
-		}
-		<-d.clock.After(retryPause)
-	}
+	return d.placed(request, func(upstream *rattanupstream.Upstream, minPosition rattanmodel.Position) (Outcome, bool) {
+		return d.readAt(upstream, request, operation, minPosition)
+	})
 }
 
 // refuseBusy returns the last outcome with a refusal that tells the caller to retry.
@@ -141,10 +101,12 @@
 	return until
 }
 
-// observe records the primary's position from the answer to a request that began at
-// startedAt. It records nothing unless the daemon still holds a grant for that
-// endpoint as the primary.
+// observe records the position in the answer to a request that began at startedAt, also
+// as the primary's if the daemon still holds a grant for that endpoint as the primary.
 func (d *Dispatcher) observe(group, id string, result rattanstatement.Result, startedAt time.Time) {
+	if upstream, ok := d.endpoints.Upstream(id); ok {
+		d.endpoints.Replicas().Observe(id, upstream.Endpoint().StartedUnixMS, result.Position, d.grants.Now())
+	}
 	if primary, ok := d.grants.Primary(group); ok && primary == id && result.Code != rattanstatement.ReadOnly {
 		d.endpoints.History(group).Observe(result.Position, startedAt)
 	}
--- a/internal/endpoint/rattandispatch/transaction.go
+++ b/internal/endpoint/rattandispatch/transaction.go
@@ -53,31 +53,9 @@
 }
 
 func (t *Transaction) firstAtReplica(request Request, operation rattanstatemachine.Operation) Outcome {
-	d := t.dispatcher
-	runner := attemptRunner{dispatcher: d}
-	for {
-		minPosition, ok := d.minPosition(request)
-		candidates := d.candidates(t.route.Group, minPosition)
-		if !ok {
-			upstream, err := d.primary(request)
-			if err != nil {
-				return refused(rattanstatement.Busy, noPrimaryDetail, err)
-			}
-			minPosition, candidates = rattanmodel.Position{}, []*rattanupstream.Upstream{upstream}
-		}
-		if len(candidates) == 0 {
-			return d.refuseBusy(runner.last)
-		}
-		if runner.try(candidates, minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
-			return t.beginAt(upstream, request, operation, minPosition, ok)
-		}) {
-			return runner.last
-		}
-		if d.clock.Now().Add(retryPause).After(request.endpointWaitDeadline()) {
-			return d.refuseBusy(runner.last)
-		}
-		<-d.clock.After(retryPause)
-	}
+	return t.dispatcher.placed(request, func(upstream *rattanupstream.Upstream, minPosition rattanmodel.Position) (Outcome, bool) {
+		return t.beginAt(upstream, request, operation, minPosition, minPosition != rattanmodel.Position{})
+	})
 }
 
 // beginAt begins the transaction at one endpoint and runs its first statement.
--- a/internal/endpoint/rattanplacement/placement.go
+++ b/internal/endpoint/rattanplacement/placement.go
@@ -1,27 +1,38 @@
-// Package rattanplacement ranks the endpoints at which a read may run, by expected
-// latency and by the positions that replicas are known to hold or to lack.
+// Package rattanplacement chooses the endpoint at which a read completes soonest, from
+// the path to each endpoint, the work that waits there, the time that a read takes
+// there and the moment at which it is expected to hold the read's position. It does no
+// locking, input or output, and all its times are durations from now.
 package rattanplacement
 
 import (
 	"slices"
 	"time"
 
-	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 const (
-	// remotePenalty is added to the cost of an endpoint in another failure domain,
-	// for the network latency and the price of the traffic: a local endpoint may be
-	// slower by this much.
+	// remotePenalty is how much sooner an endpoint outside the failure domain must
+	// complete a read without a policy for that.
 	remotePenalty = 20 * time.Millisecond
-	// primaryPenalty is added to the cost of the primary, to keep reads off it while
-	// replicas have capacity: only the primary can run writes.
-	primaryPenalty = 10 * time.Millisecond
-	// minBehindPause is how long a replica that lacked a position is ranked as behind
-	// for reads that need it or a later one. The pause doubles with each further
-	// refusal, up to maxBehindPause.
-	minBehindPause = 50 * time.Millisecond
-	maxBehindPause = 300 * time.Millisecond
+	// minPrimaryReserve is how much sooner the primary must at least complete a read
+	// that a replica can serve: only the primary can run writes.
+	minPrimaryReserve = 10 * time.Millisecond
+	// minNear, maxNear and nearDivisor say which completions are nearly equal:
+	// expectations are no better than that.
+	minNear     = 3 * time.Millisecond
+	maxNear     = 25 * time.Millisecond
+	nearDivisor = 8
+	// evenRoom is the share of free slots that an account's preferred endpoint must
+	// have, measured by the one that has most, to be preferred.
+	evenRoom = 0.5
+	// maxFailureShare limits the failure share by which the time of a read is raised.
+	maxFailureShare = 0.9
+	// minRetryAfter and maxRetryAfter limit the time after which a refused caller is
+	// asked to come back.
+	minRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
 )
 
 // A Candidate is an endpoint that may run a read.
@@ -32,71 +43,223 @@
 	IsPrimary bool
 	// IsSuspect is true when the endpoint did not answer lately.
 	IsSuspect bool
-	// Wait is the expected duration of a request there, including the wait for a
-	// connection.
+	// Path is the round trip to the endpoint.
+	Path time.Duration
+	// Wait is the expected wait for a slot at the read's priority.
 	Wait time.Duration
-	// Behind is a position that the endpoint lacked at BehindSince.
-	Behind      rattanmodel.Position
-	BehindSince time.Time
-	// BehindCount is how often in a row it lacked a requested position.
-	BehindCount int
-	// KnownPosition is the last position that the endpoint is known to hold.
-	KnownPosition rattanmodel.Position
+	// Service is the mean time of a successful read there, zero when it is not known.
+	Service time.Duration
+	// FailureShare is the share of failures among the last answers.
+	FailureShare float64
+	// Slots and FreeSlots are how many statements the endpoint runs at once and how many
+	// more it can run now; zero Slots when that is not known.
+	Slots, FreeSlots int
+	// HoldsIn is the time until the endpoint is expected to hold the read's position.
+	HoldsIn time.Duration
+	// IsProbe is true when the endpoint is expected to lack the position but has not
+	// been seen for long.
+	IsProbe bool
+	// NotBefore is the time until the statement may be sent there again after a refusal.
+	NotBefore time.Duration
+	// Weight is the share of the reads that the endpoint may get beside its peers, from
+	// 0 to 1. The zero Weight of a known outlier still serves when nothing else does.
+	Weight float64
 }
 
-// Rank returns the ids of the candidates for a read that needs a minimum position, the
-// best first. Endpoints that are expected to lack it come after the others, and
-// suspect ones last.
-func Rank(candidates []Candidate, minPosition rattanmodel.Position, now time.Time) []string {
-	ranked := slices.Clone(candidates)
-	slices.SortStableFunc(ranked, func(a, b Candidate) int {
-		if order := a.class(minPosition, now) - b.class(minPosition, now); order != 0 {
-			return order
+// A Read is what is placed.
+type Read struct {
+	Group   string
+	Account string
+	// ObjectiveIn and DeadlineIn are the times left until the latency objective and the
+	// deadline.
+	ObjectiveIn, DeadlineIn time.Duration
+}
+
+// A Choice is the endpoint for a read.
+type Choice struct {
+	ID string
+	// SendIn is the time after which the read is sent.
+	SendIn time.Duration
+	// Completion is the expected time until the answer.
+	Completion time.Duration
+	IsProbe    bool
+}
+
+// Egress decides whether a read may leave the failure domain. It is asked when endpoints
+// inside and outside can serve the read, with the expected completions of the best ones.
+type Egress interface {
+	Allows(group string, local, remote time.Duration) bool
+}
+
+// FixedEgress lets a read leave the failure domain when it completes sooner outside by a
+// fixed time.
+type FixedEgress struct{}
+
+var _ Egress = FixedEgress{}
+
+// Allows implements Egress.
+func (FixedEgress) Allows(_ string, local, remote time.Duration) bool {
+	return remote+remotePenalty < local
+}
+
+// A Placer places reads.
+type Placer struct {
+	egress Egress
+	random func() float64
+}
+
+// New returns a Placer. Random returns numbers from 0 up to but not including 1.
+func New(egress Egress, random func() float64) *Placer {
+	return &Placer{egress: egress, random: random}
+}
+
+// option is a candidate that can serve the read, with its expected completion and its
+// cost: the completion and what the read takes from other work there.
+type option struct {
+	Candidate
+	completion, cost time.Duration
+	// isDemoted is true for an outlier that does not get this read while a peer can
+	// serve it.
+	isDemoted bool
+}
+
+// Place chooses the endpoint for a read among candidates of which at least one is not
+// suspect. The refusal says when a read is expected to be served again if none of them
+// completes this one in time.
+func (p *Placer) Place(read Read, candidates []Candidate) (Choice, *rattanwork.Refusal) {
+	options := make([]option, 0, len(candidates))
+	service := expectedService(candidates)
+	soonest := maxRetryAfter
+	for _, c := range candidates {
+		if c.IsSuspect {
+			continue
+		}
+		start := max(c.Wait, c.HoldsIn, c.NotBefore)
+		soonest = min(soonest, start)
+		o := option{Candidate: c, completion: c.Path + start + service(c)}
+		if o.completion <= read.ObjectiveIn || c.Wait == 0 && o.completion <= read.DeadlineIn {
+			o.cost = o.completion
+			o.isDemoted = c.Weight < 1 && p.random() >= c.Weight
+			options = append(options, o)
 		}
-		return int(a.cost() - b.cost())
-	})
-	ids := make([]string, 0, len(ranked))
-	for _, c := range ranked {
-		ids = append(ids, c.ID)
 	}
-	return ids
+	if len(options) == 0 {
+		return Choice{}, &rattanwork.Refusal{
+			Reason: "no endpoint completes the statement in time", RetryAfter: min(max(soonest, minRetryAfter), maxRetryAfter),
+		}
+	}
+	reservePrimary(options)
+	best := p.choose(read, p.preferred(read, options))
+	return Choice{ID: best.ID, SendIn: max(best.HoldsIn, best.NotBefore), Completion: best.completion, IsProbe: best.IsProbe}, nil
 }
 
-// class is 0 for endpoints expected to serve the read, 1 for those expected to
-// be behind and 2 for those that may not answer.
-func (c Candidate) class(minPosition rattanmodel.Position, now time.Time) int {
-	switch {
-	case c.IsSuspect:
-		return 2
-	case c.isBehind(minPosition, now):
-		return 1
-	default:
-		return 0
+// expectedService returns the expected time of a read at each candidate. The same read
+// takes as long at the primary as at a replica, also when the primary's mean is that of
+// shorter ones. Failures make it longer, since the read is then run elsewhere: a fast
+// failure is no speed.
+func expectedService(candidates []Candidate) func(Candidate) time.Duration {
+	atReplica, sum, known := time.Duration(0), time.Duration(0), 0
+	for _, c := range candidates {
+		if c.Service <= 0 || c.IsSuspect {
+			continue
+		}
+		sum += c.Service
+		known++
+		if !c.IsPrimary && (atReplica == 0 || c.Service < atReplica) {
+			atReplica = c.Service
+		}
+	}
+	mean := sum / time.Duration(max(known, 1))
+	return func(c Candidate) time.Duration {
+		service := c.Service
+		if service <= 0 {
+			service = mean
+		}
+		if c.IsPrimary {
+			service = max(service, atReplica)
+		}
+		return time.Duration(float64(service) / (1 - min(c.FailureShare, maxFailureShare)))
 	}
 }
 
-// isBehind reports whether the endpoint is expected to lack the minimum position still.
-func (c Candidate) isBehind(minPosition rattanmodel.Position, now time.Time) bool {
-	if c.IsPrimary || c.KnownPosition.Compare(minPosition) >= 0 || c.BehindSince.IsZero() {
-		return false
+// reservePrimary raises the cost of the primary while a replica can serve the read, the
+// more the fewer slots its writes leave free.
+func reservePrimary(options []option) {
+	if !slices.ContainsFunc(options, func(o option) bool { return !o.IsPrimary && !o.isDemoted }) {
+		return
+	}
+	for i, o := range options {
+		if !o.IsPrimary {
+			continue
+		}
+		reserve := minPrimaryReserve
+		if o.Slots > 0 {
+			reserve = max(reserve, o.Service*time.Duration(o.Slots-o.FreeSlots+1)/time.Duration(o.Slots))
+		}
+		options[i].cost += reserve
 	}
-	return minPosition.Compare(c.Behind) >= 0 && now.Sub(c.BehindSince) < c.behindPause()
 }
 
-// behindPause returns how long the endpoint is ranked as behind after its last refusal.
-func (c Candidate) behindPause() time.Duration {
-	doublings := min(max(c.BehindCount-1, 0), 10)
-	return min(minBehindPause<<doublings, maxBehindPause)
+// preferred returns the options that are to be considered, by cost: those that are not
+// demoted if there are any, and of these only the ones inside the failure domain unless
+// the egress policy lets the read leave it.
+func (p *Placer) preferred(read Read, options []option) []option {
+	if kept := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return o.isDemoted }); len(kept) > 0 {
+		options = kept
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return int(a.cost - b.cost) })
+	local := slices.IndexFunc(options, func(o option) bool { return o.IsLocal })
+	remote := slices.IndexFunc(options, func(o option) bool { return !o.IsLocal })
+	if local < 0 || remote < 0 {
+		return options
+	}
+	if p.egress.Allows(read.Group, options[local].cost, options[remote].cost) {
+		return options
+	}
+	return slices.DeleteFunc(options, func(o option) bool { return !o.IsLocal })
 }
 
-// cost returns the expected wait with the penalties, for the order within a class.
-func (c Candidate) cost() time.Duration {
-	cost := c.Wait
-	if !c.IsLocal {
-		cost += remotePenalty
+// choose chooses among the options that are nearly as good as the first one: the one
+// that the account prefers while the room is even, so that few accounts use the
+// connections of an endpoint, and else one at random by room, so that the daemons that
+// see the same free slot do not all go there.
+func (p *Placer) choose(read Read, options []option) option {
+	limit := options[0].cost + min(max(minNear, options[0].cost/nearDivisor), maxNear)
+	near := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return o.cost > limit })
+	if len(near) == 1 {
+		return near[0]
 	}
-	if c.IsPrimary {
-		cost += primaryPenalty
+	most := 0.0
+	for _, o := range near {
+		most = max(most, o.room())
+	}
+	rattanrendezvous.Sort(near, read.Account, func(o option) string { return o.ID })
+	if near[0].Wait == 0 && near[0].room() >= evenRoom*most {
+		return near[0]
+	}
+	return p.byRoom(near)
+}
+
+// room is the share of free slots, with a little for an endpoint without any, so that
+// every option can be chosen.
+func (o option) room() float64 {
+	if o.Slots == 0 {
+		return 1
+	}
+	return (float64(o.FreeSlots) + 0.5) / (float64(o.Slots) + 0.5)
+}
+
+func (p *Placer) byRoom(options []option) option {
+	sum := 0.0
+	for _, o := range options {
+		sum += o.room()
+	}
+	drawn := p.random() * sum
+	for _, o := range options {
+		drawn -= o.room()
+		if drawn < 0 {
+			return o
+		}
 	}
-	return cost
+	return options[len(options)-1]
 }
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -92,27 +92,23 @@
 // Read runs a read. The error is ErrOverloaded, ErrUnreachable, ErrLeaving or
 // ErrWrongEndpoint, when nothing has been sent, or ErrTimeout.
 func (u *Upstream) Read(statement StatementRequest) (rattanstatement.Result, error) {
-	start := u.clock.Now()
 	pooled, err := u.acquire(statement.AcquireRequest)
 	if err != nil {
 		return rattanstatement.Result{}, err
 	}
-	until := u.clock.Now().Add(answerTimeout)
+	sentAt := u.clock.Now()
+	until := sentAt.Add(answerTimeout)
 	if until.After(statement.Deadline) {
 		until = statement.Deadline
 	}
 	setup, request := statement.wireRequests(pooled)
 	result, err := pooled.Run(setup, request, until)
+	u.observeOutcome(result, err, true, sentAt)
 	if err != nil {
 		u.discardFailed(pooled, err)
-		u.ObserveLatency(answerTimeout)
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
 	u.Release(pooled)
-	u.ObserveLatency(u.clock.Now().Sub(start))
-	if result.Code == rattanstatement.Behind {
-		u.ObserveBehind(statement.MinPosition)
-	}
 	return result, nil
 }
 
@@ -132,6 +128,7 @@
 	defer done()
 	setup, request := statement.wireRequests(pooled)
 	result, err := pooled.Run(setup, request, statement.Deadline)
+	u.observeOutcome(result, err, false, time.Time{})
 	if err != nil {
 		u.discardFailed(pooled, err)
 		var refused *SetupError
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -46,7 +46,6 @@
 // Begin begins a transaction and runs its first statement. Unless both succeed, the
 // transaction is nil and has been rolled back. The errors are those of Write.
 func (u *Upstream) Begin(begin Begin) (Transaction, rattanstatement.Result, error) {
-	start := u.clock.Now()
 	pooled, err := u.acquire(begin.First.AcquireRequest)
 	if err != nil {
 		return nil, rattanstatement.Result{}, err
@@ -61,18 +60,15 @@
 		return nil, rattanstatement.Result{}, ErrNoGrant
 	}
 	result, err := transaction.begin(begin)
+	u.observeOutcome(result, err, false, time.Time{})
 	if err != nil {
 		transaction.fail(err)
 		return nil, rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
 	if !result.OK() {
-		if result.Code == rattanstatement.Behind {
-			u.ObserveBehind(begin.First.MinPosition)
-		}
 		transaction.Abort()
 		return nil, result, nil
 	}
-	u.ObserveLatency(u.clock.Now().Sub(start))
 	return transaction, result, nil
 }
 
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -13,7 +13,6 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
-	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
 )
 
 const (
@@ -22,11 +21,6 @@
 	connectTimeout = 300 * time.Millisecond
 	// openTimeout limits the opening of a session, which waits for a slot.
 	openTimeout = 600 * time.Millisecond
-	// latencySmoothing is the weight of a new measurement in the mean latency.
-	latencySmoothing = 0.15
-	// idleLatencyHalving is the time without a measurement after which the mean
-	// latency is halved, so that an endpoint that was slow is tried again.
-	idleLatencyHalving = 500 * time.Millisecond
 	// refusedPause is the wait before another attempt to open a connection after the
 	// endpoint refused one because it has too many.
 	refusedPause = 30 * time.Millisecond
@@ -59,14 +53,7 @@
 	queue    *rattanadmission.Queue[*PooledConn]
 	// knownPosition is the highest position that the endpoint is known to hold.
 	knownPosition rattanmodel.Position
-	// behind is the position that the endpoint lacked at behindSince.
-	behind      rattanmodel.Position
-	behindSince time.Time
-	// behindCount is how often in a row the endpoint lacked a position.
-	behindCount int
-	// latency is the mean latency as of latencyAt.
-	latency   time.Duration
-	latencyAt time.Time
+	answers       answers
 	// fullUntil is the end of the pause after the endpoint refused a connection
 	// because it has too many.
 	fullUntil time.Time
@@ -104,50 +91,17 @@
 	defer u.mu.Unlock()
 	// What was observed before a restart of the endpoint no longer holds.
 	if endpoint.StartedUnixMS != u.endpoint.StartedUnixMS {
-		u.knownPosition, u.behind, u.behindSince = rattanmodel.Position{}, rattanmodel.Position{}, time.Time{}
+		u.knownPosition, u.answers = rattanmodel.Position{}, answers{}
 	}
 	u.endpoint = endpoint
 	return u.queue.SetLimits(limits, u.clock.Now())
 }
 
-// Candidate returns the endpoint's state for the choice of an endpoint for a read.
-func (u *Upstream) Candidate() rattanplacement.Candidate {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return rattanplacement.Candidate{
-		ID:            u.endpoint.ID,
-		IsSuspect:     u.reachability.isSuspect(),
-		Wait:          u.queue.ExpectedWait() + u.currentLatency(),
-		Behind:        u.behind,
-		BehindSince:   u.behindSince,
-		BehindCount:   u.behindCount,
-		KnownPosition: u.knownPosition,
-	}
-}
-
-// currentLatency returns the mean latency, reduced for the time since the last
-// measurement.
-func (u *Upstream) currentLatency() time.Duration {
-	halvings := u.clock.Now().Sub(u.latencyAt) / idleLatencyHalving
-	return u.latency >> min(uint(halvings), 20)
-}
-
-// ObserveBehind records that the endpoint lacked a position.
-func (u *Upstream) ObserveBehind(position rattanmodel.Position) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.behind, u.behindSince = position, u.clock.Now()
-	u.behindCount++
-}
-
 // observeAnswer records the position in an answer and that the endpoint is reachable.
 func (u *Upstream) observeAnswer(result rattanstatement.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.knownPosition = result.Position.Max(u.knownPosition)
-	if result.OK() && len(result.Rows) > 0 {
-		u.behindCount = 0
-	}
 	u.reachability.markReachable()
 }
 
@@ -162,19 +116,12 @@
 	Objective, Deadline time.Time
 }
 
-// ObserveForwarded records the position and latency of a read that ran through
+// ObserveForwarded records the position in an answer of the endpoint that came through
 // another daemon, the endpoint's connection owner.
-func (u *Upstream) ObserveForwarded(result rattanstatement.Result, minPosition rattanmodel.Position, latency time.Duration) {
+func (u *Upstream) ObserveForwarded(result rattanstatement.Result) {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.knownPosition = result.Position.Max(u.knownPosition)
-	if result.OK() {
-		u.behindCount = 0
-	}
-	u.mu.Unlock()
-	u.ObserveLatency(latency)
-	if result.Code == rattanstatement.Behind {
-		u.ObserveBehind(minPosition)
-	}
 }
 
 // Acquire returns a connection. It waits for one until the deadline. When none is
@@ -343,15 +290,6 @@
 	}
 }
 
-// ObserveLatency records the time from the request for a connection to the answer.
-func (u *Upstream) ObserveLatency(latency time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.latency = u.currentLatency()
-	u.latency += time.Duration(latencySmoothing * float64(latency-u.latency))
-	u.latencyAt = u.clock.Now()
-}
-
 // Discard closes a connection that failed or whose state is unknown.
 func (u *Upstream) Discard(pooled *PooledConn) {
 	_ = pooled.conn.Abort()
