rattanoutlier, rattanfreshness: outliers of a group, and when a replica holds a position

A refusal for lack of room now ends the search there, the lag is learnt from positions with the time at which an answer showed them, its growth counts, and a replica that does not move is asked half as often each time.

--- a/internal/daemon/rattanproxy/loads.go
+++ b/internal/daemon/rattanproxy/loads.go
@@ -6,6 +6,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandispatch"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpressure"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
@@ -77,7 +78,7 @@
 		return
 	}
 	l.proxy.metrics.count("loads_learnt")
-	l.proxy.endpoints.Replicas().ObserveReport(report.Endpoint, report.StartedUnixMS, report.Position, report.MadeAt)
+	l.proxy.endpoints.Replicas().Observe(report.Endpoint, report.StartedUnixMS, report.Position, report.MadeAt.Add(-report.PositionAge))
 }
 
 // begin records work that this daemon forwards to an endpoint's owner. The returned
@@ -167,6 +168,15 @@
 	}
 }
 
+// logOutlier logs an endpoint that has become an outlier of its group or is none any more.
+func (p *Proxy) logOutlier(change rattanoutlier.Change) {
+	if change.IsOut {
+		p.metrics.count("outliers")
+	}
+	p.logger.Info("endpoint_outlier", "endpoint", change.ID, "out", change.IsOut, "reason", string(change.Reason),
+		"service_ms", change.Service.Milliseconds(), "failure_share", change.FailureShare)
+}
+
 // A loadState is the newest report of an endpoint, for dumps.
 type loadState struct {
 	Endpoint     string  `json:"endpoint"`
@@ -179,6 +189,8 @@
 	ServiceMS    float64 `json:"service_ms"`
 	FailureShare float64 `json:"failure_share"`
 	LagMS        int64   `json:"lag_ms"`
+	// Weight is below 1 for an outlier of its group.
+	Weight float64 `json:"weight"`
 }
 
 // State returns the board, for dumps.
@@ -192,7 +204,7 @@
 		state := loadState{
 			Endpoint: report.Endpoint, Owner: report.Owner, From: report.From, AgeMS: now.Sub(report.MadeAt).Milliseconds(),
 			Slots: report.Slots, FreeSlots: report.FreeSlots, ServiceMS: float64(report.ServiceTime.Microseconds()) / 1000,
-			FailureShare: report.FailureShare,
+			FailureShare: report.FailureShare, Weight: l.proxy.dispatch.OutlierWeight(report.Endpoint),
 		}
 		for _, wait := range report.Wait {
 			state.WaitMS = append(state.WaitMS, wait.Milliseconds())
@@ -215,7 +227,7 @@
 		Slots: uint32(load.Slots), FreeSlots: uint32(load.FreeSlots), FreeConnections: uint32(load.FreeConnections),
 		ServiceUs:       uint32(load.ServiceTime.Microseconds()),
 		FailurePermille: uint32(load.FailureShare * 1000),
-		Position:        load.Position.Wire(),
+		Position:        load.Position.Wire(), PositionAgeMs: uint32(min(load.PositionAge, time.Hour).Milliseconds()) + 1,
 	}
 	for _, wait := range load.Wait {
 		encoded.WaitMs = append(encoded.WaitMs, uint32(wait.Milliseconds()))
@@ -230,6 +242,7 @@
 		ServiceTime:  time.Duration(encoded.GetServiceUs()) * time.Microsecond,
 		FailureShare: float64(encoded.GetFailurePermille()) / 1000,
 		Position:     rattanmodel.PositionFromWire(encoded.GetPosition()),
+		PositionAge:  time.Duration(encoded.GetPositionAgeMs()) * time.Millisecond,
 	}
 	waits := encoded.GetWaitMs()
 	for i := range load.Wait {
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -133,7 +133,7 @@
 	p.juries = &juries{proxy: p}
 	p.extension = newExtension(p)
 	p.dispatch = rattandispatch.New(clock, p.endpoints, p.owners, p.grants, p.switchovers,
-		rattanplacement.New(rattanplacement.FixedEgress{}, rand.Float64))
+		rattanplacement.New(rattanplacement.FixedEgress{}, rand.Float64), p.logOutlier)
 	p.registration = newRegistration(p)
 	p.admission = newAdmission(p)
 	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfreshness"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
@@ -161,11 +162,24 @@
 	grants      *rattangrant.Grants
 	switchovers *rattangrant.SwitchoverEstimator
 	placer      *rattanplacement.Placer
+	outliers    outliers
 }
 
-// New returns a Dispatcher.
-func New(clock rattanclock.Clock, endpoints Endpoints, owners Owners, grants *rattangrant.Grants, switchovers *rattangrant.SwitchoverEstimator, placer *rattanplacement.Placer) *Dispatcher {
-	return &Dispatcher{clock: clock, endpoints: endpoints, owners: owners, grants: grants, switchovers: switchovers, placer: placer}
+// New returns a Dispatcher. OnOutlier is called when an endpoint has become an outlier
+// of its group or is none any more.
+func New(clock rattanclock.Clock, endpoints Endpoints, owners Owners, grants *rattangrant.Grants, switchovers *rattangrant.SwitchoverEstimator, placer *rattanplacement.Placer, onOutlier func(rattanoutlier.Change)) *Dispatcher {
+	return &Dispatcher{
+		clock: clock, endpoints: endpoints, owners: owners, grants: grants, switchovers: switchovers, placer: placer,
+		outliers: outliers{detector: rattanoutlier.New(), onChange: onOutlier},
+	}
+}
+
+// OutlierWeight returns the share of its reads that an endpoint gets, 1 unless it is an
+// outlier of its group.
+func (d *Dispatcher) OutlierWeight(id string) float64 {
+	d.outliers.mu.Lock()
+	defer d.outliers.mu.Unlock()
+	return d.outliers.detector.Weight(id)
 }
 
 // RunAutocommit runs a statement outside a transaction.
--- a/internal/endpoint/rattandispatch/placed.go
+++ b/internal/endpoint/rattandispatch/placed.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
@@ -36,6 +38,8 @@
 	// again.
 	tried     map[string]int
 	notBefore map[string]time.Time
+	// isFull has the endpoints that have refused the statement for lack of room.
+	isFull map[string]bool
 	// isLastResort is true while no endpoint of the group is known to answer, or the
 	// group has only one.
 	isLastResort bool
@@ -47,7 +51,7 @@
 func (d *Dispatcher) placed(request Request, attempt placedAttempt) Outcome {
 	s := &search{
 		dispatcher: d, request: request, runner: attemptRunner{dispatcher: d},
-		tried: make(map[string]int), notBefore: make(map[string]time.Time),
+		tried: make(map[string]int), notBefore: make(map[string]time.Time), isFull: make(map[string]bool),
 	}
 	for {
 		minPosition, ok := d.minPosition(request)
@@ -69,11 +73,12 @@
 		}) {
 			return s.runner.last
 		}
-		s.recordFailure(upstream.Endpoint().ID)
+		s.recordFailure(upstream.Endpoint().ID, s.runner.last.Cause)
 	}
 }
 
-func (s *search) recordFailure(id string) {
+func (s *search) recordFailure(id string, cause error) {
+	s.isFull[id] = errors.Is(cause, rattanupstream.ErrOverloaded)
 	pause := attemptPause << s.tried[id]
 	if s.isLastResort {
 		pause = retryPause
@@ -138,6 +143,7 @@
 		isChoice = isChoice || !candidate.IsSuspect
 		candidates = append(candidates, candidate)
 	}
+	d.outliers.weigh(upstreams, candidates, d.grants.Now())
 	return candidates, isChoice
 }
 
@@ -150,7 +156,7 @@
 		Path: expected.Path, Wait: expected.Load.Wait[rattanwork.PriorityIndex(s.request.Route.Priority)],
 		Service: expected.Load.ServiceTime, FailureShare: expected.Load.FailureShare,
 		Slots: expected.Load.Slots, FreeSlots: expected.Load.FreeSlots, Weight: 1,
-		NotBefore: max(s.notBefore[endpoint.ID].Sub(d.clock.Now()), 0),
+		NotBefore: max(s.notBefore[endpoint.ID].Sub(d.clock.Now()), 0), IsFull: s.isFull[endpoint.ID],
 	}
 	if !candidate.IsPrimary {
 		holds := d.endpoints.Replicas().Expect(endpoint.ID, endpoint.StartedUnixMS, d.endpoints.History(endpoint.Group), minPosition, d.grants.Now())
--- a/internal/endpoint/rattanfreshness/replicas.go
+++ b/internal/endpoint/rattanfreshness/replicas.go
@@ -16,6 +16,10 @@
 	// minBehindPause is how long a replica that lacked a position is expected to lack
 	// it at least.
 	minBehindPause = 20 * time.Millisecond
+	// minTrend is the time that sightings must span to show how a lag grows, and maxGrowth
+	// limits the growth: a replica that receives nothing grows by 1.
+	minTrend  = 100 * time.Millisecond
+	maxGrowth = 0.9
 	// maxUnseen is the time after which a replica that is expected to lack a position
 	// is asked nevertheless: it may have caught up unseen.
 	maxUnseen = time.Second
@@ -25,8 +29,6 @@
 type sighting struct {
 	position rattanmodel.Position
 	at       time.Time
-	// isCurrent is true when the replica held nothing beyond the position then.
-	isCurrent bool
 }
 
 // A replica is what is known of the position of one replica.
@@ -60,21 +62,12 @@
 	return known
 }
 
-// Observe records the position in an answer of an endpoint's process.
+// Observe records the position in an answer of an endpoint's process at a time.
 func (r *Replicas) Observe(endpoint string, startedUnixMS int64, position rattanmodel.Position, at time.Time) {
-	r.add(endpoint, startedUnixMS, sighting{position: position, at: at, isCurrent: true})
-}
-
-// ObserveReport records a position that an endpoint's process is reported to have held.
-// It may have held more.
-func (r *Replicas) ObserveReport(endpoint string, startedUnixMS int64, position rattanmodel.Position, at time.Time) {
-	r.add(endpoint, startedUnixMS, sighting{position: position, at: at})
-}
-
-func (r *Replicas) add(endpoint string, startedUnixMS int64, seen sighting) {
-	if seen.position == (rattanmodel.Position{}) {
+	if position == (rattanmodel.Position{}) {
 		return
 	}
+	seen := sighting{position: position, at: at}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.process(endpoint, startedUnixMS)
@@ -84,8 +77,7 @@
 	n := len(known.sightings)
 	if n > 0 {
 		last := known.sightings[n-1]
-		// An older report, or one that shows nothing new, is no evidence of a lag.
-		if seen.position.Compare(last.position) < 0 || !seen.isCurrent && seen.position == last.position || seen.at.Before(last.at) {
+		if seen.position.Compare(last.position) < 0 || seen.at.Before(last.at) {
 			return
 		}
 		if n > 1 && seen.at.Sub(known.sightings[n-2].at) < minSightingInterval {
@@ -106,16 +98,57 @@
 	r.sightings = append(r.sightings[:0], r.sightings[expired:]...)
 }
 
-// lag returns how long after the primary the replica reaches a position, the longest in
-// the lag window; zero when it is not known to lack anything.
-func (r *replica) lag(history *History) time.Duration {
-	lag := time.Duration(0)
-	for _, seen := range r.sightings {
-		if passedAt, ok := history.passedAt(seen.position); ok {
-			lag = max(lag, seen.at.Sub(passedAt))
+// A trend is how a replica lags.
+type trend struct {
+	// lag is how long after the primary the replica reaches a position, the longest in
+	// the lag window; zero when it is not known to lack anything.
+	lag time.Duration
+	// growth is how much the lag grows in a time, as a share of that time.
+	growth float64
+	// stuck is how long the replica has stayed at its position although the primary had
+	// gone beyond it.
+	stuck time.Duration
+	// isAtLeast is true when the replica's position is older than the history, so that it
+	// may lag more.
+	isAtLeast bool
+}
+
+func (r *replica) trend(history *History) trend {
+	var t trend
+	var first, last time.Duration
+	for i, seen := range r.sightings {
+		passedAt, isCovered, ok := history.passedAt(seen.position)
+		if !ok {
+			continue
+		}
+		last = seen.at.Sub(passedAt)
+		if i == 0 {
+			first = last
+		}
+		t.lag, t.isAtLeast = max(t.lag, last), t.isAtLeast || !isCovered
+		if newest := r.sightings[len(r.sightings)-1]; seen.position == newest.position {
+			t.stuck = max(t.stuck, newest.at.Sub(maxTime(seen.at, passedAt)))
 		}
 	}
-	return lag
+	if n := len(r.sightings); n > 1 {
+		if span := r.sightings[n-1].at.Sub(r.sightings[0].at); span >= minTrend {
+			t.growth = min(max(float64(last-first)/float64(span), 0), maxGrowth)
+		}
+	}
+	return t
+}
+
+// holdsAt returns when a replica with this trend, last seen at a time, holds what its
+// primary reached at another.
+func (t trend) holdsAt(reachedAt, seenAt time.Time) time.Time {
+	holdsAt := reachedAt.Add(t.lag)
+	if ahead := holdsAt.Sub(seenAt); ahead > 0 {
+		holdsAt = seenAt.Add(time.Duration(float64(ahead) / (1 - t.growth)))
+	}
+	if t.isAtLeast {
+		holdsAt = maxTime(holdsAt, seenAt.Add(t.lag/2))
+	}
+	return maxTime(holdsAt, seenAt.Add(max(minBehindPause, t.stuck)))
 }
 
 // An Expectation is when a replica is expected to hold a position.
@@ -140,10 +173,7 @@
 	if newest.position.Compare(needed) >= 0 {
 		return Expectation{}
 	}
-	holdsAt := history.reachedAt(needed, now).Add(known.lag(history))
-	if newest.isCurrent {
-		holdsAt = maxTime(holdsAt, newest.at.Add(minBehindPause))
-	}
+	holdsAt := known.trend(history).holdsAt(history.reachedAt(needed, now), newest.at)
 	if !holdsAt.After(now) {
 		return Expectation{}
 	}
@@ -178,7 +208,7 @@
 	if !ok {
 		return 0
 	}
-	return known.lag(history)
+	return known.trend(history).lag
 }
 
 func maxTime(a, b time.Time) time.Time {
@@ -189,16 +219,16 @@
 }
 
 // passedAt returns when the primary went beyond a position. It returns false when it is
-// not known to have done so.
-func (h *History) passedAt(p rattanmodel.Position) (time.Time, bool) {
+// not known to have done so. Unless the history covers the position, it was earlier.
+func (h *History) passedAt(p rattanmodel.Position) (at time.Time, isCovered, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i, observed := range h.observations {
 		if observed.position.Compare(p) > 0 {
-			return h.timeOf(i, p), true
+			return h.timeOf(i, p), i > 0, true
 		}
 	}
-	return time.Time{}, false
+	return time.Time{}, false, false
 }
 
 // reachedAt returns when the primary reached a position, now for one that it is not yet
--- a/internal/endpoint/rattanfreshness/replicas_test.go
+++ b/internal/endpoint/rattanfreshness/replicas_test.go
@@ -49,11 +49,23 @@
 		r.Observe("e", 1, entryOf(now-10), timeOf(now))
 		assertExpect(t, r, history, now-10, now, Expectation{})
 	})
-	t.Run("a report that shows nothing new is no sign of a longer lag", func(t *testing.T) {
+	t.Run("an older answer that comes late is no sign of a longer lag", func(t *testing.T) {
 		r := lagging()
-		r.ObserveReport("e", 1, entryOf(now-100-lag), timeOf(now))
+		r.Observe("e", 1, entryOf(now-400-lag), timeOf(now))
+		r.Observe("e", 1, entryOf(now-100-lag), timeOf(now-200))
 		assertExpect(t, r, history, now-200, now, Expectation{In: (lag - 200) * time.Millisecond})
 	})
+	t.Run("a lag that grows by half puts it off twice as far", func(t *testing.T) {
+		r := NewReplicas()
+		r.Observe("e", 1, entryOf(now-lag), timeOf(now-200))
+		r.Observe("e", 1, entryOf(now-lag+100), timeOf(now))
+		assertExpect(t, r, history, now-200, now, Expectation{In: 2 * (lag - 100 - 200) * time.Millisecond})
+	})
+	t.Run("a lag longer than the history: not asked again at once", func(t *testing.T) {
+		r := NewReplicas()
+		r.Observe("e", 1, rattanmodel.Position{Term: 1, Index: 5}, timeOf(now))
+		assertExpect(t, r, history, 100, now, Expectation{In: now / 2 * time.Millisecond})
+	})
 	t.Run("not seen for a second: one read asks", func(t *testing.T) {
 		r, later := lagging(), now+maxUnseenMS
 		history := growingHistory(later)
--- a/internal/endpoint/rattanplacement/placement.go
+++ b/internal/endpoint/rattanplacement/placement.go
@@ -27,6 +27,9 @@
 	// evenRoom is the share of free slots that an account's preferred endpoint must
 	// have, measured by the one that has most, to be preferred.
 	evenRoom = 0.5
+	// maxMixRatio limits how much shorter the primary's reads are taken to be than those
+	// of replicas because of their kinds.
+	maxMixRatio = 5
 	// maxFailureShare limits the failure share by which the time of a read is raised.
 	maxFailureShare = 0.9
 	// minRetryAfter and maxRetryAfter limit the time after which a refused caller is
@@ -59,10 +62,12 @@
 	// IsProbe is true when the endpoint is expected to lack the position but has not
 	// been seen for long.
 	IsProbe bool
-	// NotBefore is the time until the statement may be sent there again after a refusal.
+	// NotBefore is the time until the statement may be sent there again after an attempt.
 	NotBefore time.Duration
-	// Weight is the share of the reads that the endpoint may get beside its peers, from
-	// 0 to 1. The zero Weight of a known outlier still serves when nothing else does.
+	// IsFull is true when the endpoint has refused the statement for lack of room.
+	IsFull bool
+	// Weight is 1, and less for an outlier of its group: the share of the reads that probe
+	// it. It gets others only when no peer can serve them.
 	Weight float64
 }
 
@@ -118,8 +123,8 @@
 type option struct {
 	Candidate
 	completion, cost time.Duration
-	// isDemoted is true for an outlier that does not get this read while a peer can
-	// serve it.
+	// isDemoted is true for an outlier, which gets this read only if no peer can serve
+	// it.
 	isDemoted bool
 }
 
@@ -136,10 +141,16 @@
 		}
 		start := max(c.Wait, c.HoldsIn, c.NotBefore)
 		soonest = min(soonest, start)
+		if c.IsFull {
+			continue
+		}
 		o := option{Candidate: c, completion: c.Path + start + service(c)}
 		if o.completion <= read.ObjectiveIn || c.Wait == 0 && o.completion <= read.DeadlineIn {
 			o.cost = o.completion
-			o.isDemoted = c.Weight < 1 && p.random() >= c.Weight
+			if c.Weight < 1 && c.Wait == 0 && c.HoldsIn == 0 && p.random() < c.Weight {
+				return o.choice(), nil
+			}
+			o.isDemoted = c.Weight < 1
 			options = append(options, o)
 		}
 	}
@@ -149,8 +160,11 @@
 		}
 	}
 	reservePrimary(options)
-	best := p.choose(read, p.preferred(read, options))
-	return Choice{ID: best.ID, SendIn: max(best.HoldsIn, best.NotBefore), Completion: best.completion, IsProbe: best.IsProbe}, nil
+	return p.choose(read, p.preferred(read, options)).choice(), nil
+}
+
+func (o option) choice() Choice {
+	return Choice{ID: o.ID, SendIn: max(o.HoldsIn, o.NotBefore), Completion: o.completion, IsProbe: o.IsProbe}
 }
 
 // expectedService returns the expected time of a read at each candidate. The same read
@@ -176,7 +190,7 @@
 			service = mean
 		}
 		if c.IsPrimary {
-			service = max(service, atReplica)
+			service = max(service, min(atReplica, maxMixRatio*service))
 		}
 		return time.Duration(float64(service) / (1 - min(c.FailureShare, maxFailureShare)))
 	}
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -13,6 +13,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 )
 
 const (
@@ -53,7 +54,10 @@
 	queue    *rattanadmission.Queue[*PooledConn]
 	// knownPosition is the highest position that the endpoint is known to hold.
 	knownPosition rattanmodel.Position
-	answers       answers
+	// knownAt is when an answer last showed it.
+	knownAt time.Time
+	// answers are the times and failures of the endpoint's last answers.
+	answers rattanoutlier.Answers
 	// fullUntil is the end of the pause after the endpoint refused a connection
 	// because it has too many.
 	fullUntil time.Time
@@ -91,7 +95,7 @@
 	defer u.mu.Unlock()
 	// What was observed before a restart of the endpoint no longer holds.
 	if endpoint.StartedUnixMS != u.endpoint.StartedUnixMS {
-		u.knownPosition, u.answers = rattanmodel.Position{}, answers{}
+		u.knownPosition, u.answers = rattanmodel.Position{}, rattanoutlier.Answers{}
 	}
 	u.endpoint = endpoint
 	return u.queue.SetLimits(limits, u.clock.Now())
@@ -101,7 +105,7 @@
 func (u *Upstream) observeAnswer(result rattanstatement.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.knownPosition = result.Position.Max(u.knownPosition)
+	u.observePosition(result.Position)
 	u.reachability.markReachable()
 }
 
@@ -121,7 +125,14 @@
 func (u *Upstream) ObserveForwarded(result rattanstatement.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.knownPosition = result.Position.Max(u.knownPosition)
+	u.observePosition(result.Position)
+}
+
+// observePosition records the position in an answer. The caller holds u.mu.
+func (u *Upstream) observePosition(position rattanmodel.Position) {
+	if position != (rattanmodel.Position{}) && position.Compare(u.knownPosition) >= 0 {
+		u.knownPosition, u.knownAt = position, u.clock.Now()
+	}
 }
 
 // Acquire returns a connection. It waits for one until the deadline. When none is
--- a/internal/endpoint/rattanwork/work.go
+++ b/internal/endpoint/rattanwork/work.go
@@ -59,8 +59,10 @@
 	ServiceTime time.Duration
 	// FailureShare is the share of failures among the last answers, from 0 to 1.
 	FailureShare float64
-	// Position is the newest position that the endpoint is known to hold.
-	Position rattanmodel.Position
+	// Position is the newest position that the endpoint is known to hold. PositionAge is
+	// the time between the answer that last showed it and the report.
+	Position    rattanmodel.Position
+	PositionAge time.Duration
 }
 
 // A Refusal says that a request has not run and when there is expected to be room for
