rattanupstream, rattanproxy: late answers count by their time, reports without the endpoint's name

Reads that were cut by the deadline of a forwarded statement, and lookups beyond the answer's time limit, counted as failures of the endpoint. They now count by their time, the cut ones not at all. A report in a response leaves out what its request says.

--- a/internal/daemon/rattanproxy/loads.go
+++ b/internal/daemon/rattanproxy/loads.go
@@ -1,6 +1,8 @@
 package rattanproxy
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,8 @@
 func (l *loads) attach(response *rattanv1.WorkResponse, upstream *rattanupstream.Upstream) {
 	if l.proxy.owners.isOwned(upstream) {
 		response.Load = encodeLoad(l.report(upstream), 0)
+		// The asking daemon knows which endpoint it has asked for.
+		response.Load.Endpoint = ""
 	}
 }
 
@@ -61,11 +65,16 @@
 	return load
 }
 
+// learnResponse takes the report in an owner's response to work for an endpoint.
+func (l *loads) learnResponse(response *rattanv1.WorkResponse, endpoint string) {
+	if load := response.GetLoad(); load != nil {
+		load.Endpoint = endpoint
+		l.learn(load, "")
+	}
+}
+
 // learn takes a report that came with a message from a VM, empty for the owner itself.
 func (l *loads) learn(load *rattanv1.EndpointLoad, from string) {
-	if load == nil {
-		return
-	}
 	report := rattanpressure.Report{
 		Load: decodeLoad(load), From: from,
 		MadeAt: l.proxy.boot.Now().Add(-time.Duration(load.GetAgeMs()) * time.Millisecond),
@@ -128,14 +137,19 @@
 // own returns the reports of the endpoints whose connections this daemon owns.
 func (l *loads) own() []*rattanv1.EndpointLoad {
 	var reports []*rattanv1.EndpointLoad
-	for _, upstream := range l.proxy.endpoints.all() {
-		if l.proxy.owners.isOwned(upstream) {
-			reports = append(reports, encodeLoad(l.report(upstream), 0))
-		}
+	for _, upstream := range l.owned() {
+		reports = append(reports, encodeLoad(l.report(upstream), 0))
 	}
 	return reports
 }
 
+// owned returns the endpoints whose connections this daemon owns.
+func (l *loads) owned() []*rattanupstream.Upstream {
+	return slices.DeleteFunc(l.proxy.endpoints.all(), func(upstream *rattanupstream.Upstream) bool {
+		return !l.proxy.owners.isOwned(upstream)
+	})
+}
+
 // news returns the reports that a VM has not been told of yet, with those that this
 // daemon makes.
 func (l *loads) news(vm string) []*rattanv1.EndpointLoad {
@@ -199,6 +213,9 @@
 	l.mu.Lock()
 	reports := l.board.Reports()
 	l.mu.Unlock()
+	for _, upstream := range l.owned() {
+		reports = append(reports, rattanpressure.Report{Load: l.report(upstream), MadeAt: now})
+	}
 	states := make([]loadState, 0, len(reports))
 	for _, report := range reports {
 		state := loadState{
@@ -226,12 +243,16 @@
 		AgeMs: uint32((max(age, 0) + time.Millisecond - 1) / time.Millisecond),
 		Slots: uint32(load.Slots), FreeSlots: uint32(load.FreeSlots), FreeConnections: uint32(load.FreeConnections),
 		ServiceUs:       uint32(load.ServiceTime.Microseconds()),
-		FailurePermille: uint32(load.FailureShare * 1000),
+		FailurePermille: uint32(math.Round(load.FailureShare * 1000)),
 		Position:        load.Position.Wire(), PositionAgeMs: uint32(min(load.PositionAge, time.Hour).Milliseconds()) + 1,
 	}
 	for _, wait := range load.Wait {
 		encoded.WaitMs = append(encoded.WaitMs, uint32(wait.Milliseconds()))
 	}
+	// Further priorities wait as long as the last one given.
+	for n := len(encoded.WaitMs); n > 1 && encoded.WaitMs[n-1] == encoded.WaitMs[n-2]; n-- {
+		encoded.WaitMs = encoded.WaitMs[:n-1]
+	}
 	return encoded
 }
 
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -234,7 +234,7 @@
 	}
 	response := reply.GetWorkResponse()
 	o.proxy.loads.observePath(vm, o.proxy.boot.Now().Sub(sent), time.Duration(response.GetTookUs())*time.Microsecond)
-	o.proxy.loads.learn(response.GetLoad(), "")
+	o.proxy.loads.learnResponse(response, upstream.Endpoint().ID)
 	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
 	return decodeWorkResponse(response)
 }
--- a/internal/endpoint/rattanoutlier/answers.go
+++ b/internal/endpoint/rattanoutlier/answers.go
@@ -28,7 +28,7 @@
 }
 
 // ObserveRead records the time of a read that was answered with success, or that was not
-// answered at all. Failures do not count: a fast one is no speed.
+// answered for that time. Failures do not count: a fast one is no speed.
 func (a *Answers) ObserveRead(took time.Duration, now time.Time) {
 	if a.serviceAt.IsZero() {
 		a.service, a.serviceAt = took, now
--- a/internal/endpoint/rattanupstream/load.go
+++ b/internal/endpoint/rattanupstream/load.go
@@ -1,22 +1,29 @@
 package rattanupstream
 
 import (
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 // observeOutcome records what became of a request to the endpoint that was sent at a
-// time. A refusal that says why it did not run is no failure.
+// time. A refusal that says why it did not run is no failure, nor is an answer that is
+// late: it counts by its time, unless the caller's deadline has cut it short.
 func (u *Upstream) observeOutcome(result rattanstatement.Result, err error, isRead bool, sentAt time.Time) {
 	now := u.clock.Now()
+	took, isLate := now.Sub(sentAt), errors.Is(err, os.ErrDeadlineExceeded)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	isFailure := err != nil || result.Code == rattanstatement.Failed || result.Code == rattanstatement.Timeout
-	u.answers.ObserveAnswer(isFailure, now)
-	if isRead && (err != nil || result.OK()) {
-		u.answers.ObserveRead(now.Sub(sentAt), now)
+	if !isLate {
+		isFailure := err != nil || result.Code == rattanstatement.Failed || result.Code == rattanstatement.Timeout
+		u.answers.ObserveAnswer(isFailure, now)
+	}
+	if isRead && (isLate && took >= answerTimeout || err == nil && result.OK()) {
+		u.answers.ObserveRead(took, now)
 	}
 }
 
@@ -34,6 +41,9 @@
 		ServiceTime:     u.answers.Service(now), FailureShare: u.answers.FailureShare(now),
 		Position: u.knownPosition, PositionAge: max(now.Sub(u.knownAt), 0),
 	}
+	if u.reachability.isSuspect() {
+		load.FailureShare = 1
+	}
 	for priority := range load.Wait {
 		load.Wait[priority] = u.expectedWait(priority, now)
 	}
