rattanproxy: a forwarded read waits as long as its owner's daemon answers

Change: the owner gets the statement's own deadline. A sender that has no answer after 150 ms pings the owner's daemon over the session, and goes elsewhere when there is no answer within 350 ms of sending. Writes wait as before.

--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// forwardTimeout limits a forwarded statement that may be retried elsewhere.
+	// forwardTimeout is how long a connection owner that no longer answers delays a
+	// forwarded statement that may be retried elsewhere.
 	forwardTimeout = 350 * time.Millisecond
 	// forwardSlack is how much longer than the connection owner the sender waits.
 	forwardSlack = 20 * time.Millisecond
@@ -75,7 +76,7 @@
 	}
 	start := o.proxy.clock.Now()
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_READ, upstream.Endpoint().ID, statement)
-	result, err := o.forward(upstream, vm, address, request, o.forwardDeadline(statement.Deadline))
+	result, err := o.forward(upstream, vm, address, request, statement.Deadline)
 	var callErr *ownerCallError
 	if errors.As(err, &callErr) {
 		return upstream.Read(statement)
@@ -114,7 +115,7 @@
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_BEGIN, upstream.Endpoint().ID, begin.First)
 	request.Transaction = transaction.name
 	request.ReadsOnly, request.AtPrimary = begin.IsReadOnly, begin.AtPrimary
-	result, err := o.forward(upstream, vm, address, request, o.forwardDeadline(begin.First.Deadline))
+	result, err := o.forward(upstream, vm, address, request, begin.First.Deadline)
 	var callErr *ownerCallError
 	switch {
 	case errors.As(err, &callErr):
@@ -132,13 +133,6 @@
 	return transaction, result, nil
 }
 
-func (o *owners) forwardDeadline(deadline time.Time) time.Time {
-	if early := o.proxy.clock.Now().Add(forwardTimeout); early.Before(deadline) {
-		return early
-	}
-	return deadline
-}
-
 func (o *owners) isUnresponsive(vm string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -173,8 +167,9 @@
 // daemon probes the endpoint itself: the network path to both may be down.
 const ownerProbeDelay = 150 * time.Millisecond
 
-// forward sends a statement to a connection owner and waits for the response
-// until a time.
+// forward sends a statement to a connection owner and waits for the response until a
+// time. It waits for a statement that may be retried elsewhere only while the owner's
+// daemon answers: such a statement may wait long at an owner that is well.
 func (o *owners) forward(upstream *rattanupstream.Upstream, vm, address string, request *rattanv1.WorkRequest, until time.Time) (rattanstatement.Result, error) {
 	now := o.proxy.clock.Now()
 	remaining := max(until.Sub(now), 0)
@@ -187,6 +182,9 @@
 		if isOutside {
 			o.proxy.isolation.recordLate(vm, now)
 		}
+		if isRepeatable(request.GetKind()) {
+			o.cancelWhenSilent(ctx, cancel, address)
+		}
 	})
 	defer probe.Stop()
 	sent := o.proxy.boot.Now()
@@ -204,6 +202,30 @@
 	return decodeWorkResponse(reply.GetWorkResponse())
 }
 
+// isRepeatable reports whether a request that may have run may run again elsewhere.
+func isRepeatable(kind rattanv1.WorkKind) bool {
+	return kind == rattanv1.WorkKind_WORK_KIND_READ || kind == rattanv1.WorkKind_WORK_KIND_BEGIN
+}
+
+// cancelWhenSilent ends a call as soon as the daemon at address does not answer a ping in
+// the rest of forwardTimeout.
+func (o *owners) cancelWhenSilent(ctx context.Context, cancel context.CancelFunc, address string) {
+	const patience = forwardTimeout - ownerProbeDelay
+	for ctx.Err() == nil {
+		pingCtx, pingCancel := context.WithTimeout(ctx, patience)
+		answers := o.proxy.peers.Answers(pingCtx, address)
+		pingCancel()
+		if !answers {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.proxy.clock.After(patience):
+		}
+	}
+}
+
 func (o *owners) transactionName() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/peer/rattanlink/peer.go
+++ b/internal/peer/rattanlink/peer.go
@@ -35,6 +35,8 @@
 	current *yamux.Session
 	// attempt is the running connection attempt, nil when there is none.
 	attempt *dialAttempt
+	// ping is the running ping of the session, nil when there is none.
+	ping *ping
 	// After a failed attempt with dialErr no other one is made before retryAt.
 	backoff time.Duration
 	retryAt time.Time
