rattanadmission: priorities first, then fair shares by account, refused when known

Cause: one mean service time for an 11 ms write and a 55 ms lookup, no accounts in the queue, nothing displaced once it waits, and a refusal that does not say when there is room. Change: rattancost learns mean and deviation by route and operation. The queue orders by priority, by start-time fair queueing over service time and by objective; what cannot be in time goes last, and is refused with a time to come back when nobody can spare the room. One start in 16 is of the least urgent priority that waits. Statements of transactions take slots. Reads wait for an answer as long as their kind needs. The dispatcher does not go back to an owner before the time it was told. Takes effect with more than one account or priority. Queue.Wait and FreeSlots are for placement.

--- a/internal/config/rattancatalog/catalog.go
+++ b/internal/config/rattancatalog/catalog.go
@@ -130,6 +130,16 @@
 	return route, ok
 }
 
+// IsShared reports whether requests of several client accounts, or of routes of different
+// priority, compete for the endpoints.
+func (c *Catalog) IsShared() bool {
+	priorities := make(map[int]bool)
+	for _, route := range c.routes {
+		priorities[route.Priority] = true
+	}
+	return len(c.accounts) > 1 || len(priorities) > 1
+}
+
 // Account returns a client account by name.
 func (c *Catalog) Account(name string) (Account, bool) {
 	account, ok := c.accounts[name]
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -166,11 +166,16 @@
 	budget := rattanowner.ConnectionBudget{MaxConnections: group.MaxConnections, Slots: endpoint.Slots}
 	owner, ok := s.proxy.owners.owner(snapshot, endpoint)
 	if ok && owner == s.proxy.settings.VM() {
-		return rattanadmission.Limits{Connections: budget.OwnerConnections(), InFlight: budget.InFlight(), Idle: budget.Idle()}
+		return rattanadmission.Limits{
+			Connections: budget.OwnerConnections(), InFlight: budget.InFlight(), Idle: budget.Idle(), IsShared: snapshot.Catalog.IsShared(),
+		}
 	}
 	// The connections left for daemons other than the owner are fewer than those
 	// daemons, so none of them keeps an idle one.
-	return rattanadmission.Limits{Connections: budget.FallbackConnections(), InFlight: budget.FallbackConnections(), Idle: rattanadmission.NoIdle}
+	return rattanadmission.Limits{
+		Connections: budget.FallbackConnections(), InFlight: budget.FallbackConnections(), Idle: rattanadmission.NoIdle,
+		IsShared: snapshot.Catalog.IsShared(),
+	}
 }
 
 // Upstreams implements rattandispatch.Endpoints.
--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -10,6 +10,7 @@
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
@@ -36,6 +37,7 @@
 		StatementId: statement.StatementID, Text: statement.Text, Shape: statement.Prepared.Text, Writes: statement.IsWrite,
 		Argument: statement.Argument, Floor: statement.MinPosition.Wire(),
 		ObjectiveMs: uint32(max(time.Until(statement.Objective), 0).Milliseconds()),
+		Route:       statement.Kind.Route, WaitedMs: uint32(max(statement.Waited, 0).Milliseconds()),
 	}
 }
 
@@ -44,6 +46,8 @@
 	statement := rattanupstream.StatementRequest{
 		AcquireRequest: rattanupstream.AcquireRequest{
 			Account: request.GetAccount(), Priority: int(request.GetPriority()),
+			Kind:      rattanwork.Kind{Route: request.GetRoute(), Operation: decodeOperation(request.GetKind())},
+			Waited:    time.Duration(request.GetWaitedMs()) * time.Millisecond,
 			Objective: now.Add(time.Duration(request.GetObjectiveMs()) * time.Millisecond),
 			Deadline:  now.Add(time.Duration(request.GetDeadlineMs()) * time.Millisecond),
 		},
@@ -60,6 +64,18 @@
 	return statement
 }
 
+// decodeOperation returns what a request that begins work does at the endpoint.
+func decodeOperation(kind rattanv1.WorkKind) rattanwork.Operation {
+	switch kind {
+	case rattanv1.WorkKind_WORK_KIND_WRITE:
+		return rattanwork.Write
+	case rattanv1.WorkKind_WORK_KIND_BEGIN:
+		return rattanwork.Transaction
+	default:
+		return rattanwork.Read
+	}
+}
+
 // workFailures maps the errors of statements to failures in messages between
 // daemons. A failure is decoded as the first error that has it.
 var workFailures = []struct {
@@ -85,7 +101,11 @@
 	}
 	for _, known := range workFailures {
 		if errors.Is(err, known.err) {
-			return &rattanv1.WorkResponse{Failure: known.failure, Detail: err.Error()}
+			response := &rattanv1.WorkResponse{Failure: known.failure, Detail: err.Error()}
+			if retryAfter, ok := rattanupstream.RetryAfter(err); ok {
+				response.RetryAfterMs = uint32(max(retryAfter.Milliseconds(), 1))
+			}
+			return response
 		}
 	}
 	return &rattanv1.WorkResponse{Failure: rattanv1.WorkFailure_WORK_FAILURE_SILENT, Detail: err.Error()}
@@ -95,6 +115,11 @@
 	if response.GetFailure() == rattanv1.WorkFailure_WORK_FAILURE_UNKNOWN {
 		return rattanstatement.Result{}, &ownerCallError{cause: errUnknownTarget, isNotRun: true}
 	}
+	if response.GetFailure() == rattanv1.WorkFailure_WORK_FAILURE_OVERLOADED {
+		return rattanstatement.Result{}, &rattanupstream.OverloadedError{Refusal: rattanwork.Refusal{
+			Reason: response.GetDetail(), RetryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
+		}}
+	}
 	for _, known := range workFailures {
 		if response.GetFailure() == known.failure {
 			return rattanstatement.Result{}, errors.Wrap(known.err, response.GetDetail())
--- /dev/null
+++ b/internal/endpoint/rattanadmission/demand.go
@@ -0,0 +1,30 @@
+package rattanadmission
+
+import (
+	"math"
+	"time"
+)
+
+// demandMemory is the time over which the work of each priority is averaged: long enough
+// for a mean of a few requests a second, short enough to follow a burst.
+const demandMemory = time.Second
+
+// A demand is the work that arrives at one priority: slot time for each unit of time.
+type demand struct {
+	work  float64
+	since time.Time
+}
+
+// add records the cost of a request that gets a slot or waits for one.
+func (d *demand) add(cost time.Duration, now time.Time) {
+	d.work = d.rate(now) + float64(cost)/float64(demandMemory)
+	d.since = now
+}
+
+// rate returns how many slots the work keeps busy.
+func (d *demand) rate(now time.Time) float64 {
+	if d.work == 0 {
+		return 0
+	}
+	return d.work * math.Exp(-float64(max(now.Sub(d.since), 0))/float64(demandMemory))
+}
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -1,106 +1,62 @@
 // Package rattanadmission decides which request to an endpoint gets a connection
 // next, which waits and which is refused. A connection belongs to one client
 // account. An endpoint accepts a limited number of connections from all daemons and
-// runs only a few statements at once. The package does no locking, input or output,
-// and takes the current time as an argument.
+// runs only a few statements at once. The package answers the load in which more is
+// asked of an endpoint than it can do: the most urgent priority goes first, inside it the
+// account that has had the least service, and what cannot be served in time is refused
+// as soon as that is known. It does no locking, input or output, and takes the current
+// time as an argument.
 package rattanadmission
 
 import (
 	"slices"
 	"time"
 
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattancost"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattaninventory"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
-// smoothingFactor is the weight of a new sample in the moving average of the service
-// time.
-const smoothingFactor = 0.1
-
-// initialServiceTime is the assumed service time before the first sample.
-const initialServiceTime = 15 * time.Millisecond
-
-// maxServiceSample limits one sample of the service time, so that a few requests
-// without a response do not make the queue refuse all others.
-const maxServiceSample = 300 * time.Millisecond
-
-// A Waiter is a request for a connection.
-type Waiter[C comparable] struct {
-	// Account is the client account that the connection must belong to.
-	Account string
-	// Priority is 0 for the most urgent requests and rises with less urgent ones.
-	Priority int
-	// Objective is the time by which the response should arrive. Requests that can
-	// still meet their objective go before those that cannot.
-	Objective time.Time
-	// Deadline is the time after which a response is useless.
-	Deadline time.Time
-	// Ready is closed when a waiting request gets its Assignment.
-	Ready chan struct{}
-	// Assignment is valid once Request has returned Assigned or Ready is closed.
-	Assignment rattaninventory.Assignment[C]
-
-	isWaiting bool
-}
-
-// A Decision is the result of a request for a connection.
-type Decision int
-
-// Decisions of Request.
-const (
-	// Assigned requests may use their Assignment now.
-	Assigned Decision = iota + 1
-	// Queued requests wait until Ready is closed.
-	Queued
-	// Refused requests are not expected to be answered before their deadline.
-	Refused
-)
-
-// Limits are the limits of a queue.
-type Limits struct {
-	// Connections is the number of connections that the queue may hold.
-	Connections int
-	// InFlight is the number of requests that run at once.
-	InFlight int
-	// Idle is the number of connections that stay open without a request: 0 for
-	// all of them, NoIdle for none.
-	Idle int
-}
-
-// NoIdle closes each connection after its request.
-const NoIdle = -1
-
-// normalized returns usable limits: at least one connection and one request in flight,
-// and Idle as a number of connections.
-func (l Limits) normalized() Limits {
-	l.Connections = max(l.Connections, 1)
-	l.InFlight = min(max(l.InFlight, 1), l.Connections)
-	switch l.Idle {
-	case 0:
-		l.Idle = l.Connections
-	case NoIdle:
-		l.Idle = 0
-	}
-	return l
-}
-
-// inventoryLimits returns the limits of the queue's inventory.
-func (l Limits) inventoryLimits() rattaninventory.Limits {
-	return rattaninventory.Limits{Connections: l.Connections, Idle: l.Idle}
-}
+// sweepInterval is the least time between two sweeps for requests that can no longer be
+// served in time.
+const sweepInterval = 20 * time.Millisecond
 
 // A Queue assigns the connections of this daemon to one endpoint.
 type Queue[C comparable] struct {
-	limits      Limits
-	inventory   *rattaninventory.Inventory[C]
-	waiting     []*Waiter[C]
-	serviceTime time.Duration
+	limits    Limits
+	inventory *rattaninventory.Inventory[C]
+	costs     *rattancost.Costs
+	waiting   []*Waiter[C]
+	// transactionStatements counts the statements that run in transactions, on pinned
+	// connections.
+	transactionStatements int
+	// classes and demands are by priority.
+	classes map[int]*class
+	demands map[int]*demand
+	returns *returns
+	// startsWithoutLowest counts the starts since the least urgent priority that waits
+	// had one.
+	startsWithoutLowest int
+	number              uint64
+	sweptAt             time.Time
+	counts              Counts
+}
+
+// Counts count what a queue has decided since its start.
+type Counts struct {
+	// RefusedNoRoom counts requests refused on arrival, RefusedDisplaced those that
+	// had waited until they could no longer be served in time.
+	RefusedNoRoom, RefusedDisplaced int
+	// StartedLowest counts starts because of the bound of starvation.
+	StartedLowest int
 }
 
 // New returns a Queue with the given limits.
 func New[C comparable](limits Limits) *Queue[C] {
 	limits = limits.normalized()
 	return &Queue[C]{
-		limits: limits, inventory: rattaninventory.New[C](limits.inventoryLimits()), serviceTime: initialServiceTime,
+		limits: limits, inventory: rattaninventory.New[C](limits.inventoryLimits()), costs: rattancost.New(),
+		classes: make(map[int]*class), demands: make(map[int]*demand), returns: newReturns(),
 	}
 }
 
@@ -123,6 +79,11 @@
 // Busy returns the number of connections that serve requests outside transactions.
 func (q *Queue[C]) Busy() int { return q.inventory.Busy() }
 
+// FreeSlots returns how many more requests may run now.
+func (q *Queue[C]) FreeSlots() int {
+	return max(q.limits.InFlight-q.Busy()-q.transactionStatements, 0)
+}
+
 // Pin reserves an assigned connection for a transaction. The connection then no longer
 // counts as busy, since transactions are idle between their statements. Pin returns
 // false when too many connections are pinned already.
@@ -142,93 +103,153 @@
 // Pinned returns the number of connections that are reserved for transactions.
 func (q *Queue[C]) Pinned() int { return q.inventory.Pinned() }
 
+// BeginStatement records that a statement of a transaction takes a slot of the endpoint.
+// It does not wait, since its transaction holds a connection and locks.
+func (q *Queue[C]) BeginStatement() { q.transactionStatements++ }
+
+// EndStatement records the end of a statement of a transaction.
+func (q *Queue[C]) EndStatement(now time.Time) {
+	q.transactionStatements--
+	q.dispatch(now)
+}
+
 // Waiting returns the number of waiting requests.
 func (q *Queue[C]) Waiting() int { return len(q.waiting) }
 
-// ServiceTime returns the average time that a request holds a connection.
-func (q *Queue[C]) ServiceTime() time.Duration { return q.serviceTime }
-
-// ExpectedWait returns the expected wait of a request that arrives now.
-func (q *Queue[C]) ExpectedWait() time.Duration {
-	if q.Busy() < q.limits.InFlight {
-		return 0
+// WaitingByPriority returns the number of waiting requests of each priority, and how many
+// accounts they are of.
+func (q *Queue[C]) WaitingByPriority() (byPriority map[int]int, accounts int) {
+	byPriority = make(map[int]int)
+	names := make(map[string]bool)
+	for _, w := range q.waiting {
+		byPriority[w.Priority]++
+		names[w.Account] = true
 	}
-	return q.waitBehind(len(q.waiting))
+	return byPriority, len(names)
 }
 
-// waitBehind returns the expected wait behind a number of waiting requests.
-func (q *Queue[C]) waitBehind(waiting int) time.Duration {
-	return q.serviceTime * time.Duration(waiting+1) / time.Duration(q.limits.InFlight)
+// Counts returns the totals since the start.
+func (q *Queue[C]) Counts() Counts { return q.counts }
+
+// ServiceTime returns the mean time that a request holds a slot.
+func (q *Queue[C]) ServiceTime() time.Duration { return q.costs.All().Mean }
+
+// Cost returns the cost of a kind of request.
+func (q *Queue[C]) Cost(kind rattanwork.Kind) rattanwork.Cost { return q.costs.Of(kind) }
+
+// Observe records the time that a request held a slot.
+func (q *Queue[C]) Observe(kind rattanwork.Kind, held time.Duration) { q.costs.Observe(kind, held) }
+
+// Wait returns the expected wait of a request of a priority that arrives now.
+func (q *Queue[C]) Wait(priority int, now time.Time) time.Duration {
+	slots := q.slotTimes()
+	for _, w := range q.waiting {
+		if w.Priority <= priority {
+			slots.occupy(q.costs.Of(w.Kind).Mean)
+		}
+	}
+	return q.stretched(slots[0], q.shareFor(priority, now))
 }
 
-// Request requests a connection. A request that is expected to wait until after its
-// deadline is refused at once, so that its caller can try another endpoint.
+// Request requests a connection. A request that cannot be served in time is refused at
+// once, so that its caller can try another endpoint. Waiting requests that can no longer
+// be served in time because of it are refused too.
 func (q *Queue[C]) Request(w *Waiter[C], now time.Time) Decision {
-	if q.assign(w) {
+	q.number++
+	w.number, w.arrival = q.number, now.Add(-w.Waited)
+	w.floor = q.class(w.Priority).floorAt(w.arrival)
+	if q.assign(w, now) {
+		q.demand(w.Priority).add(q.costs.Of(w.Kind).Mean, now)
 		return Assigned
 	}
-	if now.Add(q.waitBehind(q.countAhead(w, now))).After(w.Deadline) {
-		return Refused
-	}
 	w.Ready = make(chan struct{})
 	w.isWaiting = true
 	q.waiting = append(q.waiting, w)
+	q.refuseHopeless(q.newPlan(now), w, now)
+	if w.Refusal != nil {
+		return Refused
+	}
+	q.demand(w.Priority).add(q.costs.Of(w.Kind).Mean, now)
 	return Queued
 }
 
-// countAhead returns the number of waiting requests that go before w.
-func (q *Queue[C]) countAhead(w *Waiter[C], now time.Time) int {
-	count := 0
-	for _, other := range q.waiting {
-		if !q.goesBefore(w, other, now) {
-			count++
-		}
+// demand returns the demand of a priority.
+func (q *Queue[C]) demand(priority int) *demand {
+	d, ok := q.demands[priority]
+	if !ok {
+		d = &demand{}
+		q.demands[priority] = d
 	}
-	return count
+	return d
 }
 
-// goesBefore reports whether a goes before b: the one that can still meet its
-// objective goes first, then the more urgent one. When both are equal, it returns
-// false, and the one that arrived first goes first.
-func (q *Queue[C]) goesBefore(a, b *Waiter[C], now time.Time) bool {
-	done := now.Add(q.serviceTime)
-	aLate, bLate := done.After(a.Objective), done.After(b.Objective)
-	if aLate != bLate {
-		return bLate
+// Sweep refuses the waiting requests that can no longer be served in time. It does
+// nothing when that was decided a moment ago.
+func (q *Queue[C]) Sweep(now time.Time) {
+	if now.Sub(q.sweptAt) >= sweepInterval {
+		q.refuseHopeless(q.newPlan(now), nil, now)
+	}
+}
+
+// refuseHopeless refuses the requests without hope. The arriving one gets its refusal
+// from Request, the others through Ready.
+func (q *Queue[C]) refuseHopeless(p *plan[C], arriving *Waiter[C], now time.Time) {
+	q.sweptAt = now
+	for _, w := range p.hopeless {
+		q.remove(w)
+		w.Refusal = &rattanwork.Refusal{Reason: "displaced", RetryAfter: q.retryAfter(w, p, now)}
+		if w == arriving {
+			w.Refusal.Reason = "no room"
+			q.counts.RefusedNoRoom++
+			continue
+		}
+		q.counts.RefusedDisplaced++
+		close(w.Ready)
 	}
-	return a.Priority < b.Priority
+}
+
+// retryAfter returns when there is expected to be room for a refused request.
+func (q *Queue[C]) retryAfter(w *Waiter[C], p *plan[C], now time.Time) time.Duration {
+	share := q.shareFor(w.Priority, now)
+	earliest := min(q.stretched(p.slots[0], share), maxReturn)
+	return q.returns.book(w.Priority, w.Account, q.costs.Of(w.Kind).Mean, earliest, share*float64(q.limits.InFlight), now)
 }
 
 // assign gives w a connection if one is available and the endpoint may run one more
 // request.
-func (q *Queue[C]) assign(w *Waiter[C]) bool {
-	if q.Busy() >= q.limits.InFlight {
+func (q *Queue[C]) assign(w *Waiter[C], now time.Time) bool {
+	if q.FreeSlots() == 0 {
 		return false
 	}
 	assignment, ok := q.inventory.Take(w.Account)
 	if ok {
 		w.Assignment = assignment
+		q.class(w.Priority).start(w.Account, w.floor, q.costs.Of(w.Kind).Mean, now)
+		q.countStart(w)
 	}
 	return ok
 }
 
 // Cancel removes a waiting request. It returns false when the request has got an
-// assignment meanwhile, which the caller must then give back.
+// assignment or a refusal meanwhile. The caller must give back an assignment.
 func (q *Queue[C]) Cancel(w *Waiter[C]) bool {
 	if !w.isWaiting {
 		return false
 	}
+	q.remove(w)
+	return true
+}
+
+func (q *Queue[C]) remove(w *Waiter[C]) {
 	w.isWaiting = false
 	at := slices.Index(q.waiting, w)
 	q.waiting = slices.Delete(q.waiting, at, at+1)
-	return true
 }
 
-// Release returns a connection to the queue after a request that held it for the given
-// time. If the queue now has too many connections or too many idle ones, Release returns
-// one that the caller closes and reports with Closed.
-func (q *Queue[C]) Release(conn C, account string, held time.Duration, now time.Time) (surplus C, ok bool) {
-	q.recordServiceTime(held)
+// Release returns a connection to the queue after a request. If the queue now has too
+// many connections or too many idle ones, Release returns one that the caller closes and
+// reports with Closed.
+func (q *Queue[C]) Release(conn C, account string, now time.Time) (surplus C, ok bool) {
 	if !q.inventory.Put(conn, account) {
 		return conn, true
 	}
@@ -245,26 +266,24 @@
 // TakeIdle removes all idle connections from the queue; the caller closes them.
 func (q *Queue[C]) TakeIdle() []C { return q.inventory.TakeIdle() }
 
-func (q *Queue[C]) recordServiceTime(held time.Duration) {
-	q.serviceTime += time.Duration(smoothingFactor * float64(min(held, maxServiceSample)-q.serviceTime))
-}
-
 // dispatch assigns connections to waiting requests, the first in order first, while
 // any are available.
 func (q *Queue[C]) dispatch(now time.Time) {
-	for len(q.waiting) > 0 {
-		best := 0
-		for i := range q.waiting {
-			if q.goesBefore(q.waiting[i], q.waiting[best], now) {
-				best = i
-			}
+	for len(q.waiting) > 0 && q.FreeSlots() > 0 {
+		p := q.newPlan(now)
+		q.refuseHopeless(p, nil, now)
+		planned := p.order()
+		if len(planned) == 0 {
+			return
 		}
-		w := q.waiting[best]
-		if !q.assign(w) {
+		w := q.next(planned)
+		if !q.assign(w, now) {
 			return
 		}
-		q.waiting = slices.Delete(q.waiting, best, best+1)
-		w.isWaiting = false
+		if w != planned[0] {
+			q.counts.StartedLowest++
+		}
+		q.remove(w)
 		close(w.Ready)
 	}
 }
--- a/internal/endpoint/rattanadmission/queue_test.go
+++ b/internal/endpoint/rattanadmission/queue_test.go
@@ -26,7 +26,7 @@
 	queue := New[int](Limits{Connections: 2, InFlight: 2})
 	first := newWaiter("a", 0, time.Second, time.Second)
 	assertDecision(t, queue.Request(first, startTime()), Assigned)
-	queue.Release(7, "a", time.Millisecond, startTime())
+	queue.Release(7, "a", startTime())
 	other := newWaiter("b", 0, time.Second, time.Second)
 	assertDecision(t, queue.Request(other, startTime()), Assigned)
 	if other.Assignment.Conn != 0 {
@@ -46,8 +46,8 @@
 	for _, account := range []string{"a", "b"} {
 		assertDecision(t, queue.Request(newWaiter(account, 0, time.Second, time.Second), startTime()), Assigned)
 	}
-	queue.Release(1, "a", time.Millisecond, startTime())
-	queue.Release(2, "b", time.Millisecond, startTime())
+	queue.Release(1, "a", startTime())
+	queue.Release(2, "b", startTime())
 	third := newWaiter("c", 0, time.Second, time.Second)
 	assertDecision(t, queue.Request(third, startTime()), Assigned)
 	if third.Assignment.Evict != 1 {
@@ -76,7 +76,7 @@
 	urgent := newWaiter("a", 2, 500*time.Millisecond, time.Second)
 	assertDecision(t, queue.Request(late, startTime()), Queued)
 	assertDecision(t, queue.Request(urgent, startTime()), Queued)
-	queue.Release(1, "a", 10*time.Millisecond, startTime().Add(10*time.Millisecond))
+	queue.Release(1, "a", startTime().Add(10*time.Millisecond))
 	select {
 	case <-urgent.Ready:
 	default:
@@ -115,7 +115,7 @@
 				busy = busy[1:]
 				if rapid.Bool().Draw(t, "closed") {
 					queue.Closed(startTime())
-				} else if _, ok := queue.Release(1, w.Account, time.Millisecond, startTime()); ok {
+				} else if _, ok := queue.Release(1, w.Account, startTime()); ok {
 					queue.Closed(startTime())
 				}
 			} else {
@@ -157,7 +157,7 @@
 		assertDecision(t, queue.Request(newWaiter("a", 0, time.Second, time.Second), startTime()), Assigned)
 	}
 	for conn := range 4 {
-		queue.Release(conn+1, "a", time.Millisecond, startTime())
+		queue.Release(conn+1, "a", startTime())
 	}
 	surplus := queue.SetLimits(Limits{Connections: 2, InFlight: 2}, startTime())
 	if len(surplus) != 2 || queue.Connections() != 2 {
@@ -189,7 +189,7 @@
 		assertDecision(t, queue.Request(newWaiter("a", 0, time.Second, time.Second), startTime()), Assigned)
 	}
 	for conn := range 8 {
-		if _, ok := queue.Release(conn+1, "a", time.Millisecond, startTime()); ok {
+		if _, ok := queue.Release(conn+1, "a", startTime()); ok {
 			queue.Closed(startTime())
 		}
 	}
@@ -204,7 +204,7 @@
 func TestNoIdle(t *testing.T) {
 	queue := New[int](Limits{Connections: 2, InFlight: 2, Idle: NoIdle})
 	assertDecision(t, queue.Request(newWaiter("a", 0, time.Second, time.Second), startTime()), Assigned)
-	surplus, ok := queue.Release(7, "a", time.Millisecond, startTime())
+	surplus, ok := queue.Release(7, "a", startTime())
 	if !ok || surplus != 7 {
 		t.Fatalf("connection %d is to be closed (%t), want 7", surplus, ok)
 	}
@@ -219,7 +219,7 @@
 func TestFormerOwnerClosesIdle(t *testing.T) {
 	queue := New[int](Limits{Connections: 4, InFlight: 2, Idle: 2})
 	assertDecision(t, queue.Request(newWaiter("a", 0, time.Second, time.Second), startTime()), Assigned)
-	queue.Release(7, "a", time.Millisecond, startTime())
+	queue.Release(7, "a", startTime())
 	if surplus := queue.SetLimits(Limits{Connections: 2, InFlight: 2, Idle: NoIdle}, startTime()); len(surplus) != 1 || surplus[0] != 7 {
 		t.Errorf("connections %v are to be closed, want 7", surplus)
 	}
--- /dev/null
+++ b/internal/endpoint/rattanadmission/share.go
@@ -0,0 +1,76 @@
+package rattanadmission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// historyInterval separates two entries of a class's history, historyEntries bounds
+	// them: a caller that returns after longer counts as if it had waited that long.
+	historyInterval = 20 * time.Millisecond
+	historyEntries  = 128
+	// minPrunedAccounts is how many accounts a class holds before it forgets those
+	// without debts.
+	minPrunedAccounts = 128
+)
+
+// A class shares the slots among the client accounts of one priority, by start-time fair
+// queueing over expected service time: a request gets a start tag, the later of the
+// class's virtual time at its arrival and the end of its account's previous service, and
+// the lowest tag goes first. An account that was idle starts at the virtual time and so
+// gains no credit.
+type class struct {
+	virtual time.Duration
+	// finish is the end of the service of each account that has had more than the
+	// virtual time.
+	finish  map[string]time.Duration
+	pruneAt int
+	history []virtualAt
+}
+
+// virtualAt is the virtual time of a class as of a time.
+type virtualAt struct {
+	at      time.Time
+	virtual time.Duration
+}
+
+func newClass() *class {
+	return &class{finish: make(map[string]time.Duration), pruneAt: minPrunedAccounts}
+}
+
+// floorAt returns the virtual time as of an arrival.
+func (c *class) floorAt(arrival time.Time) time.Duration {
+	floor := c.virtual
+	for i := len(c.history) - 1; i >= 0 && c.history[i].at.After(arrival); i-- {
+		floor = c.history[i].virtual
+	}
+	return floor
+}
+
+// start records that a request of an account begins its service.
+func (c *class) start(account string, floor, cost time.Duration, now time.Time) {
+	tag := max(floor, c.finish[account])
+	c.finish[account] = tag + cost
+	if tag > c.virtual {
+		if last := len(c.history) - 1; last < 0 || now.Sub(c.history[last].at) >= historyInterval {
+			c.history = append(c.history, virtualAt{at: now, virtual: c.virtual})
+		}
+		c.virtual = tag
+	}
+	if len(c.history) > historyEntries {
+		c.history = slices.Delete(c.history, 0, len(c.history)-historyEntries)
+	}
+	if len(c.finish) >= c.pruneAt {
+		c.prune()
+	}
+}
+
+func (c *class) prune() {
+	for account, finish := range c.finish {
+		if finish <= c.virtual {
+			delete(c.finish, account)
+		}
+	}
+	c.pruneAt = max(minPrunedAccounts, 2*len(c.finish))
+}
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -18,15 +18,18 @@
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfreshness"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 const (
 	// retryPause is the wait between two rounds of attempts at the endpoints of a
 	// group.
 	retryPause = 20 * time.Millisecond
-	// answerTimeout limits the wait for the answer to a statement of a transaction.
-	// It is well above the run time of a statement.
-	answerTimeout = 300 * time.Millisecond
+	// The wait for the answer to a statement of a transaction is limited to answerTimeout,
+	// or to the latency objective divided by answerWaitDivisor if that is longer. Both are
+	// well above the run time of a statement.
+	answerTimeout     = 300 * time.Millisecond
+	answerWaitDivisor = 2
 	// While no endpoint can run a request, it waits at most for its latency objective
 	// divided by endpointWaitDivisor. It is then refused, so that the caller can still
 	// try another daemon in time.
@@ -69,11 +72,11 @@
 
 func (r Request) deadline() time.Time { return r.Arrived.Add(r.Route.Timeout) }
 
-// acquireRequest returns the request for a connection to run the statement on.
-func (r Request) acquireRequest() rattanupstream.AcquireRequest {
+// acquireRequest returns the request, made now, for a connection to run the statement on.
+func (r Request) acquireRequest(operation rattanwork.Operation, now time.Time) rattanupstream.AcquireRequest {
 	return rattanupstream.AcquireRequest{
-		Account: r.Account, Priority: r.Route.Priority,
-		Objective: r.Arrived.Add(r.Route.LatencyObjective), Deadline: r.deadline(),
+		Account: r.Account, Kind: rattanwork.Kind{Route: r.Route.Name, Operation: operation}, Priority: r.Route.Priority,
+		Objective: r.Arrived.Add(r.Route.LatencyObjective), Deadline: r.deadline(), Waited: now.Sub(r.Arrived),
 	}
 }
 
@@ -164,10 +167,14 @@
 	return d.read(request, operation)
 }
 
-// statementRequest returns the operation's statement as a request to an endpoint.
-func (r Request) statementRequest(operation rattanstatemachine.Operation, minPosition rattanmodel.Position) rattanupstream.StatementRequest {
+// statementRequest returns the operation's statement as a request, made now, to an endpoint.
+func (r Request) statementRequest(operation rattanstatemachine.Operation, minPosition rattanmodel.Position, now time.Time) rattanupstream.StatementRequest {
+	kind := rattanwork.Read
+	if operation.IsWrite {
+		kind = rattanwork.Write
+	}
 	statement := rattanupstream.StatementRequest{
-		AcquireRequest: r.acquireRequest(),
+		AcquireRequest: r.acquireRequest(kind, now),
 		SessionVars:    r.SessionVars,
 		StatementID:    operation.Statement.ID,
 		Text:           operation.Statement.Text,
--- a/internal/endpoint/rattandispatch/read.go
+++ b/internal/endpoint/rattandispatch/read.go
@@ -44,7 +44,7 @@
 // primary's position it runs the read at the primary. It is refused at once while the
 // group has no endpoint that gets new statements.
 func (d *Dispatcher) read(request Request, operation rattanstatemachine.Operation) Outcome {
-	runner := attemptRunner{dispatcher: d}
+	runner := attemptRunner{dispatcher: d, request: request}
 	for {
 		minPosition, ok := d.minPosition(request)
 		if !ok {
@@ -52,26 +52,19 @@
 		}
 		candidates := d.candidates(request.Route.Group, minPosition)
 		if len(candidates) == 0 {
-			return d.refuseBusy(runner.last)
+			return runner.refuseBusy()
 		}
 		if runner.try(candidates, minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
 			return d.readAt(upstream, request, operation, minPosition)
 		}) {
 			return runner.last
 		}
-		if d.clock.Now().Add(retryPause).After(request.endpointWaitDeadline()) {
-			return d.refuseBusy(runner.last)
+		if !runner.pause(request.endpointWaitDeadline()) {
+			return runner.refuseBusy()
 		}
-		<-d.clock.After(retryPause)
 	}
 }
 
-// refuseBusy returns the last outcome with a refusal that tells the caller to retry.
-func (d *Dispatcher) refuseBusy(last Outcome) Outcome {
-	last.Result = rattanstatement.Refuse(rattanstatement.Busy, "no endpoint can run the statement now; come back in 100 ms")
-	return last
-}
-
 // noPrimaryDetail is the detail of the refusal of a statement that only a primary
 // can run.
 const noPrimaryDetail = "the group has no primary now; come back in 100 ms"
@@ -79,7 +72,7 @@
 // atPrimary repeats an attempt at the group's primary until its outcome is final or
 // the request's time for further attempts has passed.
 func (d *Dispatcher) atPrimary(request Request, attempt func(*rattanupstream.Upstream) (Outcome, bool)) Outcome {
-	runner := attemptRunner{dispatcher: d}
+	runner := attemptRunner{dispatcher: d, request: request}
 	for {
 		upstream, err := d.primary(request)
 		if err != nil {
@@ -88,10 +81,13 @@
 		if runner.try([]*rattanupstream.Upstream{upstream}, rattanmodel.Position{}, attempt) {
 			return runner.last
 		}
-		if d.clock.Now().Add(retryPause).After(request.deadline()) || len(runner.attempts) > 1 && d.clock.Now().After(request.endpointWaitDeadline()) {
-			return d.refuseBusy(runner.last)
+		until := request.deadline()
+		if len(runner.attempts) > 1 {
+			until = request.endpointWaitDeadline().Add(retryPause)
+		}
+		if !runner.pause(until) {
+			return runner.refuseBusy()
 		}
-		<-d.clock.After(retryPause)
 	}
 }
 
@@ -112,7 +108,7 @@
 	if primary, ok := d.grants.Primary(request.Route.Group); needsGrant && (!ok || primary != id) {
 		return Outcome{Endpoint: id, Cause: errNoPrimary}, false
 	}
-	result, err := d.owners.Read(upstream, request.statementRequest(operation, minPosition))
+	result, err := d.owners.Read(upstream, request.statementRequest(operation, minPosition, d.clock.Now()))
 	if err != nil {
 		outcome := Outcome{Endpoint: id, Cause: err}
 		if !d.clock.Now().Before(request.deadline()) {
@@ -134,7 +130,7 @@
 // answerDeadline returns until when to wait for the answer to a statement of a
 // transaction that is sent now.
 func (d *Dispatcher) answerDeadline(request Request) time.Time {
-	until := d.clock.Now().Add(answerTimeout)
+	until := d.clock.Now().Add(max(answerTimeout, request.Route.LatencyObjective/answerWaitDivisor))
 	if deadline := request.deadline(); until.After(deadline) {
 		return deadline
 	}
--- a/internal/endpoint/rattandispatch/transaction.go
+++ b/internal/endpoint/rattandispatch/transaction.go
@@ -8,6 +8,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 // A Transaction is an open transaction of a caller. It takes a connection for its
@@ -54,7 +55,7 @@
 
 func (t *Transaction) firstAtReplica(request Request, operation rattanstatemachine.Operation) Outcome {
 	d := t.dispatcher
-	runner := attemptRunner{dispatcher: d}
+	runner := attemptRunner{dispatcher: d, request: request}
 	for {
 		minPosition, ok := d.minPosition(request)
 		candidates := d.candidates(t.route.Group, minPosition)
@@ -66,17 +67,16 @@
 			minPosition, candidates = rattanmodel.Position{}, []*rattanupstream.Upstream{upstream}
 		}
 		if len(candidates) == 0 {
-			return d.refuseBusy(runner.last)
+			return runner.refuseBusy()
 		}
 		if runner.try(candidates, minPosition, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
 			return t.beginAt(upstream, request, operation, minPosition, ok)
 		}) {
 			return runner.last
 		}
-		if d.clock.Now().Add(retryPause).After(request.endpointWaitDeadline()) {
-			return d.refuseBusy(runner.last)
+		if !runner.pause(request.endpointWaitDeadline()) {
+			return runner.refuseBusy()
 		}
-		<-d.clock.After(retryPause)
 	}
 }
 
@@ -90,9 +90,9 @@
 	if primary, ok := d.grants.Primary(t.route.Group); !hasMinPosition && (!ok || primary != id) {
 		return Outcome{Endpoint: id, Cause: errNoPrimary}, false
 	}
-	open, result, err := d.owners.Begin(upstream, rattanupstream.Begin{
-		First: request.statementRequest(operation, minPosition), IsReadOnly: t.isReadOnly, AtPrimary: !hasMinPosition,
-	})
+	first := request.statementRequest(operation, minPosition, d.clock.Now())
+	first.Kind.Operation = rattanwork.Transaction
+	open, result, err := d.owners.Begin(upstream, rattanupstream.Begin{First: first, IsReadOnly: t.isReadOnly, AtPrimary: !hasMinPosition})
 	if err != nil {
 		return Outcome{Endpoint: id, Cause: err}, false
 	}
@@ -108,7 +108,7 @@
 func (t *Transaction) next(request Request, operation rattanstatemachine.Operation) Outcome {
 	d := t.dispatcher
 	startedAt := d.grants.Now()
-	result, err := t.open.Run(request.statementRequest(operation, rattanmodel.Position{}), d.answerDeadline(request))
+	result, err := t.open.Run(request.statementRequest(operation, rattanmodel.Position{}, d.clock.Now()), d.answerDeadline(request))
 	if err != nil {
 		t.Abort()
 		return t.failed(rattanstatement.Aborted, "the endpoint did not answer; the transaction is rolled back", err)
@@ -134,7 +134,7 @@
 	}
 	d := t.dispatcher
 	startedAt := d.grants.Now()
-	result, err := t.open.Commit(request.statementRequest(operation, rattanmodel.Position{}))
+	result, err := t.open.Commit(request.statementRequest(operation, rattanmodel.Position{}, d.clock.Now()))
 	t.open = nil
 	switch {
 	case errors.Is(err, rattanupstream.ErrNoGrant):
--- a/internal/endpoint/rattandispatch/write.go
+++ b/internal/endpoint/rattandispatch/write.go
@@ -21,7 +21,7 @@
 func (d *Dispatcher) writeAt(upstream *rattanupstream.Upstream, request Request, operation rattanstatemachine.Operation) (Outcome, bool) {
 	id := upstream.Endpoint().ID
 	startedAt := d.grants.Now()
-	result, err := d.owners.Write(upstream, request.statementRequest(operation, rattanmodel.Position{}))
+	result, err := d.owners.Write(upstream, request.statementRequest(operation, rattanmodel.Position{}, d.clock.Now()))
 	switch {
 	case errors.Is(err, rattanupstream.ErrTimeout):
 		inDoubt := rattanstatement.Refuse(rattanstatement.InDoubt, "the answer of the endpoint is missing; the write may have run")
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 // A Conn is a connection to an endpoint, over the endpoint's protocol.
@@ -39,8 +40,10 @@
 	account     string
 	sessionVars map[string]string
 	// prepared has the name of each prepared statement on the connection.
-	prepared   map[PreparedStatement]string
+	prepared map[PreparedStatement]string
+	// acquiredAt is when the current request got its slot, kind that request's kind.
 	acquiredAt time.Time
+	kind       rattanwork.Kind
 }
 
 // Interrupt ends a request that is in flight by closing the connection; the outcome
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -9,10 +9,10 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 )
 
-// answerTimeout limits the wait for the answer to a read and to the begin or rollback
-// of a transaction. It is well above the run time of a statement, since the admission
-// queue lets few statements wait at the endpoint.
-const answerTimeout = 250 * time.Millisecond
+// minAnswerTimeout is the least limit of the wait for the answer to a read and to the
+// begin or rollback of a transaction. It is well above the run time of most statements,
+// since the admission queue lets few statements wait at the endpoint.
+const minAnswerTimeout = 250 * time.Millisecond
 
 // Errors of statements, in addition to those of Acquire.
 var (
@@ -97,17 +97,20 @@
 	if err != nil {
 		return rattanstatement.Result{}, err
 	}
-	until := u.clock.Now().Add(answerTimeout)
+	timeout := u.answerTimeout(statement.Kind)
+	until := u.clock.Now().Add(timeout)
 	if until.After(statement.Deadline) {
 		until = statement.Deadline
 	}
 	setup, request := statement.wireRequests(pooled)
 	result, err := pooled.Run(setup, request, until)
 	if err != nil {
+		u.observeCost(pooled, false)
 		u.discardFailed(pooled, err)
-		u.ObserveLatency(answerTimeout)
+		u.ObserveLatency(timeout)
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
+	u.observeCost(pooled, result.OK())
 	u.Release(pooled)
 	u.ObserveLatency(u.clock.Now().Sub(start))
 	if result.Code == rattanstatement.Behind {
@@ -140,6 +143,7 @@
 		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
+	u.observeCost(pooled, result.OK())
 	u.Release(pooled)
 	return result, nil
 }
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -55,12 +55,14 @@
 		u.Release(pooled)
 		return nil, rattanstatement.Result{}, ErrOverloaded
 	}
+	defer u.endStatement()
 	transaction := &LocalTransaction{upstream: u, conn: pooled}
 	if begin.AtPrimary && !transaction.isGranted() {
 		transaction.release()
 		return nil, rattanstatement.Result{}, ErrNoGrant
 	}
 	result, err := transaction.begin(begin)
+	u.observeCost(pooled, err == nil && result.OK())
 	if err != nil {
 		transaction.fail(err)
 		return nil, rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -76,12 +78,32 @@
 	return transaction, result, nil
 }
 
-// pin reserves a connection for a transaction. It returns false when the queue allows
-// no more of them.
+// pin reserves a connection for a transaction, and its slot for the first statement. It
+// returns false when the queue allows no more of them.
 func (u *Upstream) pin() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.queue.Pin(u.clock.Now())
+	u.queue.BeginStatement()
+	if !u.queue.Pin(u.clock.Now()) {
+		u.queue.EndStatement(u.clock.Now())
+		return false
+	}
+	return true
+}
+
+// hold takes a slot of the endpoint for a statement of a transaction, until the returned
+// function is called.
+func (u *Upstream) hold() (done func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.queue.BeginStatement()
+	return u.endStatement
+}
+
+func (u *Upstream) endStatement() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.queue.EndStatement(u.clock.Now())
 }
 
 // begin sends the begin and, after its answer, the first statement. Sent together, a
@@ -92,7 +114,7 @@
 	if begin.IsReadOnly {
 		request.Kind = rattanstatement.BeginRead
 	}
-	until := t.upstream.clock.Now().Add(answerTimeout)
+	until := t.upstream.clock.Now().Add(t.upstream.answerTimeout(statement.Kind))
 	if until.After(statement.Deadline) {
 		until = statement.Deadline
 	}
@@ -101,7 +123,7 @@
 		return result, err
 	}
 	statement.MinPosition = rattanmodel.Position{}
-	return t.Run(statement, until)
+	return t.run(statement, until)
 }
 
 func (t *LocalTransaction) isGranted() bool {
@@ -112,6 +134,11 @@
 
 // Run implements Transaction.
 func (t *LocalTransaction) Run(statement StatementRequest, until time.Time) (rattanstatement.Result, error) {
+	defer t.upstream.hold()()
+	return t.run(statement, until)
+}
+
+func (t *LocalTransaction) run(statement StatementRequest, until time.Time) (rattanstatement.Result, error) {
 	setup, request := statement.wireRequests(t.conn)
 	t.hasWritten = t.hasWritten || statement.IsWrite
 	return t.conn.Run(setup, request, until)
@@ -129,7 +156,9 @@
 		defer done()
 	}
 	setup, request := statement.wireRequests(t.conn)
+	free := t.upstream.hold()
 	result, err := t.conn.Run(setup, request, statement.Deadline)
+	free()
 	if err != nil {
 		t.fail(err)
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -144,7 +173,7 @@
 
 // Rollback implements Transaction.
 func (t *LocalTransaction) Rollback() {
-	until := t.upstream.clock.Now().Add(answerTimeout)
+	until := t.upstream.clock.Now().Add(minAnswerTimeout)
 	result, err := t.conn.Run(nil, rattanstatement.Request{Kind: rattanstatement.Rollback}, until)
 	if err != nil || !result.OK() || result.TransactionStatus != rattanstatement.Idle {
 		t.Abort()
@@ -166,7 +195,7 @@
 
 func (t *LocalTransaction) release() {
 	t.unpin()
-	t.upstream.releaseWithServiceTime(t.conn, t.upstream.meanServiceTime())
+	t.upstream.Release(t.conn)
 }
 
 func (t *LocalTransaction) unpin() {
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 const (
@@ -117,7 +118,7 @@
 	return rattanplacement.Candidate{
 		ID:            u.endpoint.ID,
 		IsSuspect:     u.reachability.isSuspect(),
-		Wait:          u.queue.ExpectedWait() + u.currentLatency(),
+		Wait:          u.queue.Wait(rattanwork.Priorities-1, u.clock.Now()) + u.currentLatency(),
 		Behind:        u.behind,
 		BehindSince:   u.behindSince,
 		BehindCount:   u.behindCount,
@@ -155,11 +156,15 @@
 type AcquireRequest struct {
 	// Account is the client account, empty on routes open to all.
 	Account string
+	// Kind is by what the cost of the request is learnt.
+	Kind rattanwork.Kind
 	// Priority is 0 for the most urgent.
 	Priority int
 	// Objective is the end of the latency objective. After Deadline the answer is of
 	// no use.
 	Objective, Deadline time.Time
+	// Waited is how long the caller has waited before this request.
+	Waited time.Duration
 }
 
 // ObserveForwarded records the position and latency of a read that ran through
@@ -177,27 +182,34 @@
 	}
 }
 
-// Acquire returns a connection. It waits for one until the deadline. When none is
-// expected in time, it returns ErrOverloaded at once.
+// Acquire returns a connection. It waits for one until the deadline. As soon as none is
+// expected in time, it returns an *OverloadedError.
 func (u *Upstream) Acquire(request AcquireRequest) (*PooledConn, error) {
 	account, deadline := request.Account, request.Deadline
 	w := &rattanadmission.Waiter[*PooledConn]{
-		Account: account, Priority: request.Priority, Objective: request.Objective, Deadline: deadline,
+		Account: account, Kind: request.Kind, Priority: request.Priority,
+		Objective: request.Objective, Deadline: deadline, Waited: request.Waited,
 	}
 	if err := u.wait(w); err != nil {
 		return nil, err
 	}
+	assignedAt := u.clock.Now()
 	if evicted := w.Assignment.Evict; evicted != nil {
 		_ = evicted.conn.Close()
 	}
 	if pooled := w.Assignment.Conn; pooled != nil {
 		if !pooled.conn.IsStale() {
-			pooled.acquiredAt = u.clock.Now()
+			pooled.acquiredAt, pooled.kind = assignedAt, request.Kind
 			return pooled, nil
 		}
 		_ = pooled.conn.Close()
 	}
-	return u.open(account, deadline)
+	pooled, err := u.open(account, deadline)
+	if err != nil {
+		return nil, err
+	}
+	pooled.acquiredAt, pooled.kind = assignedAt, request.Kind
+	return pooled, nil
 }
 
 func (u *Upstream) wait(w *rattanadmission.Waiter[*PooledConn]) error {
@@ -214,32 +226,45 @@
 	case rattanadmission.Assigned:
 		return nil
 	case rattanadmission.Refused:
-		return u.overloaded("refused at once")
-	}
-	var failed error
-	select {
-	case <-w.Ready:
-		return nil
-	case <-unreachable:
-		failed = ErrUnreachable
-	case <-u.clock.After(w.Deadline.Sub(now)):
-		failed = u.overloaded("waited in vain")
+		return u.overloaded(w.Refusal)
 	}
+	err := u.awaitReady(w, unreachable)
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.queue.Cancel(w) {
-		return failed
+	isCancelled := u.queue.Cancel(w)
+	u.mu.Unlock()
+	switch {
+	case isCancelled:
+		return err
+	case w.Refusal != nil:
+		return u.overloaded(w.Refusal)
+	default:
+		return nil
 	}
-	return nil
 }
 
-// overloaded returns ErrOverloaded with the reason and the state of the queue.
-func (u *Upstream) overloaded(reason string) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	limits := u.queue.Limits()
-	return errors.Wrapf(ErrOverloaded, "%s: %d of %d connections, %d of %d busy, %d in transactions, %d waiting",
-		reason, u.queue.Connections(), limits.Connections, u.queue.Busy(), limits.InFlight, u.queue.Pinned(), u.queue.Waiting())
+// sweepInterval separates two checks of a waiting request whether it can still be served
+// in time.
+const sweepInterval = 25 * time.Millisecond
+
+// awaitReady waits until a request has its decision. It returns an error when the
+// endpoint becomes unreachable or the deadline passes before.
+func (u *Upstream) awaitReady(w *rattanadmission.Waiter[*PooledConn], unreachable <-chan struct{}) error {
+	for {
+		remaining := w.Deadline.Sub(u.clock.Now())
+		if remaining <= 0 {
+			return u.overloaded(&rattanwork.Refusal{Reason: "waited in vain"})
+		}
+		select {
+		case <-w.Ready:
+			return nil
+		case <-unreachable:
+			return ErrUnreachable
+		case <-u.clock.After(min(remaining, sweepInterval)):
+		}
+		u.mu.Lock()
+		u.queue.Sweep(u.clock.Now())
+		u.mu.Unlock()
+	}
 }
 
 // open opens a connection for which the queue has reserved a place. The place is
@@ -278,7 +303,7 @@
 			return nil, errors.Wrap(ErrUnreachable, err.Error())
 		case result.OK():
 			u.observeAnswer(result)
-			return &PooledConn{upstream: u, conn: conn, account: account, acquiredAt: u.clock.Now()}, nil
+			return &PooledConn{upstream: u, conn: conn, account: account}, nil
 		}
 		_ = conn.Close()
 		if err := u.refused(result, deadline); err != nil {
@@ -310,29 +335,14 @@
 	}
 }
 
-// Release returns a connection to the queue after use.
+// Release returns a connection to the queue after use. It closes the connection that the
+// queue no longer has a place for, if any.
 func (u *Upstream) Release(pooled *PooledConn) {
-	u.releaseWithServiceTime(pooled, u.clock.Now().Sub(pooled.acquiredAt))
-}
-
-// meanServiceTime returns the mean time that a request holds a connection. It stands
-// for the time of a connection that a transaction held, since the duration of a
-// transaction says nothing about the time of a request.
-func (u *Upstream) meanServiceTime() time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.queue.ServiceTime()
-}
-
-// releaseWithServiceTime returns a connection to the queue, with the time that counts
-// for the queue's mean service time. It closes the connection that the queue no
-// longer has a place for, if any.
-func (u *Upstream) releaseWithServiceTime(pooled *PooledConn, serviceTime time.Duration) {
 	now := u.clock.Now()
 	u.mu.Lock()
 	surplus, isSurplus := pooled, true
 	if !u.isClosed {
-		surplus, isSurplus = u.queue.Release(pooled, pooled.account, serviceTime, now)
+		surplus, isSurplus = u.queue.Release(pooled, pooled.account, now)
 	}
 	if isSurplus {
 		u.queue.Closed(now)
@@ -385,9 +395,16 @@
 	Limit       int    `json:"limit"`
 	Busy        int    `json:"busy"`
 	Waiting     int    `json:"waiting"`
-	Position    string `json:"position"`
-	IsSuspect   bool   `json:"suspect"`
-	AcceptsNew  bool   `json:"accepts_new"`
+	// WaitingByPriority counts the waiting requests, WaitingAccounts the client
+	// accounts that they are of.
+	WaitingByPriority map[int]int `json:"waiting_by_priority,omitempty"`
+	WaitingAccounts   int         `json:"waiting_accounts"`
+	ServiceMS         float64     `json:"service_ms"`
+	RefusedNoRoom     int         `json:"refused_no_room"`
+	RefusedDisplaced  int         `json:"refused_displaced"`
+	Position          string      `json:"position"`
+	IsSuspect         bool        `json:"suspect"`
+	AcceptsNew        bool        `json:"accepts_new"`
 }
 
 // State returns the current state.
@@ -395,7 +412,11 @@
 	acceptsNew := u.AcceptsNewStatements()
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	byPriority, accounts := u.queue.WaitingByPriority()
+	counts := u.queue.Counts()
 	return State{
+		WaitingByPriority: byPriority, WaitingAccounts: accounts, ServiceMS: float64(u.queue.ServiceTime().Microseconds()) / 1000,
+		RefusedNoRoom: counts.RefusedNoRoom, RefusedDisplaced: counts.RefusedDisplaced,
 		ID: u.endpoint.ID, Address: u.endpoint.Address,
 		Connections: u.queue.Connections(), Limit: u.queue.Limits().Connections, Busy: u.queue.Busy(), Waiting: u.queue.Waiting(),
 		Position: u.knownPosition.String(), IsSuspect: u.reachability.isSuspect(),
