--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -60,7 +61,9 @@
 // run updates the upstreams whenever the cached endpoints change, and at least
 // every refreshInterval.
 func (s *endpointSet) run(ctx context.Context) error {
+	report := newQueueReport(s.proxy)
 	for ctx.Err() == nil {
+		report.update(s.all())
 		s.proxy.cache.Refresh()
 		// Read before the snapshot, which is then complete as of that time.
 		confirmedAt := s.proxy.grants.SyncedAt()
@@ -193,6 +196,13 @@
 	return upstream, ok
 }
 
+// all returns a copy of the upstreams of all endpoints, by id.
+func (s *endpointSet) all() map[string]*rattanupstream.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.upstreams)
+}
+
 // IsLocal implements rattandispatch.Endpoints.
 func (s *endpointSet) IsLocal(endpoint rattancatalog.Endpoint) bool {
 	return endpoint.FailureDomain == s.proxy.settings.FailureDomain()
--- a/internal/endpoint/rattanadmission/plan.go
+++ b/internal/endpoint/rattanadmission/plan.go
@@ -32,7 +32,7 @@
 	lowest, aheadOfLowest := q.lowestWaiting(), 0
 	for _, w := range q.ordered() {
 		mean := q.costs.Of(w.Kind).Mean
-		start := q.stretched(p.slots[0], q.shareFor(w.Priority, now))
+		start := q.expectedStart(w, p.slots[0], now)
 		if w.Priority == lowest {
 			start = min(start, q.guaranteedStart(aheadOfLowest))
 		}
@@ -79,22 +79,40 @@
 		return 1
 	}
 	busy := 0.0
-	for other, d := range q.demands {
+	for other, c := range q.classes {
 		if other < priority {
-			busy += d.rate(now)
+			busy += c.demand.rate(now)
 		}
 	}
 	return max(1-busy/float64(q.limits.InFlight), 1.0/lowestEvery)
 }
 
+// expectedStart returns the time from now at which a waiting request can expect to start
+// when a slot becomes free for it after the given time. Arrivals that go before it delay
+// it: those more urgent, and those of accounts that have had less service than its own,
+// which each make up for the difference at most.
+func (q *Queue[C]) expectedStart(w *Waiter[C], slotFree time.Duration, now time.Time) time.Duration {
+	share := q.shareFor(w.Priority, now)
+	start := q.stretched(slotFree, share)
+	class := q.class(w.Priority)
+	lead := w.tag - class.virtual
+	if !q.limits.IsShared || lead <= 0 {
+		return start
+	}
+	slots := float64(q.limits.InFlight)
+	others, accounts := class.othersDemand(w.Account, now)
+	behindAll := start + time.Duration(float64(lead)*float64(accounts-1)/(slots*share))
+	return min(q.stretched(slotFree, max(share-others/slots, 1.0/lowestEvery)), behindAll)
+}
+
 // lateShare returns the share of the slots that arrivals of all priorities leave.
 func (q *Queue[C]) lateShare(now time.Time) float64 {
 	if !q.limits.IsShared {
 		return 1
 	}
 	busy := 0.0
-	for _, d := range q.demands {
-		busy += d.rate(now)
+	for _, c := range q.classes {
+		busy += c.demand.rate(now)
 	}
 	return 1 - busy/float64(q.limits.InFlight)
 }
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -30,10 +30,13 @@
 	// transactionStatements counts the statements that run in transactions, on pinned
 	// connections.
 	transactionStatements int
-	// classes and demands are by priority.
+	// classes are by priority.
 	classes map[int]*class
-	demands map[int]*demand
 	returns *returns
+	// pinReturns gives times to callers whose transactions found no connection, unpins
+	// counts the ends of transactions.
+	pinReturns *returns
+	unpins     demand
 	// startsWithoutLowest counts the starts since the least urgent priority that waits
 	// had one.
 	startsWithoutLowest int
@@ -47,16 +50,29 @@
 	// RefusedNoRoom counts requests refused on arrival, RefusedDisplaced those that
 	// had waited until they could no longer be served in time.
 	RefusedNoRoom, RefusedDisplaced int
+	// RefusedTransaction counts transactions for which no connection could be reserved.
+	RefusedTransaction int
 	// StartedLowest counts starts because of the bound of starvation.
 	StartedLowest int
 }
 
+// Since returns the counts since an earlier time.
+func (c Counts) Since(earlier Counts) Counts {
+	return Counts{
+		RefusedNoRoom: c.RefusedNoRoom - earlier.RefusedNoRoom, RefusedDisplaced: c.RefusedDisplaced - earlier.RefusedDisplaced,
+		RefusedTransaction: c.RefusedTransaction - earlier.RefusedTransaction, StartedLowest: c.StartedLowest - earlier.StartedLowest,
+	}
+}
+
+// Refused returns how many requests were refused.
+func (c Counts) Refused() int { return c.RefusedNoRoom + c.RefusedDisplaced + c.RefusedTransaction }
+
 // New returns a Queue with the given limits.
 func New[C comparable](limits Limits) *Queue[C] {
 	limits = limits.normalized()
 	return &Queue[C]{
 		limits: limits, inventory: rattaninventory.New[C](limits.inventoryLimits()), costs: rattancost.New(),
-		classes: make(map[int]*class), demands: make(map[int]*demand), returns: newReturns(),
+		classes: make(map[int]*class), returns: newReturns(), pinReturns: newReturns(),
 	}
 }
 
@@ -96,9 +112,24 @@
 	return true
 }
 
+// RefusePin returns the refusal of a request for which Pin has returned false. There is
+// room for it when another transaction ends.
+func (q *Queue[C]) RefusePin(w *Waiter[C], now time.Time) *rattanwork.Refusal {
+	interval := demandMemory
+	if rate := q.unpins.rate(now); rate > 1 {
+		interval = time.Duration(float64(demandMemory) / rate)
+	}
+	q.counts.RefusedTransaction++
+	request := returning{account: w.Account, cost: interval}
+	return &rattanwork.Refusal{Reason: "no room for a transaction", RetryAfter: q.pinReturns.book(request, interval, 1, now)}
+}
+
 // Unpin ends the reservation of a pinned connection, which the caller then releases or
 // closes.
-func (q *Queue[C]) Unpin() { q.inventory.Unpin() }
+func (q *Queue[C]) Unpin(now time.Time) {
+	q.unpins.add(demandMemory, now)
+	q.inventory.Unpin()
+}
 
 // Pinned returns the number of connections that are reserved for transactions.
 func (q *Queue[C]) Pinned() int { return q.inventory.Pinned() }
@@ -159,7 +190,7 @@
 	w.number, w.arrival = q.number, now.Add(-w.Waited)
 	w.floor = q.class(w.Priority).floorAt(w.arrival)
 	if q.assign(w, now) {
-		q.demand(w.Priority).add(q.costs.Of(w.Kind).Mean, now)
+		q.addDemand(w, now)
 		return Assigned
 	}
 	w.Ready = make(chan struct{})
@@ -169,18 +200,12 @@
 	if w.Refusal != nil {
 		return Refused
 	}
-	q.demand(w.Priority).add(q.costs.Of(w.Kind).Mean, now)
+	q.addDemand(w, now)
 	return Queued
 }
 
-// demand returns the demand of a priority.
-func (q *Queue[C]) demand(priority int) *demand {
-	d, ok := q.demands[priority]
-	if !ok {
-		d = &demand{}
-		q.demands[priority] = d
-	}
-	return d
+func (q *Queue[C]) addDemand(w *Waiter[C], now time.Time) {
+	q.class(w.Priority).addDemand(w.Account, q.costs.Of(w.Kind).Mean, now)
 }
 
 // Sweep refuses the waiting requests that can no longer be served in time. It does
@@ -204,6 +229,7 @@
 			continue
 		}
 		q.counts.RefusedDisplaced++
+		q.class(w.Priority).addDemand(w.Account, -q.costs.Of(w.Kind).Mean, now)
 		close(w.Ready)
 	}
 }
@@ -212,7 +238,8 @@
 func (q *Queue[C]) retryAfter(w *Waiter[C], p *plan[C], now time.Time) time.Duration {
 	share := q.shareFor(w.Priority, now)
 	earliest := min(q.stretched(p.slots[0], share), maxReturn)
-	return q.returns.book(w.Priority, w.Account, q.costs.Of(w.Kind).Mean, earliest, share*float64(q.limits.InFlight), now)
+	request := returning{account: w.Account, cost: q.costs.Of(w.Kind).Mean}
+	return q.returns.book(request, earliest, share*float64(q.limits.InFlight), now)
 }
 
 // assign gives w a connection if one is available and the endpoint may run one more
--- a/internal/endpoint/rattanadmission/share.go
+++ b/internal/endpoint/rattanadmission/share.go
@@ -27,6 +27,9 @@
 	finish  map[string]time.Duration
 	pruneAt int
 	history []virtualAt
+	// demand is that of all accounts, byAccount that of each.
+	demand    demand
+	byAccount map[string]*demand
 }
 
 // virtualAt is the virtual time of a class as of a time.
@@ -36,7 +39,31 @@
 }
 
 func newClass() *class {
-	return &class{finish: make(map[string]time.Duration), pruneAt: minPrunedAccounts}
+	return &class{finish: make(map[string]time.Duration), byAccount: make(map[string]*demand), pruneAt: minPrunedAccounts}
+}
+
+// addDemand records the cost of a request that gets a slot or waits for one.
+func (c *class) addDemand(account string, cost time.Duration, now time.Time) {
+	c.demand.add(cost, now)
+	d, ok := c.byAccount[account]
+	if !ok {
+		d = &demand{}
+		c.byAccount[account] = d
+	}
+	d.add(cost, now)
+	if len(c.finish)+len(c.byAccount) >= c.pruneAt {
+		c.prune(now)
+	}
+}
+
+// othersDemand returns how many slots the accounts other than one keep busy, and the
+// number of accounts with it.
+func (c *class) othersDemand(account string, now time.Time) (others float64, accounts int) {
+	others = c.demand.rate(now)
+	if own, ok := c.byAccount[account]; ok {
+		others -= own.rate(now)
+	}
+	return max(others, 0), max(len(c.byAccount), 1)
 }
 
 // floorAt returns the virtual time as of an arrival.
@@ -61,16 +88,19 @@
 	if len(c.history) > historyEntries {
 		c.history = slices.Delete(c.history, 0, len(c.history)-historyEntries)
 	}
-	if len(c.finish) >= c.pruneAt {
-		c.prune()
-	}
 }
 
-func (c *class) prune() {
+// prune forgets the accounts without debts and those without demand.
+func (c *class) prune(now time.Time) {
 	for account, finish := range c.finish {
 		if finish <= c.virtual {
 			delete(c.finish, account)
 		}
 	}
-	c.pruneAt = max(minPrunedAccounts, 2*len(c.finish))
+	for account, d := range c.byAccount {
+		if d.rate(now) < minDemand {
+			delete(c.byAccount, account)
+		}
+	}
+	c.pruneAt = max(minPrunedAccounts, 2*(len(c.finish)+len(c.byAccount)))
 }
--- a/internal/endpoint/rattanupstream/overload.go
+++ b/internal/endpoint/rattanupstream/overload.go
@@ -44,6 +44,22 @@
 	return &OverloadedError{Refusal: rattanwork.Refusal{Reason: reason, RetryAfter: refusal.RetryAfter}}
 }
 
+// sweepInterval separates two checks of the waiting requests whether they can still be
+// served in time. The queue checks them itself when a request arrives or ends.
+const sweepInterval = 25 * time.Millisecond
+
+// sweep refuses requests that can no longer be served in time, while any wait.
+func (u *Upstream) sweep() {
+	for isWaiting := true; isWaiting; {
+		<-u.clock.After(sweepInterval)
+		u.mu.Lock()
+		u.queue.Sweep(u.clock.Now())
+		isWaiting = u.queue.Waiting() > 0
+		u.isSweeping = isWaiting
+		u.mu.Unlock()
+	}
+}
+
 // Wait returns the expected wait of a request of a priority that arrives now.
 func (u *Upstream) Wait(priority int) time.Duration {
 	u.mu.Lock()
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 // A Begin is the request to begin a transaction with its first statement.
@@ -51,9 +52,9 @@
 	if err != nil {
 		return nil, rattanstatement.Result{}, err
 	}
-	if !u.pin() {
+	if refusal := u.pin(begin.First.AcquireRequest); refusal != nil {
 		u.Release(pooled)
-		return nil, rattanstatement.Result{}, ErrOverloaded
+		return nil, rattanstatement.Result{}, u.overloaded(refusal)
 	}
 	defer u.endStatement()
 	transaction := &LocalTransaction{upstream: u, conn: pooled}
@@ -79,16 +80,17 @@
 }
 
 // pin reserves a connection for a transaction, and its slot for the first statement. It
-// returns false when the queue allows no more of them.
-func (u *Upstream) pin() bool {
+// returns a refusal when the queue allows no more of them.
+func (u *Upstream) pin(request AcquireRequest) *rattanwork.Refusal {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	now := u.clock.Now()
 	u.queue.BeginStatement()
-	if !u.queue.Pin(u.clock.Now()) {
-		u.queue.EndStatement(u.clock.Now())
-		return false
+	if u.queue.Pin(now) {
+		return nil
 	}
-	return true
+	u.queue.EndStatement(now)
+	return u.queue.RefusePin(request.waiter(), now)
 }
 
 // hold takes a slot of the endpoint for a statement of a transaction, until the returned
@@ -201,5 +203,5 @@
 func (t *LocalTransaction) unpin() {
 	t.upstream.mu.Lock()
 	defer t.upstream.mu.Unlock()
-	t.upstream.queue.Unpin()
+	t.upstream.queue.Unpin(t.upstream.clock.Now())
 }
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -75,7 +75,9 @@
 	// it stays in service.
 	newStatementsUntil time.Time
 	reachability       reachability
-	isClosed           bool
+	// isSweeping is true while sweep runs.
+	isSweeping bool
+	isClosed   bool
 }
 
 // New returns the Upstream of an endpoint. OnReachabilityChange is called when the
@@ -167,6 +169,13 @@
 	Waited time.Duration
 }
 
+// waiter returns the request as one to the queue.
+func (r AcquireRequest) waiter() *rattanadmission.Waiter[*PooledConn] {
+	return &rattanadmission.Waiter[*PooledConn]{
+		Account: r.Account, Kind: r.Kind, Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, Waited: r.Waited,
+	}
+}
+
 // ObserveForwarded records the position and latency of a read that ran through
 // another daemon, the endpoint's connection owner.
 func (u *Upstream) ObserveForwarded(result rattanstatement.Result, minPosition rattanmodel.Position, latency time.Duration) {
@@ -185,11 +194,7 @@
 // Acquire returns a connection. It waits for one until the deadline. As soon as none is
 // expected in time, it returns an *OverloadedError.
 func (u *Upstream) Acquire(request AcquireRequest) (*PooledConn, error) {
-	account, deadline := request.Account, request.Deadline
-	w := &rattanadmission.Waiter[*PooledConn]{
-		Account: account, Kind: request.Kind, Priority: request.Priority,
-		Objective: request.Objective, Deadline: deadline, Waited: request.Waited,
-	}
+	w := request.waiter()
 	if err := u.wait(w); err != nil {
 		return nil, err
 	}
@@ -204,7 +209,7 @@
 		}
 		_ = pooled.conn.Close()
 	}
-	pooled, err := u.open(account, deadline)
+	pooled, err := u.open(request.Account, request.Deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -221,6 +226,10 @@
 	}
 	outcome := u.queue.Request(w, now)
 	unreachable := u.reachability.unreachable
+	if outcome == rattanadmission.Queued && !u.isSweeping {
+		u.isSweeping = true
+		go u.sweep()
+	}
 	u.mu.Unlock()
 	switch outcome {
 	case rattanadmission.Assigned:
@@ -242,28 +251,16 @@
 	}
 }
 
-// sweepInterval separates two checks of a waiting request whether it can still be served
-// in time.
-const sweepInterval = 25 * time.Millisecond
-
 // awaitReady waits until a request has its decision. It returns an error when the
 // endpoint becomes unreachable or the deadline passes before.
 func (u *Upstream) awaitReady(w *rattanadmission.Waiter[*PooledConn], unreachable <-chan struct{}) error {
-	for {
-		remaining := w.Deadline.Sub(u.clock.Now())
-		if remaining <= 0 {
-			return u.overloaded(&rattanwork.Refusal{Reason: "waited in vain"})
-		}
-		select {
-		case <-w.Ready:
-			return nil
-		case <-unreachable:
-			return ErrUnreachable
-		case <-u.clock.After(min(remaining, sweepInterval)):
-		}
-		u.mu.Lock()
-		u.queue.Sweep(u.clock.Now())
-		u.mu.Unlock()
+	select {
+	case <-w.Ready:
+		return nil
+	case <-unreachable:
+		return ErrUnreachable
+	case <-u.clock.After(w.Deadline.Sub(u.clock.Now())):
+		return u.overloaded(&rattanwork.Refusal{Reason: "waited in vain"})
 	}
 }
 
