--- a/internal/daemon/rattanproxy/loads.go
+++ b/internal/daemon/rattanproxy/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -145,9 +144,13 @@
 
 // owned returns the endpoints whose connections this daemon owns.
 func (l *loads) owned() []*rattanupstream.Upstream {
-	return slices.DeleteFunc(l.proxy.endpoints.all(), func(upstream *rattanupstream.Upstream) bool {
-		return !l.proxy.owners.isOwned(upstream)
-	})
+	var owned []*rattanupstream.Upstream
+	for _, upstream := range l.proxy.endpoints.all() {
+		if l.proxy.owners.isOwned(upstream) {
+			owned = append(owned, upstream)
+		}
+	}
+	return owned
 }
 
 // news returns the reports that a VM has not been told of yet, with those that this
--- a/internal/endpoint/rattandispatch/placed.go
+++ b/internal/endpoint/rattandispatch/placed.go
@@ -50,7 +50,7 @@
 // the group has no endpoint that gets new statements.
 func (d *Dispatcher) placed(request Request, attempt placedAttempt) Outcome {
 	s := &search{
-		dispatcher: d, request: request, runner: attemptRunner{dispatcher: d},
+		dispatcher: d, request: request, runner: attemptRunner{dispatcher: d, request: request},
 		tried: make(map[string]int), notBefore: make(map[string]time.Time), isFull: make(map[string]bool),
 	}
 	for {
@@ -78,13 +78,14 @@
 }
 
 func (s *search) recordFailure(id string, cause error) {
-	s.isFull[id] = errors.Is(cause, rattanupstream.ErrOverloaded)
+	retryAfter, isKnown := rattanupstream.RetryAfter(cause)
+	s.isFull[id] = errors.Is(cause, rattanupstream.ErrOverloaded) && (!isKnown || s.tried[id] > 0)
 	pause := attemptPause << s.tried[id]
 	if s.isLastResort {
 		pause = retryPause
 	}
 	s.tried[id]++
-	s.notBefore[id] = s.dispatcher.clock.Now().Add(pause)
+	s.notBefore[id] = s.dispatcher.clock.Now().Add(max(pause, retryAfter))
 }
 
 // errNoEndpoint says that the group has no endpoint that gets new statements.
--- a/internal/endpoint/rattandispatch/transaction.go
+++ b/internal/endpoint/rattandispatch/transaction.go
@@ -8,6 +8,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 // A Transaction is an open transaction of a caller. It takes a connection for its
@@ -68,9 +69,9 @@
 	if primary, ok := d.grants.Primary(t.route.Group); !hasMinPosition && (!ok || primary != id) {
 		return Outcome{Endpoint: id, Cause: errNoPrimary}, false
 	}
-	open, result, err := d.owners.Begin(upstream, rattanupstream.Begin{
-		First: request.statementRequest(operation, minPosition), IsReadOnly: t.isReadOnly, AtPrimary: !hasMinPosition,
-	})
+	first := request.statementRequest(operation, minPosition, d.clock.Now())
+	first.Kind.Operation = rattanwork.Transaction
+	open, result, err := d.owners.Begin(upstream, rattanupstream.Begin{First: first, IsReadOnly: t.isReadOnly, AtPrimary: !hasMinPosition})
 	if err != nil {
 		return Outcome{Endpoint: id, Cause: err}, false
 	}
@@ -86,7 +87,7 @@
 func (t *Transaction) next(request Request, operation rattanstatemachine.Operation) Outcome {
 	d := t.dispatcher
 	startedAt := d.grants.Now()
-	result, err := t.open.Run(request.statementRequest(operation, rattanmodel.Position{}), d.answerDeadline(request))
+	result, err := t.open.Run(request.statementRequest(operation, rattanmodel.Position{}, d.clock.Now()), d.answerDeadline(request))
 	if err != nil {
 		t.Abort()
 		return t.failed(rattanstatement.Aborted, "the endpoint did not answer; the transaction is rolled back", err)
@@ -112,7 +113,7 @@
 	}
 	d := t.dispatcher
 	startedAt := d.grants.Now()
-	result, err := t.open.Commit(request.statementRequest(operation, rattanmodel.Position{}))
+	result, err := t.open.Commit(request.statementRequest(operation, rattanmodel.Position{}, d.clock.Now()))
 	t.open = nil
 	switch {
 	case errors.Is(err, rattanupstream.ErrNoGrant):
--- a/internal/endpoint/rattanupstream/load.go
+++ b/internal/endpoint/rattanupstream/load.go
@@ -22,7 +22,7 @@
 		isFailure := err != nil || result.Code == rattanstatement.Failed || result.Code == rattanstatement.Timeout
 		u.answers.ObserveAnswer(isFailure, now)
 	}
-	if isRead && (isLate && took >= answerTimeout || err == nil && result.OK()) {
+	if isRead && (isLate && took >= minAnswerTimeout || err == nil && result.OK()) {
 		u.answers.ObserveRead(took, now)
 	}
 }
@@ -36,7 +36,7 @@
 	limits := u.queue.Limits()
 	load := rattanwork.Load{
 		Endpoint: u.endpoint.ID, StartedUnixMS: u.endpoint.StartedUnixMS,
-		Slots: limits.InFlight, FreeSlots: max(limits.InFlight-u.queue.Busy(), 0),
+		Slots: limits.InFlight, FreeSlots: u.queue.FreeSlots(),
 		FreeConnections: max(limits.Connections-u.queue.Connections(), 0),
 		ServiceTime:     u.answers.Service(now), FailureShare: u.answers.FailureShare(now),
 		Position: u.knownPosition, PositionAge: max(now.Sub(u.knownAt), 0),
@@ -52,4 +52,6 @@
 
 // expectedWait returns the expected wait of a request of a priority that arrives now.
 // The caller holds u.mu.
-func (u *Upstream) expectedWait(_ int, _ time.Time) time.Duration { return u.queue.ExpectedWait() }
+func (u *Upstream) expectedWait(priority int, now time.Time) time.Duration {
+	return u.queue.Wait(priority, now)
+}
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -9,10 +9,10 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 )
 
-// answerTimeout limits the wait for the answer to a read and to the begin or rollback
-// of a transaction. It is well above the run time of a statement, since the admission
-// queue lets few statements wait at the endpoint.
-const answerTimeout = 250 * time.Millisecond
+// minAnswerTimeout is the least limit of the wait for the answer to a read and to the
+// begin or rollback of a transaction. It is well above the run time of most statements,
+// since the admission queue lets few statements wait at the endpoint.
+const minAnswerTimeout = 250 * time.Millisecond
 
 // Errors of statements, in addition to those of Acquire.
 var (
@@ -97,7 +97,7 @@
 		return rattanstatement.Result{}, err
 	}
 	sentAt := u.clock.Now()
-	until := sentAt.Add(answerTimeout)
+	until := sentAt.Add(u.answerTimeout(statement.Kind))
 	if until.After(statement.Deadline) {
 		until = statement.Deadline
 	}
@@ -105,9 +105,11 @@
 	result, err := pooled.Run(setup, request, until)
 	u.observeOutcome(result, err, true, sentAt)
 	if err != nil {
+		u.observeCost(pooled, false)
 		u.discardFailed(pooled, err)
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
+	u.observeCost(pooled, result.OK())
 	u.Release(pooled)
 	return result, nil
 }
@@ -137,6 +139,7 @@
 		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
+	u.observeCost(pooled, result.OK())
 	u.Release(pooled)
 	return result, nil
 }
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
 // A Begin is the request to begin a transaction with its first statement.
@@ -50,10 +51,11 @@
 	if err != nil {
 		return nil, rattanstatement.Result{}, err
 	}
-	if !u.pin() {
+	if refusal := u.pin(begin.First.AcquireRequest); refusal != nil {
 		u.Release(pooled)
-		return nil, rattanstatement.Result{}, ErrOverloaded
+		return nil, rattanstatement.Result{}, u.overloaded(refusal)
 	}
+	defer u.endStatement()
 	transaction := &LocalTransaction{upstream: u, conn: pooled}
 	if begin.AtPrimary && !transaction.isGranted() {
 		transaction.release()
@@ -61,6 +63,7 @@
 	}
 	result, err := transaction.begin(begin)
 	u.observeOutcome(result, err, false, time.Time{})
+	u.observeCost(pooled, err == nil && result.OK())
 	if err != nil {
 		transaction.fail(err)
 		return nil, rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -72,12 +75,33 @@
 	return transaction, result, nil
 }
 
-// pin reserves a connection for a transaction. It returns false when the queue allows
-// no more of them.
-func (u *Upstream) pin() bool {
+// pin reserves a connection for a transaction, and its slot for the first statement. It
+// returns a refusal when the queue allows no more of them.
+func (u *Upstream) pin(request AcquireRequest) *rattanwork.Refusal {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.queue.Pin(u.clock.Now())
+	now := u.clock.Now()
+	u.queue.BeginStatement()
+	if u.queue.Pin(now) {
+		return nil
+	}
+	u.queue.EndStatement(now)
+	return u.queue.RefusePin(request.waiter(), now)
+}
+
+// hold takes a slot of the endpoint for a statement of a transaction, until the returned
+// function is called.
+func (u *Upstream) hold() (done func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.queue.BeginStatement()
+	return u.endStatement
+}
+
+func (u *Upstream) endStatement() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.queue.EndStatement(u.clock.Now())
 }
 
 // begin sends the begin and, after its answer, the first statement. Sent together, a
@@ -88,7 +112,7 @@
 	if begin.IsReadOnly {
 		request.Kind = rattanstatement.BeginRead
 	}
-	until := t.upstream.clock.Now().Add(answerTimeout)
+	until := t.upstream.clock.Now().Add(t.upstream.answerTimeout(statement.Kind))
 	if until.After(statement.Deadline) {
 		until = statement.Deadline
 	}
@@ -97,7 +121,7 @@
 		return result, err
 	}
 	statement.MinPosition = rattanmodel.Position{}
-	return t.Run(statement, until)
+	return t.run(statement, until)
 }
 
 func (t *LocalTransaction) isGranted() bool {
@@ -108,6 +132,11 @@
 
 // Run implements Transaction.
 func (t *LocalTransaction) Run(statement StatementRequest, until time.Time) (rattanstatement.Result, error) {
+	defer t.upstream.hold()()
+	return t.run(statement, until)
+}
+
+func (t *LocalTransaction) run(statement StatementRequest, until time.Time) (rattanstatement.Result, error) {
 	setup, request := statement.wireRequests(t.conn)
 	t.hasWritten = t.hasWritten || statement.IsWrite
 	return t.conn.Run(setup, request, until)
@@ -125,7 +154,9 @@
 		defer done()
 	}
 	setup, request := statement.wireRequests(t.conn)
+	free := t.upstream.hold()
 	result, err := t.conn.Run(setup, request, statement.Deadline)
+	free()
 	if err != nil {
 		t.fail(err)
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -140,7 +171,7 @@
 
 // Rollback implements Transaction.
 func (t *LocalTransaction) Rollback() {
-	until := t.upstream.clock.Now().Add(answerTimeout)
+	until := t.upstream.clock.Now().Add(minAnswerTimeout)
 	result, err := t.conn.Run(nil, rattanstatement.Request{Kind: rattanstatement.Rollback}, until)
 	if err != nil || !result.OK() || result.TransactionStatus != rattanstatement.Idle {
 		t.Abort()
@@ -162,11 +193,11 @@
 
 func (t *LocalTransaction) release() {
 	t.unpin()
-	t.upstream.releaseWithServiceTime(t.conn, t.upstream.meanServiceTime())
+	t.upstream.Release(t.conn)
 }
 
 func (t *LocalTransaction) unpin() {
 	t.upstream.mu.Lock()
 	defer t.upstream.mu.Unlock()
-	t.upstream.queue.Unpin()
+	t.upstream.queue.Unpin(t.upstream.clock.Now())
 }
