--- a/internal/endpoint/rattandispatch/placed.go
+++ b/internal/endpoint/rattandispatch/placed.go
@@ -38,8 +38,9 @@
 	// again.
 	tried     map[string]int
 	notBefore map[string]time.Time
-	// isFull has the endpoints that have refused the statement for lack of room.
-	isFull map[string]bool
+	// isFull has the endpoints that have refused the statement for lack of room, wasBehind
+	// those that lacked its position.
+	isFull, wasBehind map[string]bool
 	// isLastResort is true while no endpoint of the group is known to answer, or the
 	// group has only one.
 	isLastResort bool
@@ -51,7 +52,7 @@
 func (d *Dispatcher) placed(request Request, attempt placedAttempt) Outcome {
 	s := &search{
 		dispatcher: d, request: request, runner: attemptRunner{dispatcher: d},
-		tried: make(map[string]int), notBefore: make(map[string]time.Time), isFull: make(map[string]bool),
+		tried: make(map[string]int), notBefore: make(map[string]time.Time), isFull: make(map[string]bool), wasBehind: make(map[string]bool),
 	}
 	for {
 		minPosition, ok := d.minPosition(request)
@@ -73,12 +74,13 @@
 		}) {
 			return s.runner.last
 		}
-		s.recordFailure(upstream.Endpoint().ID, s.runner.last.Cause)
+		s.recordFailure(upstream.Endpoint().ID, s.runner.last)
 	}
 }
 
-func (s *search) recordFailure(id string, cause error) {
-	s.isFull[id] = errors.Is(cause, rattanupstream.ErrOverloaded)
+func (s *search) recordFailure(id string, outcome Outcome) {
+	s.isFull[id] = errors.Is(outcome.Cause, rattanupstream.ErrOverloaded)
+	s.wasBehind[id] = s.wasBehind[id] || outcome.Cause == nil && outcome.Code == rattanstatement.Behind
 	pause := attemptPause << s.tried[id]
 	if s.isLastResort {
 		pause = retryPause
@@ -161,6 +163,7 @@
 	if !candidate.IsPrimary {
 		holds := d.endpoints.Replicas().Expect(endpoint.ID, endpoint.StartedUnixMS, d.endpoints.History(endpoint.Group), minPosition, d.grants.Now())
 		candidate.HoldsIn, candidate.IsProbe = holds.In, holds.IsProbe
+		candidate.IsBehind = s.wasBehind[endpoint.ID] && holds.In > attemptPause
 	}
 	return candidate
 }
--- a/internal/endpoint/rattanplacement/load_test.go
+++ b/internal/endpoint/rattanplacement/load_test.go
@@ -36,6 +36,7 @@
 	domain    int
 	isPrimary bool
 	lag       time.Duration
+	held      time.Duration
 	// slowness multiplies the time of a read; failing is the share that fails at once.
 	slowness, failing float64
 	busy              int
@@ -57,6 +58,7 @@
 	lastAnswer time.Duration
 	tried      map[*server]int
 	notBefore  map[*server]time.Duration
+	wasBehind  map[*server]bool
 }
 
 type daemon struct {
@@ -125,7 +127,7 @@
 			r.place(&read{
 				daemon: r.daemons[r.random.IntN(daemons)], account: string(rune('a' + r.random.IntN(20))),
 				arrived: r.now, lastAnswer: r.now, needed: max(needed(), -time.Second),
-				tried: make(map[*server]int), notBefore: make(map[*server]time.Duration),
+				tried: make(map[*server]int), notBefore: make(map[*server]time.Duration), wasBehind: make(map[*server]bool),
 			})
 		}
 		if r.random.Float64() < writeRate/1000 {
@@ -144,11 +146,17 @@
 	}
 }
 
+// position returns up to when the server's log holds that of the primary. It never falls.
+func (s *server) position(now time.Duration) time.Duration {
+	s.held = max(s.held, now-s.lag)
+	return s.held
+}
+
 func (s *server) report(now time.Duration) rattanpressure.Report {
 	s.number++
 	load := rattanwork.Load{
 		Endpoint: s.id, Owner: "owner", Number: s.number, Slots: slots, FreeSlots: slots - s.busy,
-		ServiceTime: s.answers.Service(at(now)), FailureShare: s.answers.FailureShare(at(now)), Position: entry(now - s.lag),
+		ServiceTime: s.answers.Service(at(now)), FailureShare: s.answers.FailureShare(at(now)), Position: entry(s.position(now)),
 	}
 	if s.busy == slots {
 		load.Wait[0] = work * time.Duration(len(s.waiting)+1) / slots
@@ -175,6 +183,7 @@
 		if !s.isPrimary {
 			holds := q.daemon.replicas.Expect(s.id, 0, r.history, entry(q.needed), at(r.now))
 			c.HoldsIn, c.IsProbe = holds.In, holds.IsProbe
+			c.IsBehind = q.wasBehind[s] && holds.In > retryPause
 		}
 		candidates = append(candidates, c)
 		peers = append(peers, rattanoutlier.Peer{ID: s.id, IsPrimary: s.isPrimary, Service: load.ServiceTime, FailureShare: load.FailureShare})
@@ -225,7 +234,7 @@
 		s.waiting = s.waiting[1:]
 		s.busy++
 		s.reads++
-		isBehind := entry(q.needed).Compare(entry(r.now-s.lag)) > 0 && !s.isPrimary
+		isBehind := entry(q.needed).Compare(entry(s.position(r.now))) > 0 && !s.isPrimary
 		isFailed := r.random.Float64() < s.failing
 		took := time.Duration((0.5 + r.random.Float64()) * s.slowness * float64(work))
 		switch {
@@ -251,7 +260,7 @@
 		s.answers.ObserveRead(took, at(r.now))
 	}
 	report := s.report(r.now)
-	held := entry(r.now - s.lag)
+	held := entry(s.position(r.now))
 	r.after(s.path(q)/2, func() {
 		q.lastAnswer = r.now
 		q.daemon.board.End(s.id, at(q.sentAt))
@@ -260,6 +269,7 @@
 		switch {
 		case isBehind:
 			r.behind++
+			q.wasBehind[s] = true
 			r.again(q)
 		case isFailed:
 			r.again(q)
@@ -277,8 +287,8 @@
 }
 
 func group() (primary, r1, r2 *server) {
-	return &server{id: "primary", domain: 0, isPrimary: true, slowness: 1}, &server{id: "r1", domain: 1, lag: 30 * ms, slowness: 1},
-		&server{id: "r2", domain: 2, lag: 30 * ms, slowness: 1}
+	return &server{id: "primary", domain: 0, isPrimary: true, slowness: 1}, &server{id: "r1", domain: 1, lag: 30 * ms, held: -time.Minute, slowness: 1},
+		&server{id: "r2", domain: 2, lag: 30 * ms, held: -time.Minute, slowness: 1}
 }
 
 func quantile(values []time.Duration, share float64) time.Duration {
@@ -298,7 +308,8 @@
 
 // TestLoadLaggingReplicas replays replicas that lag 1.5 s while sessions read their own
 // writes. It guards against reads that are sent to replicas which lack their position,
-// and against refusals that are told late. Bounds: 50 ms after a refusal could be known,
+// against refusals that are told late, and against replicas that stay unused after they
+// have caught up. Bounds: 50 ms after a refusal could be known,
 // and 2% of the reads refused, those of issue 27.
 func TestLoadLaggingReplicas(t *testing.T) {
 	for seed := range uint64(5) {
@@ -320,6 +331,30 @@
 		assertAtMost(t, "refused", float64(r.refused)/float64(r.arrived), 0.02)
 		assertAtMost(t, "sent to a replica that lacks the position", float64(r.behind)/float64(r.arrived), 0.02)
 		assertAtMost(t, "99% of the reads", quantile(r.served, 0.99), objective)
+		r1.lag, r2.lag = 30*ms, 30*ms
+		r.play(15*time.Second, 160, 20, needed)
+		r.arrived, primary.reads = 0, 0
+		r.play(20*time.Second, 160, 0, needed)
+		assertAtMost(t, "reads at the primary after the replicas have caught up", float64(primary.reads)/float64(r.arrived), 0.5)
+	}
+}
+
+// TestLoadStoppedReplicas replays replicas that receive nothing for 4 s while the primary
+// cannot serve all the reads. It guards against reads that wait for a replica which does
+// not come, and are then told late. Bound: 50 ms after a refusal could be known, that of
+// issue 27.
+func TestLoadStoppedReplicas(t *testing.T) {
+	for seed := range uint64(5) {
+		primary, r1, r2 := group()
+		r := newReplay(seed, primary, r1, r2)
+		needed := func() time.Duration { return r.now - time.Duration(r.random.IntN(2500))*ms }
+		r.play(3*time.Second, 240, 30, needed)
+		for r1.lag < 4*time.Second {
+			r.play(r.now+10*ms, 240, 30, needed)
+			r1.lag, r2.lag = r1.lag+10*ms, r2.lag+10*ms
+		}
+		assertAtMost(t, "latest refusal", quantile(r.late, 1), 50*ms)
+		assertAtMost(t, "sent to a replica that lacks the position", float64(r.behind)/float64(r.arrived), 0.02)
 	}
 }
 
--- a/internal/endpoint/rattanplacement/placement.go
+++ b/internal/endpoint/rattanplacement/placement.go
@@ -66,6 +66,9 @@
 	NotBefore time.Duration
 	// IsFull is true when the endpoint has refused the statement for lack of room.
 	IsFull bool
+	// IsBehind is true when the endpoint has lacked the statement's position when it was
+	// expected to hold it, and will not hold it soon: it is not waited for again.
+	IsBehind bool
 	// Weight is 1, and less for an outlier of its group: the share of the reads that probe
 	// it. It gets others only when no peer can serve them.
 	Weight float64
@@ -141,7 +144,7 @@
 		}
 		start := max(c.Wait, c.HoldsIn, c.NotBefore)
 		soonest = min(soonest, start)
-		if c.IsFull {
+		if c.IsFull || c.IsBehind {
 			continue
 		}
 		o := option{Candidate: c, completion: c.Path + start + service(c)}
