--- a/internal/endpoint/rattandispatch/placed.go
+++ b/internal/endpoint/rattandispatch/placed.go
@@ -41,6 +41,9 @@
 	// isFull has the endpoints that have refused the statement for lack of room, wasBehind
 	// those that lacked its position.
 	isFull, wasBehind map[string]bool
+	// isProbe is true when the last attempt was to see whether a replica that should lack
+	// the position has caught up.
+	isProbe bool
 	// isLastResort is true while no endpoint of the group is known to answer, or the
 	// group has only one.
 	isLastResort bool
@@ -80,7 +83,7 @@
 
 func (s *search) recordFailure(id string, outcome Outcome) {
 	s.isFull[id] = errors.Is(outcome.Cause, rattanupstream.ErrOverloaded)
-	s.wasBehind[id] = s.wasBehind[id] || outcome.Cause == nil && outcome.Code == rattanstatement.Behind
+	s.wasBehind[id] = s.wasBehind[id] || outcome.Cause == nil && outcome.Code == rattanstatement.Behind && !s.isProbe
 	pause := attemptPause << s.tried[id]
 	if s.isLastResort {
 		pause = retryPause
@@ -119,6 +122,7 @@
 	if refusal != nil {
 		return nil, 0, refusal
 	}
+	s.isProbe = choice.IsProbe
 	for _, u := range upstreams {
 		if u.Endpoint().ID == choice.ID {
 			if choice.IsProbe {
