rattanisolation: a daemon that has just started is isolated until the store or a grant says otherwise

Three that start inside the cut take the configuration from neighbours, believe all 24 endpoints reachable (none was probed) and are ready until 35.4, 35.5 and 36.8 s. Ruled out: the six daemons that ran before, isolated within 0.35 s. Change: HasReachedStore among the conditions.

--- a/internal/daemon/rattanisolation/isolation.go
+++ b/internal/daemon/rattanisolation/isolation.go
@@ -17,6 +17,8 @@
 
 // Conditions are the inputs of the decision.
 type Conditions struct {
+	// HasReachedStore is true once the store has answered this daemon.
+	HasReachedStore bool
 	// IsStoreLost is true while the store does not answer.
 	IsStoreLost bool
 	// IsOutageShared is true while the other daemons answer but cannot delegate
@@ -40,8 +42,14 @@
 
 // Decide returns whether the daemon is isolated: partitioned from the store and at
 // least half of the endpoints, or without the store and without grants of its own
-// or delegated ones for grantlessTimeout.
+// or delegated ones for grantlessTimeout. Load: daemons that start inside a failure
+// domain that is cut off know the configuration from their neighbours. As long as a few
+// of a failure domain's daemons seem ready, its callers keep coming to all of them, so a
+// daemon that has just started is isolated until the store or a grant says otherwise.
 func (d *Decider) Decide(c Conditions, now time.Time) bool {
+	if !c.HasReachedStore && !c.HoldsGrants && !c.IsOutageShared {
+		return true
+	}
 	if !c.IsStoreLost || c.HoldsGrants || c.IsOutageShared {
 		d.grantlessSince = time.Time{}
 	} else if d.grantlessSince.IsZero() {
--- a/internal/daemon/rattanproxy/isolation.go
+++ b/internal/daemon/rattanproxy/isolation.go
@@ -71,7 +71,8 @@
 		probed = isLost
 		reachable, total := p.endpoints.reachable()
 		isIsolated := decider.Decide(rattanisolation.Conditions{
-			IsStoreLost: isLost, IsOutageShared: p.relay.isOutageShared.Load(), HoldsGrants: p.grants.IsHeld(), Reachable: reachable, Endpoints: total,
+			HasReachedStore: p.registration.storeReached.Load(),
+			IsStoreLost:     isLost, IsOutageShared: p.relay.isOutageShared.Load(), HoldsGrants: p.grants.IsHeld(), Reachable: reachable, Endpoints: total,
 		}, p.boot.Now())
 		if p.isolation.isIsolated.Swap(isIsolated) != isIsolated {
 			p.logger.Warn("isolation", "isolated", isIsolated, "store_lost", isLost, "grants", p.grants.IsHeld(),
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -120,6 +120,7 @@
 		grants:      rattangrant.New(boot, grantLifetime),
 		switchovers: rattangrant.NewSwitchoverEstimator(clock),
 	}
+	p.isolation.isIsolated.Store(true)
 	p.endpoints = newEndpointSet(p)
 	p.owners = newOwners(p)
 	p.forwarded = newForwardedWork(p)
--- a/internal/daemon/rattanproxy/registration.go
+++ b/internal/daemon/rattanproxy/registration.go
@@ -56,6 +56,8 @@
 	proxy       *Proxy
 	incarnation string
 	storeLost   atomic.Bool
+	// storeReached is true once the store has answered this daemon.
+	storeReached atomic.Bool
 	// watching cancels the watch in progress.
 	watching        atomic.Pointer[context.CancelFunc]
 	initialSyncWake chan struct{}
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -232,6 +232,7 @@
 }
 
 func (p *Proxy) markStoreAvailable() {
+	p.registration.storeReached.Store(true)
 	if p.registration.storeLost.CompareAndSwap(true, false) {
 		p.logger.Info("store_regained")
 		// The response to a watch that began during the outage may be lost.
