--- a/internal/daemon/rattanisolation/contacts.go
+++ b/internal/daemon/rattanisolation/contacts.go
@@ -32,7 +32,7 @@
 }
 
 // Late records that a VM of another failure domain has not answered a request in time that
-// was sent at sentAt.
+// was sent at sentAt, or that the request failed.
 func (c *Contacts) Late(vm string, sentAt time.Time) {
 	if c.late == nil {
 		c.late = make(map[string]time.Time)
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -194,6 +194,9 @@
 	reply, err := o.proxy.peers.Call(ctx, address, frame)
 	if err != nil {
 		callErr := &ownerCallError{cause: err, isNotRun: rattanlink.IsUnsent(err)}
+		if isOutside {
+			o.proxy.isolation.recordLate(vm, now)
+		}
 		o.markUnresponsive(vm, callErr)
 		return rattanstatement.Result{}, callErr
 	}
