rattanquota: a pool whose owner has long been the owner starts with all of its part

The largest account sends three times its usual from second 1, and is refused from then on while its pools hold 1,600 of the 4,002 operations that a window allows. Ruled out: prefetched tokens that expire and the order in which pools are asked: once the pools are ready, their windows are full. Change: NewPool takes for how long the owner has certainly been the owner: since the VMs last changed, or since this daemon was last not registered. Everything else grows as before. Measured: TestFirstFlood: 528 of 1,300 operations refused in the first second before, 0 after, the window's limit held; TestPoolOwnersKnownSince.

--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -101,7 +101,7 @@
 	}
 	callDone := make(chan struct{})
 	state.callDone = callDone
-	owners := a.owners.nearestFirst(account, snapshot, a.proxy.settings.FailureDomain())
+	owners := a.owners.nearestFirst(account, snapshot, a.proxy.settings.FailureDomain(), a.proxy.clock.Now())
 	request := tokenRequest{account: account, waiting: state.waiting, wanted: wanted}
 	a.mu.Unlock()
 	granted, retryAfter := a.callOwners(state.backoffUntil, owners, request)
@@ -162,21 +162,23 @@
 	unregistered := a.proxy.registration.unregisteredTime()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	owners := a.owners.of(request.account, snapshot)
+	now := a.proxy.clock.Now()
+	a.owners.recordUnregistered(unregistered, now)
+	owners := a.owners.of(request.account, snapshot, now)
 	index := slices.Index(owners, a.proxy.settings.VM())
 	if index < 0 {
 		return 0, poolOwnerBackoff
 	}
 	pool, ok := a.pools[request.account.Name]
 	if !ok {
-		pool = &rattanquota.Pool{}
+		pool = rattanquota.NewPool(now.Sub(a.owners.since))
 		a.pools[request.account.Name] = pool
 	}
 	part := rattanquota.Part{
 		Rate: request.account.Rate, Burst: request.account.Burst, Window: a.proxy.settings.RateWindow(),
 		Pools: len(owners), Index: index,
 	}
-	return pool.Grant(part, unregistered, request.waiting, request.wanted, a.proxy.clock.Now())
+	return pool.Grant(part, unregistered, request.waiting, request.wanted, now)
 }
 
 // watchOwners keeps track of which pools this daemon owns.
@@ -196,16 +198,18 @@
 	if snapshot.Catalog == nil {
 		return
 	}
+	now := a.proxy.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.owners.update(snapshot, now)
 	for name, pool := range a.pools {
 		account, ok := snapshot.Catalog.Account(name)
 		if !ok {
 			delete(a.pools, name)
 			continue
 		}
-		isOwned := slices.Contains(a.owners.of(account, snapshot), a.proxy.settings.VM())
-		pool.SetOwned(isOwned, a.proxy.clock.Now())
+		isOwned := slices.Contains(a.owners.of(account, snapshot, now), a.proxy.settings.VM())
+		pool.SetOwned(isOwned, now)
 	}
 }
 
--- a/internal/daemon/rattanproxy/poolowners.go
+++ b/internal/daemon/rattanproxy/poolowners.go
@@ -1,6 +1,7 @@
 package rattanproxy
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -24,12 +25,18 @@
 	snapshot *rattancache.Snapshot
 	// vms are the registered VMs. When this daemon's lease and those of most others have
 	// ended, as in an outage of the store, they are those that were registered before.
-	vms       map[string]rattancache.VMRecord
-	domains   map[string]string
-	byAccount map[string][]string
+	vms     map[string]rattancache.VMRecord
+	domains map[string]string
+	// since is when the VMs or their failure domains last changed, so that another VM may
+	// have become an owner.
+	since time.Time
+	// unregistered is the total time for which this daemon was not registered, as of the
+	// last call of recordUnregistered.
+	unregistered time.Duration
+	byAccount    map[string][]string
 }
 
-func (o *poolOwners) update(snapshot *rattancache.Snapshot) {
+func (o *poolOwners) update(snapshot *rattancache.Snapshot, now time.Time) {
 	if o.snapshot == snapshot {
 		return
 	}
@@ -39,9 +46,20 @@
 		return
 	}
 	o.vms = snapshot.VMs
-	o.domains = make(map[string]string, len(o.vms))
+	domains := make(map[string]string, len(o.vms))
 	for name, vm := range o.vms {
-		o.domains[name] = vm.FailureDomain
+		domains[name] = vm.FailureDomain
+	}
+	if !maps.Equal(domains, o.domains) {
+		o.domains, o.since = domains, now
+	}
+}
+
+// recordUnregistered records the total time for which this daemon was not registered. While
+// it was not, another VM may have been an owner without this daemon's knowledge.
+func (o *poolOwners) recordUnregistered(total time.Duration, now time.Time) {
+	if total != o.unregistered {
+		o.unregistered, o.since = total, now
 	}
 }
 
@@ -65,8 +83,8 @@
 }
 
 // of returns the VMs that own an account's pools.
-func (o *poolOwners) of(account rattancatalog.Account, snapshot *rattancache.Snapshot) []string {
-	o.update(snapshot)
+func (o *poolOwners) of(account rattancatalog.Account, snapshot *rattancache.Snapshot, now time.Time) []string {
+	o.update(snapshot, now)
 	owners, ok := o.byAccount[account.Name]
 	if !ok {
 		count := rattanquota.PoolCount(account.Rate*o.window.Seconds() + account.Burst)
@@ -78,9 +96,9 @@
 
 // nearestFirst returns the owners of an account's pools, those in a failure domain
 // first.
-func (o *poolOwners) nearestFirst(account rattancatalog.Account, snapshot *rattancache.Snapshot, domain string) []poolOwner {
+func (o *poolOwners) nearestFirst(account rattancatalog.Account, snapshot *rattancache.Snapshot, domain string, now time.Time) []poolOwner {
 	var near, far []poolOwner
-	for _, vm := range o.of(account, snapshot) {
+	for _, vm := range o.of(account, snapshot, now) {
 		owner := poolOwner{vm: vm, address: o.vms[vm].Address}
 		if o.domains[vm] == domain {
 			near = append(near, owner)
--- a/internal/daemon/rattanproxy/poolowners_test.go
+++ b/internal/daemon/rattanproxy/poolowners_test.go
@@ -27,13 +27,13 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			owners := poolOwners{vm: "vm-2", window: 5 * time.Second}
-			before := slices.Clone(owners.of(account, all))
+			before := slices.Clone(owners.of(account, all, time.Time{}))
 			fresh := poolOwners{vm: "vm-2", window: 5 * time.Second}
-			want := fresh.of(account, test.after)
+			want := fresh.of(account, test.after, time.Time{})
 			if test.keeps {
 				want = before
 			}
-			assertSameVMs(t, owners.of(account, test.after), want)
+			assertSameVMs(t, owners.of(account, test.after, time.Time{}), want)
 		})
 	}
 }
@@ -55,3 +55,30 @@
 		t.Errorf("got the owners %v, want %v", got, want)
 	}
 }
+
+// TestPoolOwnersKnownSince guards against a pool that starts empty long after its owner
+// became the owner, and against one that starts full while another VM may have handed out
+// its tokens.
+func TestPoolOwnersKnownSince(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name   string
+		change func(o *poolOwners, now time.Time)
+		want   time.Duration
+	}{
+		{"nothing changed", func(*poolOwners, time.Time) {}, time.Minute},
+		{"the same VMs", func(o *poolOwners, now time.Time) { o.update(vmSnapshot("vm-1", "vm-2"), now) }, time.Minute},
+		{"a VM came", func(o *poolOwners, now time.Time) { o.update(vmSnapshot("vm-1", "vm-2", "vm-3"), now) }, 0},
+		{"this daemon was not registered", func(o *poolOwners, now time.Time) { o.recordUnregistered(time.Second, now) }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			owners := poolOwners{vm: "vm-1", window: 5 * time.Second}
+			owners.update(vmSnapshot("vm-1", "vm-2"), start)
+			now := start.Add(time.Minute)
+			test.change(&owners, now)
+			if got := now.Sub(owners.since); got != test.want {
+				t.Errorf("the owners are known for %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/limit/rattanquota/pool.go
+++ b/internal/limit/rattanquota/pool.go
@@ -72,7 +72,8 @@
 //
 // A pool whose history is not known, because its owner has just started or has taken
 // over from another daemon, grows over one window: the operations that others admitted
-// before leave the window at the same pace. A pool that its owner may have lost to
+// before leave the window at the same pace. It grows from the time at which the owner
+// became the owner, which may be long before the first operation. A pool that its owner may have lost to
 // another daemon shrinks as fast as that one's grows.
 type Pool struct {
 	part   Part
@@ -85,12 +86,19 @@
 	growTime time.Duration
 	// lost is the time for which another daemon may have owned the pool, as of updated.
 	lost time.Duration
+	// known is how long the owner had certainly been the owner when the pool was made,
+	// without an operation.
+	known time.Duration
 	// otherSince is since when another daemon has owned the pool, the zero time while
 	// none does, and otherTotal the length of the earlier such times.
 	otherSince time.Time
 	otherTotal time.Duration
 }
 
+// NewPool returns a Pool whose owner has been the owner for the known time, so that nobody
+// has admitted operations from it meanwhile.
+func NewPool(known time.Duration) *Pool { return &Pool{known: max(known, 0)} }
+
 // SetOwned records whether this daemon owns the pool according to the registered VMs.
 func (p *Pool) SetOwned(isOwned bool, now time.Time) {
 	switch {
@@ -142,9 +150,10 @@
 	if p.bucket == nil {
 		p.part, p.updated, p.lost = part, now, lost
 		p.window.length, p.growTime = part.Window, part.Window
+		p.ready = min(1, p.known.Seconds()/part.Window.Seconds())
 		rate, depth := part.bucketLimits(p.ready)
 		p.bucket = rattanbucket.New(rate, depth, now)
-		p.bucket.Add(int64(part.unconfirmed() * rattanbucket.Unit))
+		p.bucket.Add(depth)
 	}
 	shrink := max(0, lost-p.lost)
 	grow := max(0, now.Sub(p.updated)-shrink)
--- a/internal/limit/rattanquota/quota_test.go
+++ b/internal/limit/rattanquota/quota_test.go
@@ -447,3 +447,24 @@
 		t.Errorf("%d of 325 operations within the rate were refused after a restart, want at most 6", refused)
 	}
 }
+
+// TestFirstFlood replays an account that sends three times its usual in the first second,
+// to daemons that have owned its pools for long. It guards against refusals below the
+// limit because the pools are made with the first operation.
+func TestFirstFlood(t *testing.T) {
+	a := newAccount(667, 667, 4, 8)
+	for i := range a.pools {
+		a.pools[i] = NewPool(time.Minute)
+	}
+	now, refused := start(), 0
+	for i := range 1300 {
+		now = now.Add(time.Second / 1300)
+		if !a.requestAnywhere(i%8, now) {
+			refused++
+		}
+	}
+	assertWindows(t, a.admitted, a.limit())
+	if refused > 0 {
+		t.Errorf("%d of 1300 operations were refused in the first second, below the limit of %g", refused, a.limit())
+	}
+}
