rattanadmission: late requests wait while nothing else wants the room

Load: objectives that cannot be met at all, with more asked than an endpoint does: refusing all late requests would leave slots free between two arrivals. Change: late requests stay, within their deadline, also when no request that can be in time waits. Queue.FreeConnections for placement.

--- a/internal/endpoint/rattanadmission/load_test.go
+++ b/internal/endpoint/rattanadmission/load_test.go
@@ -312,3 +312,21 @@
 		t.Errorf("a retry goes behind a fresh request of its priority")
 	}
 }
+
+// TestLateRequestsUseTheRoom guards against slots that stay free because no request can
+// meet its objective: late answers still have a use.
+func TestLateRequestsUseTheRoom(t *testing.T) {
+	const slots, length = 6, 5 * time.Second
+	kind := familyRead
+	kind.objective = kind.work / 2
+	r := newReplay(Limits{Connections: 53, InFlight: slots}, slots)
+	var work time.Duration
+	for _, c := range r.play(poisson(rand.New(rand.NewPCG(1, 33)), kind, "a", 270, 0, length)) {
+		if c.isServed() {
+			work += c.work
+		}
+	}
+	if share := float64(work) / float64(slots*length); share < 0.95 {
+		t.Errorf("the slots are busy for %.2f of the time, want 0.95", share)
+	}
+}
--- a/internal/endpoint/rattanadmission/plan.go
+++ b/internal/endpoint/rattanadmission/plan.go
@@ -60,14 +60,15 @@
 }
 
 // planLate decides which late requests stay: those that can still meet their deadline in
-// the room that requests in time leave.
+// the room that requests in time leave. There is some when a slot is free, no request in
+// time waits, or arrivals do not ask for all slots.
 func (q *Queue[C]) planLate(p *plan[C], late []*Waiter[C], now time.Time) {
 	slots := append(slotTimes(nil), p.slots...)
 	share := q.lateShare(now)
 	for _, w := range late {
 		mean := q.costs.Of(w.Kind).Mean
-		isRoomNow := slots[0] == 0
-		if !isRoomNow && share < minLateShare || now.Add(q.stretched(slots[0], max(share, minLateShare))+mean).After(w.Deadline) {
+		isSpare := slots[0] == 0 || len(p.inTime) == 0 || share >= minLateShare
+		if !isSpare || now.Add(q.stretched(slots[0], max(share, minLateShare))+mean).After(w.Deadline) {
 			p.hopeless = append(p.hopeless, w)
 			continue
 		}
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -100,6 +100,12 @@
 	return max(q.limits.InFlight-q.Busy()-q.transactionStatements, 0)
 }
 
+// FreeConnections returns how many connections are not in use, open or not. An account
+// without one can get one of them.
+func (q *Queue[C]) FreeConnections() int {
+	return max(q.limits.Connections-q.Busy()-q.Pinned(), 0)
+}
+
 // Pin reserves an assigned connection for a transaction. The connection then no longer
 // counts as busy, since transactions are idle between their statements. Pin returns
 // false when too many connections are pinned already.
