--- a/internal/endpoint/rattanoutlier/answers.go
+++ b/internal/endpoint/rattanoutlier/answers.go
@@ -10,6 +10,9 @@
 	// time of a read and in the share of failures.
 	serviceSmoothing = 0.1
 	failureSmoothing = 0.1
+	// serviceTime is the time that the mean time covers where reads are rare: a probe after
+	// a pause says more than the reads before it.
+	serviceTime = 2 * time.Second
 	// idleHalving is the time without an answer after which the mean time and the share
 	// of failures are halved, so that an endpoint that gets little because it was slow or
 	// failed is tried again.
@@ -33,8 +36,9 @@
 	if a.serviceAt.IsZero() {
 		a.service, a.serviceAt = took, now
 	}
+	weight := max(serviceSmoothing, 1-math.Exp(-float64(now.Sub(a.serviceAt))/float64(serviceTime)))
 	a.service = a.Service(now)
-	a.service += time.Duration(serviceSmoothing * float64(took-a.service))
+	a.service += time.Duration(weight * float64(took-a.service))
 	a.serviceAt = now
 }
 
--- a/internal/endpoint/rattanplacement/load_test.go
+++ b/internal/endpoint/rattanplacement/load_test.go
@@ -378,7 +378,7 @@
 		hasNoEndpoints bool
 	}{{"accounts alike", 0, false}, {"no endpoint near", 0, true}, {"a large account, no endpoint near", 0.6, true}} {
 		t.Run(test.name, func(t *testing.T) {
-			for seed := range uint64(5) {
+			for seed := range uint64(20) {
 				primary, r1, r2 := group()
 				r := newReplay(seed, primary, r1, r2)
 				r.hot = test.hot
--- a/internal/endpoint/rattanpressure/board.go
+++ b/internal/endpoint/rattanpressure/board.go
@@ -20,8 +20,9 @@
 	// wait says nothing after waitHorizon times the wait, but not before minHorizon.
 	waitHorizon = 10
 	minHorizon  = 100 * time.Millisecond
-	// busyTime is the time over which the share of busy slots is averaged.
-	busyTime = 500 * time.Millisecond
+	// busyTime is the time over which the share of busy slots is averaged. Over a time
+	// like that between reports, all daemons would follow the same reports to and fro.
+	busyTime = time.Second
 	// maxOwners is how many owners of one endpoint are remembered by their last number.
 	maxOwners = 8
 )
