--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -52,6 +52,8 @@
 	daemons   []*testDaemon
 	// platform connects a daemon to the platform at an address.
 	platform func(address string) rattanproxy.Platform
+	// hasMetrics is true when the daemons serve metrics and dumps.
+	hasMetrics bool
 }
 
 // A testDaemon is a daemon of the fleet, with its caller address and its log.
@@ -83,6 +85,13 @@
 
 // newFleet starts daemons, alternately in the failure domains a and b.
 func newFleet(t *testing.T, daemons int) *fleet {
+	t.Helper()
+	f := newFleetWithoutDaemons(t)
+	f.startAll(daemons)
+	return f
+}
+
+func newFleetWithoutDaemons(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, group: rattanlineserver.NewGroup("orders", 20*time.Millisecond), endpoints: make(map[string]*rattanlineserver.Endpoint)}
 	f.platform = func(address string) rattanproxy.Platform { return rattanplatform.New(address, address) }
@@ -102,10 +111,14 @@
 	f.register()
 	f.configure(1, 1000, testKey)
 	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleet) startAll(daemons int) {
+	f.t.Helper()
 	for i := range daemons {
 		f.start(fmt.Sprintf("vm-%d", i+1), string(rune('a'+i%2)))
 	}
-	return f
 }
 
 // register writes the endpoints' entries to the store.
@@ -136,11 +149,18 @@
 	ports     = 10_000
 )
 
+// givenAddresses are the addresses that freeAddress has returned: tests that run side by
+// side use them some time later.
+var givenAddresses sync.Map
+
 // freeAddress returns an address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if _, isGiven := givenAddresses.LoadOrStore(address, true); isGiven {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = listener.Close()
@@ -161,20 +181,25 @@
 	}))
 	f.t.Cleanup(storeProxy.Close)
 	address := strings.TrimPrefix(storeProxy.URL, "http://")
-	daemon := &testDaemon{name: name, callers: freeAddress(f.t), metrics: freeAddress(f.t), stopped: make(chan struct{}), log: &lockedBuffer{}}
+	daemon := &testDaemon{name: name, callers: freeAddress(f.t), stopped: make(chan struct{}), log: &lockedBuffer{}}
+	metrics := ""
+	if f.hasMetrics {
+		daemon.metrics = freeAddress(f.t)
+		metrics = "metrics_address = " + daemon.metrics
+	}
 	settings, err := rattansettings.ParseProxySettings("test", fmt.Sprintf(`[proxy]
 vm = %s
 failure_domain = %s
 caller_address = %s
 readiness_address = %s
 peer_address = %s
-metrics_address = %s
 store_address = %s
 duty_address = %s
 stop_timeout = 4s
 drain_limit = 3s
 evacuation_limit = 3s
-`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), daemon.metrics, address, address))
+%s
+`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address, metrics))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/daemon/rattanproxy/loads_test.go
+++ b/internal/daemon/rattanproxy/loads_test.go
@@ -38,7 +38,9 @@
 // say nothing.
 func TestLoadReports(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, followedFleet)
+	f := newFleetWithoutDaemons(t)
+	f.hasMetrics = true
+	f.startAll(followedFleet)
 	caller := f.dial(f.daemons[0], "checkout", testKey)
 	caller.retryUntilOK("WRITE i1 first", waitBound)
 	last := len(f.daemons) - 1
