--- a/internal/endpoint/rattanadmission/load_test.go
+++ b/internal/endpoint/rattanadmission/load_test.go
@@ -192,14 +192,14 @@
 	random := rand.New(rand.NewPCG(1, 32))
 	var crowd []*call
 	for range 400 {
-		kind, account := familyRead, accountNames[0]
+		kind, account, arrived := familyRead, accountNames[0], time.Millisecond
 		if random.IntN(4) == 0 {
 			kind = statusRead
 		}
 		if random.IntN(2) == 0 {
-			account = accountNames[1+random.IntN(len(accountNames)-1)]
+			account, arrived = accountNames[1+random.IntN(len(accountNames)-1)], 2*time.Millisecond
 		}
-		crowd = append(crowd, &call{callKind: kind, account: account, work: kind.work, arrived: time.Millisecond, returnsLeft: 1})
+		crowd = append(crowd, &call{callKind: kind, account: account, work: kind.work, arrived: arrived, returnsLeft: 1})
 	}
 	var returned []*call
 	work := make(map[time.Duration]time.Duration)
@@ -304,7 +304,7 @@
 			queue.Release(1, "a", now)
 		}
 	}
-	fresh, retry := newWaiter("b", 0, time.Hour, time.Hour), newWaiter("c", 0, time.Hour, time.Hour)
+	fresh, retry := newWaiter("b", 0, time.Minute, time.Hour), newWaiter("c", 0, time.Hour, time.Hour)
 	retry.Waited = 60 * time.Millisecond
 	assertDecision(t, queue.Request(fresh, now), Queued)
 	assertDecision(t, queue.Request(retry, now), Queued)
@@ -330,3 +330,52 @@
 		t.Errorf("the slots are busy for %.2f of the time, want 0.95", share)
 	}
 }
+
+// TestRoomIsKeptForTheUrgent guards against a request that is admitted to room which more
+// urgent arrivals are about to need, and so waits to be displaced.
+func TestRoomIsKeptForTheUrgent(t *testing.T) {
+	queue := New[int](Limits{Connections: 1, InFlight: 1, IsShared: true})
+	now := startTime()
+	// Three quarters of the slot go to urgent requests.
+	for range 100 {
+		urgent := newWaiter("a", 0, time.Hour, time.Hour)
+		assertDecision(t, queue.Request(urgent, now), Assigned)
+		queue.Release(1, "a", now)
+		now = now.Add(queue.ServiceTime() * 4 / 3)
+	}
+	assertDecision(t, queue.Request(newWaiter("a", 0, time.Hour, time.Hour), now), Assigned)
+	w := newWaiter("b", 1, 0, 0)
+	w.Objective = now.Add(3 * queue.ServiceTime())
+	w.Deadline = w.Objective
+	assertDecision(t, queue.Request(w, now), Refused)
+}
+
+// TestStatementsOfTransactionsTakeSlots guards against requests that are sent to an
+// endpoint whose slots are busy with statements of transactions.
+func TestStatementsOfTransactionsTakeSlots(t *testing.T) {
+	queue := New[int](Limits{Connections: 4, InFlight: 1})
+	assertDecision(t, queue.Request(newWaiter("a", 0, time.Hour, time.Hour), startTime()), Assigned)
+	queue.BeginStatement()
+	if !queue.Pin(startTime()) {
+		t.Fatal("a connection cannot be pinned for a transaction")
+	}
+	w := newWaiter("a", 0, time.Hour, time.Hour)
+	assertDecision(t, queue.Request(w, startTime()), Queued)
+	queue.EndStatement(startTime())
+	if w.isWaiting {
+		t.Error("a request waits although the statement has ended")
+	}
+}
+
+// TestReturnsLeaveRoomForOtherAccounts guards against an account whose refused callers are
+// given all the room of the next seconds, so that those of others come back after them.
+func TestReturnsLeaveRoomForOtherAccounts(t *testing.T) {
+	returns := newReturns()
+	const slots = 6
+	for range 50 {
+		returns.book(returning{account: "large", cost: familyRead.work}, 0, slots, startTime())
+	}
+	if after := returns.book(returning{account: "b", cost: familyRead.work}, 0, slots, startTime()); after > 2*returnInterval {
+		t.Errorf("a caller of another account comes back after %v, want the next interval", after)
+	}
+}
--- a/internal/endpoint/rattanadmission/plan.go
+++ b/internal/endpoint/rattanadmission/plan.go
@@ -68,7 +68,7 @@
 	for _, w := range late {
 		mean := q.costs.Of(w.Kind).Mean
 		isSpare := slots[0] == 0 || len(p.inTime) == 0 || share >= minLateShare
-		if !isSpare || now.Add(q.stretched(slots[0], max(share, minLateShare))+mean).After(w.Deadline) {
+		if !isSpare || now.Add(stretched(slots[0], max(share, minLateShare))+mean).After(w.Deadline) {
 			p.hopeless = append(p.hopeless, w)
 			continue
 		}
@@ -78,7 +78,7 @@
 }
 
 // stretched returns the time that work takes in a share of the slots.
-func (q *Queue[C]) stretched(work time.Duration, share float64) time.Duration {
+func stretched(work time.Duration, share float64) time.Duration {
 	return time.Duration(float64(work) / share)
 }
 
@@ -103,7 +103,7 @@
 // which each make up for the difference at most.
 func (q *Queue[C]) expectedStart(w *Waiter[C], slotFree time.Duration, now time.Time) time.Duration {
 	share := q.shareFor(w.Priority, now)
-	start := q.stretched(slotFree, share)
+	start := stretched(slotFree, share)
 	class := q.class(w.Priority)
 	lead := w.tag - class.virtual
 	if !q.limits.IsShared || lead <= 0 {
@@ -112,7 +112,7 @@
 	slots := float64(q.limits.InFlight)
 	others, accounts := class.othersDemand(w.Account, now)
 	behindAll := start + time.Duration(float64(lead)*float64(accounts-1)/(slots*share))
-	return min(q.stretched(slotFree, max(share-others/slots, 1.0/lowestEvery)), behindAll)
+	return min(stretched(slotFree, max(share-others/slots, 1.0/lowestEvery)), behindAll)
 }
 
 // lateShare returns the share of the slots that arrivals of all priorities leave.
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -185,7 +185,7 @@
 			slots.occupy(q.costs.Of(w.Kind).Mean)
 		}
 	}
-	return q.stretched(slots[0], q.shareFor(priority, now))
+	return stretched(slots[0], q.shareFor(priority, now))
 }
 
 // Request requests a connection. A request that cannot be served in time is refused at
@@ -242,7 +242,7 @@
 // retryAfter returns when there is expected to be room for a refused request.
 func (q *Queue[C]) retryAfter(w *Waiter[C], p *plan[C], now time.Time) time.Duration {
 	share := q.shareFor(w.Priority, now)
-	earliest := min(q.stretched(p.slots[0], share), maxReturn)
+	earliest := min(stretched(p.slots[0], share), maxReturn)
 	request := returning{account: w.Account, cost: q.costs.Of(w.Kind).Mean}
 	return q.returns.book(request, earliest, share*float64(q.limits.InFlight), now)
 }
--- a/internal/endpoint/rattanadmission/share.go
+++ b/internal/endpoint/rattanadmission/share.go
@@ -10,9 +10,8 @@
 	// them: a caller that returns after longer counts as if it had waited that long.
 	historyInterval = 20 * time.Millisecond
 	historyEntries  = 128
-	// minPrunedAccounts is how many accounts a class holds before it forgets those
-	// without debts.
-	minPrunedAccounts = 128
+	// pruneInterval is how often a class forgets the accounts without debts and demand.
+	pruneInterval = time.Second
 )
 
 // A class shares the slots among the client accounts of one priority, by start-time fair
@@ -25,12 +24,12 @@
 	// finish is the end of the service of each account that has had more than the
 	// virtual time.
 	finish  map[string]time.Duration
-	pruneAt int
 	history []virtualAt
 	// admitted is the demand of the requests that get a slot. asked is that of all, also
 	// of those that are refused, byAccount the same of each account.
 	admitted, asked demand
 	byAccount       map[string]*demand
+	prunedAt        time.Time
 }
 
 // virtualAt is the virtual time of a class as of a time.
@@ -40,7 +39,7 @@
 }
 
 func newClass() *class {
-	return &class{finish: make(map[string]time.Duration), byAccount: make(map[string]*demand), pruneAt: minPrunedAccounts}
+	return &class{finish: make(map[string]time.Duration), byAccount: make(map[string]*demand)}
 }
 
 // ask records the cost of a request that arrives.
@@ -52,7 +51,7 @@
 		c.byAccount[account] = d
 	}
 	d.add(cost, now)
-	if len(c.finish)+len(c.byAccount) >= c.pruneAt {
+	if now.Sub(c.prunedAt) >= pruneInterval {
 		c.prune(now)
 	}
 }
@@ -109,5 +108,5 @@
 			delete(c.byAccount, account)
 		}
 	}
-	c.pruneAt = max(minPrunedAccounts, 2*(len(c.finish)+len(c.byAccount)))
+	c.prunedAt = now
 }
