rattanadmission: accounts share slot time as it was used

Cause: a start charged the mean cost of its kind, so that of two accounts that ask for more than half of the slots the one with requests three times as long got 2.42 times the other's time (TestSharesAreOfTime without the charge). Change: the end of a request charges the difference; statements of transactions are charged to their account. Measured: the test is within its tenth; tests of rattanadmission and rattanproxy pass with -race.

--- a/internal/endpoint/rattanadmission/load_test.go
+++ b/internal/endpoint/rattanadmission/load_test.go
@@ -379,3 +379,24 @@
 		t.Errorf("a caller of another account comes back after %v, want the next interval", after)
 	}
 }
+
+// TestSharesAreOfTime guards against shares by number of requests: of two accounts that
+// ask for more than half of the slots each, the one with the longer requests gets no more
+// time than the other.
+func TestSharesAreOfTime(t *testing.T) {
+	const length = 5 * time.Second
+	random := rand.New(rand.NewPCG(1, 34))
+	long, short := familyRead, familyRead
+	long.work, short.work = 60*time.Millisecond, 20*time.Millisecond
+	r := newReplay(Limits{Connections: 53, InFlight: 6}, 6)
+	calls := append(poisson(random, long, "long", 80, 0, length), poisson(random, short, "short", 240, 0, length)...)
+	served := make(map[string]time.Duration)
+	for _, c := range r.play(calls) {
+		if c.isServed() {
+			served[c.account] += c.work
+		}
+	}
+	if ratio := float64(served["long"]) / float64(served["short"]); ratio < 0.9 || ratio > 1.1 {
+		t.Errorf("the account with long requests gets %.2f of the time of the other, want the same within a tenth", ratio)
+	}
+}
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -174,6 +174,12 @@
 // Cost returns the cost of a kind of request.
 func (q *Queue[C]) Cost(kind rattanwork.Kind) rattanwork.Cost { return q.costs.Of(kind) }
 
+// Charge adds the time of a slot, beyond the expected one, to the service that an account
+// has had. It is negative when the request took less.
+func (q *Queue[C]) Charge(account string, priority int, service time.Duration) {
+	q.class(priority).charge(account, service)
+}
+
 // Observe records the time that a request held a slot.
 func (q *Queue[C]) Observe(kind rattanwork.Kind, held time.Duration) { q.costs.Observe(kind, held) }
 
--- a/internal/endpoint/rattanadmission/replay_test.go
+++ b/internal/endpoint/rattanadmission/replay_test.go
@@ -239,6 +239,7 @@
 		}
 		r.queue.Unpin(r.time())
 	} else {
+		r.queue.Charge(c.account, c.priority, r.now-c.started-r.queue.Cost(c.kind).Mean)
 		r.queue.Observe(c.kind, r.now-c.started)
 	}
 	c.ended = r.now
--- a/internal/endpoint/rattanadmission/share.go
+++ b/internal/endpoint/rattanadmission/share.go
@@ -15,9 +15,10 @@
 )
 
 // A class shares the slots among the client accounts of one priority, by start-time fair
-// queueing over expected service time: a request gets a start tag, the later of the
-// class's virtual time at its arrival and the end of its account's previous service, and
-// the lowest tag goes first. An account that was idle starts at the virtual time and so
+// queueing over service time: a request gets a start tag, the later of the class's virtual
+// time at its arrival and the end of its account's previous service, and the lowest tag
+// goes first. The expected time of a request is charged at its start, the difference to
+// the time it took at its end. An account that was idle starts at the virtual time and so
 // gains no credit.
 type class struct {
 	virtual time.Duration
@@ -96,6 +97,11 @@
 	}
 }
 
+// charge adds service time to what an account has had, or takes some back.
+func (c *class) charge(account string, service time.Duration) {
+	c.finish[account] = max(c.finish[account], c.virtual) + service
+}
+
 // prune forgets the accounts without debts and those without demand.
 func (c *class) prune(now time.Time) {
 	for account, finish := range c.finish {
--- a/internal/endpoint/rattanupstream/overload.go
+++ b/internal/endpoint/rattanupstream/overload.go
@@ -91,13 +91,15 @@
 	return min(max(cost.Mean+answerDeviations*cost.Deviation, minAnswerTimeout), maxAnswerTimeout)
 }
 
-// observeCost records how long a request has held its slot. An answer that is an error
-// comes soon and says nothing of the cost.
+// observeCost records how long a request has held its slot, for its account and for the
+// cost of its kind. An answer that is an error comes soon and says nothing of the cost.
 func (u *Upstream) observeCost(pooled *PooledConn, isServed bool) {
 	held := u.clock.Now().Sub(pooled.acquiredAt)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if isServed || held > u.queue.Cost(pooled.kind).Mean {
+	mean := u.queue.Cost(pooled.kind).Mean
+	u.queue.Charge(pooled.account, pooled.priority, held-mean)
+	if isServed || held > mean {
 		u.queue.Observe(pooled.kind, held)
 	}
 }
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -41,9 +41,16 @@
 	sessionVars map[string]string
 	// prepared has the name of each prepared statement on the connection.
 	prepared map[PreparedStatement]string
-	// acquiredAt is when the current request got its slot, kind that request's kind.
+	// acquiredAt is when the current request got its slot. kind and priority are that
+	// request's.
 	acquiredAt time.Time
 	kind       rattanwork.Kind
+	priority   int
+}
+
+// begin records the request for which the connection is used from now on.
+func (c *PooledConn) begin(request AcquireRequest, assignedAt time.Time) {
+	c.acquiredAt, c.kind, c.priority = assignedAt, request.Kind, request.Priority
 }
 
 // Interrupt ends a request that is in flight by closing the connection; the outcome
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -94,12 +94,20 @@
 }
 
 // hold takes a slot of the endpoint for a statement of a transaction, until the returned
-// function is called.
-func (u *Upstream) hold() (done func()) {
+// function is called. The time counts for the transaction's account.
+func (t *LocalTransaction) hold() (done func()) {
+	u := t.upstream
+	begun := u.clock.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.queue.BeginStatement()
-	return u.endStatement
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		now := u.clock.Now()
+		u.queue.Charge(t.conn.account, t.conn.priority, now.Sub(begun))
+		u.queue.EndStatement(now)
+	}
 }
 
 func (u *Upstream) endStatement() {
@@ -136,7 +144,7 @@
 
 // Run implements Transaction.
 func (t *LocalTransaction) Run(statement StatementRequest, until time.Time) (rattanstatement.Result, error) {
-	defer t.upstream.hold()()
+	defer t.hold()()
 	return t.run(statement, until)
 }
 
@@ -158,7 +166,7 @@
 		defer done()
 	}
 	setup, request := statement.wireRequests(t.conn)
-	free := t.upstream.hold()
+	free := t.hold()
 	result, err := t.conn.Run(setup, request, statement.Deadline)
 	free()
 	if err != nil {
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -204,7 +204,7 @@
 	}
 	if pooled := w.Assignment.Conn; pooled != nil {
 		if !pooled.conn.IsStale() {
-			pooled.acquiredAt, pooled.kind = assignedAt, request.Kind
+			pooled.begin(request, assignedAt)
 			return pooled, nil
 		}
 		_ = pooled.conn.Close()
@@ -213,7 +213,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pooled.acquiredAt, pooled.kind = assignedAt, request.Kind
+	pooled.begin(request, assignedAt)
 	return pooled, nil
 }
 
