--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -174,6 +174,12 @@
 // Cost returns the cost of a kind of request.
 func (q *Queue[C]) Cost(kind rattanwork.Kind) rattanwork.Cost { return q.costs.Of(kind) }
 
+// Charge adds the time of a slot, beyond the expected one, to the service that an account
+// has had. It is negative when the request took less.
+func (q *Queue[C]) Charge(account string, priority int, service time.Duration) {
+	q.class(priority).charge(account, service)
+}
+
 // Observe records the time that a request held a slot.
 func (q *Queue[C]) Observe(kind rattanwork.Kind, held time.Duration) { q.costs.Observe(kind, held) }
 
@@ -185,7 +191,7 @@
 			slots.occupy(q.costs.Of(w.Kind).Mean)
 		}
 	}
-	return q.stretched(slots[0], q.shareFor(priority, now))
+	return stretched(slots[0], q.shareFor(priority, now))
 }
 
 // Request requests a connection. A request that cannot be served in time is refused at
@@ -242,7 +248,7 @@
 // retryAfter returns when there is expected to be room for a refused request.
 func (q *Queue[C]) retryAfter(w *Waiter[C], p *plan[C], now time.Time) time.Duration {
 	share := q.shareFor(w.Priority, now)
-	earliest := min(q.stretched(p.slots[0], share), maxReturn)
+	earliest := min(stretched(p.slots[0], share), maxReturn)
 	request := returning{account: w.Account, cost: q.costs.Of(w.Kind).Mean}
 	return q.returns.book(request, earliest, share*float64(q.limits.InFlight), now)
 }
