rattaninventory: where connections are scarce, keep those that are used again soonest

Cause: with 86 accounts on 72 connections the owner kept 25 idle, the least recently used one was closed after nearly every other statement, and each new connection takes 12 ms of a slot.

Change: with more accounts than idle connections the owner keeps all of its part (55 of 72), evicts the one whose next use is expected last, from the weighed requests of each account by how many of its connections were in use, and opens some ahead of demand in a free slot. A new owner has 11 until the endpoint no longer counts those of its predecessor (rattanowner.Tenures). The VM that stands second for an endpoint stands in for an owner that does not answer, instead of two connections of each daemon. Owners are chosen by hash and processor time. An endpoint that just answered a probe is not probed again for 100 ms.

--- a/internal/base/rattanrendezvous/rendezvous.go
+++ b/internal/base/rattanrendezvous/rendezvous.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,16 @@
 	return xxhash.Sum64String(name + "\x00" + key)
 }
 
+// Score returns the score of a name for a key, of a positive size. The highest score is
+// chosen first: each name is chosen for a part of the keys in proportion to its size, and
+// names of equal size in the order of their weights.
+func Score(name, key string, size float64) float64 {
+	// The hash as a number above 0 and below 1.
+	const steps = 1 << 53
+	fraction := (float64(Weight(name, key)>>11) + 0.5) / steps
+	return -size / math.Log(fraction)
+}
+
 // Sort sorts items by descending weight of their names for a key, then by name.
 func Sort[T any](items []T, key string, name func(T) string) {
 	type weighted struct {
--- a/internal/config/rattancatalog/catalog.go
+++ b/internal/config/rattancatalog/catalog.go
@@ -136,6 +136,9 @@
 	return account, ok
 }
 
+// AccountCount returns the number of client accounts.
+func (c *Catalog) AccountCount() int { return len(c.accounts) }
+
 // AccountOfKey returns the name of the client account that holds a key.
 func (c *Catalog) AccountOfKey(key string) (string, bool) {
 	name, ok := c.keys[key]
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -10,6 +10,7 @@
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandrain"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfreshness"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattaninventory"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanowner"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 )
@@ -22,6 +23,9 @@
 	// refreshInterval separates two checks for endpoints that have disappeared or
 	// do not answer.
 	refreshInterval = 200 * time.Millisecond
+	// supersededAfter is how long after the end of its registration, and after the last
+	// forwarded statement, a daemon assumes that another one is the owner.
+	supersededAfter = 1 * time.Second
 )
 
 // An endpointSet holds the upstreams of all endpoints. It implements
@@ -38,6 +42,8 @@
 	missingSince map[string]time.Time
 	// drains decides until when endpoints that go out of service get new statements.
 	drains *rattandrain.Tracker
+	// tenures tell whether this daemon may use all connections of an owner.
+	tenures rattanowner.Tenures
 	// histories are the known positions of the groups' primaries.
 	histories map[string]*rattanfreshness.History
 	wake      chan struct{}
@@ -94,7 +100,7 @@
 			upstream.Update(endpoint, limits)
 			continue
 		}
-		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.wakeUp)
+		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.proxy.metrics.count, s.wakeUp)
 		s.proxy.logger.Info("endpoint_found", "endpoint", id, "group", endpoint.Group, "failure_domain", endpoint.FailureDomain,
 			"draining", endpoint.IsDraining)
 	}
@@ -110,6 +116,7 @@
 			delete(s.upstreams, id)
 			delete(s.missingSince, id)
 			s.drains.Forget(id)
+			s.tenures.Forget(id)
 			upstream.Close()
 		}
 	}
@@ -163,9 +170,13 @@
 	if !ok {
 		return rattanadmission.Limits{Connections: 1, InFlight: 1}
 	}
-	budget := rattanowner.ConnectionBudget{MaxConnections: group.MaxConnections, Slots: endpoint.Slots}
-	owner, ok := s.proxy.owners.owner(snapshot, endpoint)
-	if ok && owner == s.proxy.settings.VM() {
+	budget := rattanowner.ConnectionBudget{
+		MaxConnections: group.MaxConnections, Slots: endpoint.Slots, Accounts: snapshot.Catalog.AccountCount(),
+	}
+	if budget.IsScarce() {
+		return s.scarceLimits(snapshot, endpoint, budget)
+	}
+	if owner, ok := s.proxy.owners.owner(snapshot, endpoint); ok && owner == s.proxy.settings.VM() {
 		return rattanadmission.Limits{Connections: budget.OwnerConnections(), InFlight: budget.InFlight(), Idle: budget.Idle()}
 	}
 	// The connections left for daemons other than the owner are fewer than those
@@ -173,6 +184,63 @@
 	return rattanadmission.Limits{Connections: budget.FallbackConnections(), InFlight: budget.FallbackConnections(), Idle: rattanadmission.NoIdle}
 }
 
+// scarceLimits returns this daemon's part of an endpoint's connections where there are more
+// accounts than connections. The owner keeps all of its part open, and less while the
+// endpoint may still count those of the owner before it. A daemon that stands in for the
+// owner, or was the owner, has as much as a new owner, and closes each after use unless the
+// owner does not answer.
+func (s *endpointSet) scarceLimits(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint, budget rattanowner.ConnectionBudget) rattanadmission.Limits {
+	ranked := s.proxy.owners.ranked(snapshot, endpoint)
+	own := s.proxy.settings.VM()
+	limits := rattanadmission.Limits{Connections: budget.FallbackConnections(), InFlight: budget.FallbackConnections(), Idle: rattanadmission.NoIdle}
+	if len(ranked) == 0 {
+		return limits
+	}
+	upstream, isKnown := s.upstreams[endpoint.ID]
+	isRegistered := func(vm string) bool { _, ok := snapshot.VMs[vm]; return ok }
+	isSettled := s.tenures.Observe(endpoint.ID, ranked[0], !isKnown || !upstream.IsSuspect(), isRegistered, s.proxy.clock.Now())
+	isOwner := ranked[0] == own && !s.isSuperseded(snapshot, endpoint.ID)
+	isDeputy := len(ranked) > 1 && ranked[1] == own
+	isFinishing := isKnown && upstream.HasWaiting()
+	if !isOwner && !isDeputy && !isFinishing {
+		return limits
+	}
+	limits.Connections, limits.InFlight = budget.TakeoverConnections(), budget.InFlight()
+	switch {
+	case isOwner && isSettled:
+		limits.Connections, limits.Idle, limits.ByDemand = budget.OwnerConnections(), budget.Idle(), true
+	case isOwner, isDeputy && s.proxy.owners.isUnresponsive(ranked[0]):
+		limits.Idle, limits.ByDemand = limits.Connections, true
+	}
+	return limits
+}
+
+// isSuperseded reports whether another daemon is likely to own the connections to an
+// endpoint without this one knowing: its registration has ended, and the others forward
+// nothing to it any more.
+func (s *endpointSet) isSuperseded(snapshot *rattancache.Snapshot, endpoint string) bool {
+	if len(snapshot.VMs) < 2 {
+		return false
+	}
+	_, until := s.proxy.registration.Lease()
+	return s.proxy.boot.Now().After(until.Add(supersededAfter)) && s.proxy.forwarded.idleTime(endpoint) > supersededAfter
+}
+
+// openAhead opens connections ahead of demand at the endpoints whose scarce connections
+// this daemon owns.
+func (s *endpointSet) openAhead(ctx context.Context) error {
+	for s.proxy.sleep(ctx, rattaninventory.AheadInterval) {
+		s.mu.Lock()
+		for _, upstream := range s.upstreams {
+			if upstream.IsByDemand() {
+				go upstream.OpenAhead()
+			}
+		}
+		s.mu.Unlock()
+	}
+	return nil
+}
+
 // Upstreams implements rattandispatch.Endpoints.
 func (s *endpointSet) Upstreams(group string) []*rattanupstream.Upstream {
 	s.mu.Lock()
--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -31,6 +31,11 @@
 	// ended holds the transactions whose end arrived before their begin had
 	// finished, with the time of the end.
 	ended map[string]time.Time
+	// startedAt is when the last statement or transaction at an endpoint arrived, by id
+	// of the endpoint.
+	startedAt map[string]time.Time
+	// running counts the requests in progress.
+	running int
 }
 
 // A forwardedTransaction is an open transaction of another daemon. Its field
@@ -42,15 +47,45 @@
 }
 
 func newForwardedWork(p *Proxy) *forwardedWork {
-	return &forwardedWork{proxy: p, transactions: make(map[string]*forwardedTransaction), ended: make(map[string]time.Time)}
+	return &forwardedWork{proxy: p, transactions: make(map[string]*forwardedTransaction), ended: make(map[string]time.Time), startedAt: make(map[string]time.Time)}
 }
 
 // handle runs a request that another daemon has forwarded.
 func (f *forwardedWork) handle(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
+	f.begin(frame.GetWorkRequest())
+	defer f.finish()
 	response := f.run(frame.GetWorkRequest())
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkResponse{WorkResponse: response}}, nil
 }
 
+func (f *forwardedWork) begin(request *rattanv1.WorkRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running++
+	f.startedAt[request.GetEndpoint()] = f.proxy.clock.Now()
+}
+
+func (f *forwardedWork) finish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running--
+}
+
+// idleTime returns how long ago the last request for an endpoint arrived.
+func (f *forwardedWork) idleTime(endpoint string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proxy.clock.Now().Sub(f.startedAt[endpoint])
+}
+
+// isIdle reports whether no request of another daemon is in progress and no transaction
+// of one is open.
+func (f *forwardedWork) isIdle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running == 0 && len(f.transactions) == 0
+}
+
 func unknownWorkResponse() *rattanv1.WorkResponse {
 	return &rattanv1.WorkResponse{Failure: rattanv1.WorkFailure_WORK_FAILURE_UNKNOWN}
 }
@@ -196,6 +231,11 @@
 			delete(f.ended, name)
 		}
 	}
+	for endpoint, at := range f.startedAt {
+		if f.proxy.clock.Now().Sub(at) > forwardedIdleTimeout {
+			delete(f.startedAt, endpoint)
+		}
+	}
 }
 
 func (f *forwardedWork) list() map[string]*forwardedTransaction {
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -35,6 +35,8 @@
 	mu sync.Mutex
 	// unresponsiveUntil is until when a VM that did not answer is not used.
 	unresponsiveUntil map[string]time.Time
+	// rankings are those of one snapshot.
+	rankings rankings
 	// next numbers the forwarded transactions of this daemon.
 	next uint64
 }
@@ -47,24 +49,51 @@
 
 // owner returns the VM that owns the connections to an endpoint.
 func (o *owners) owner(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) (string, bool) {
-	vms := make([]rattanowner.VM, 0, len(snapshot.VMs))
-	for name, vm := range snapshot.VMs {
-		if !vm.IsStopping {
-			vms = append(vms, rattanowner.VM{Name: name, FailureDomain: vm.FailureDomain})
-		}
+	if ranked := o.ranked(snapshot, endpoint); len(ranked) > 0 {
+		return ranked[0], true
 	}
-	return rattanowner.Choose(endpoint, vms)
+	return "", false
+}
+
+// ranked returns the VM that owns the connections to an endpoint and the one that stands
+// in for it.
+func (o *owners) ranked(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rankings.of(snapshot, endpoint)
 }
 
 // remote returns the owner of an endpoint's connections and its address, or false
-// when this daemon runs the statement itself.
+// when this daemon runs the statement itself. Where connections are scarce, another daemon
+// stands in for an owner that does not answer: there are none for each daemon.
 func (o *owners) remote(upstream *rattanupstream.Upstream) (vm, address string, ok bool) {
 	snapshot := o.proxy.cache.Snapshot()
-	owner, ok := o.owner(snapshot, upstream.Endpoint())
-	if !ok || owner == o.proxy.settings.VM() || o.isUnresponsive(owner) {
-		return "", "", false
+	endpoint := upstream.Endpoint()
+	ranked := o.ranked(snapshot, endpoint)
+	if !o.isScarce(snapshot, endpoint) {
+		ranked = ranked[:min(1, len(ranked))]
+	}
+	for _, vm := range ranked {
+		if vm == o.proxy.settings.VM() {
+			return "", "", false
+		}
+		if !o.isUnresponsive(vm) {
+			return vm, snapshot.VMs[vm].Address, true
+		}
+	}
+	return "", "", false
+}
+
+// isScarce reports whether there are more accounts than connections to an endpoint.
+func (o *owners) isScarce(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) bool {
+	if snapshot.Catalog == nil {
+		return false
+	}
+	group, ok := snapshot.Catalog.Group(endpoint.Group)
+	budget := rattanowner.ConnectionBudget{
+		MaxConnections: group.MaxConnections, Slots: endpoint.Slots, Accounts: snapshot.Catalog.AccountCount(),
 	}
-	return owner, snapshot.VMs[owner].Address, true
+	return ok && budget.IsScarce()
 }
 
 // Read implements rattandispatch.Owners.
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -151,6 +151,7 @@
 	tree.Add(newService("register", p.registration.run))
 	tree.Add(newService("failover", p.runLeadership))
 	tree.Add(newService("endpoints", p.endpoints.run))
+	tree.Add(newService("connections_ahead", p.endpoints.openAhead))
 	tree.Add(newService("readiness", p.serveReadiness))
 	tree.Add(newService("peers", p.servePeers))
 	tree.Add(newService("kept_work", p.forwarded.endIdle))
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -27,7 +27,7 @@
 			for _, s := range p.sessions.list() {
 				s.closeIdle()
 			}
-			if p.sessions.count() == 0 && p.forwarded.count() == 0 {
+			if p.sessions.count() == 0 && p.forwarded.isIdle() {
 				break
 			}
 		}
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -205,7 +205,7 @@
 }
 
 func (c *endpointControl) upstream(endpoint rattancatalog.Endpoint) *rattanupstream.Upstream {
-	return rattanupstream.New(c.proxy.clock, c.proxy.platform.Dial, c.proxy.grants, endpoint, rattanadmission.Limits{}, func() {})
+	return rattanupstream.New(c.proxy.clock, c.proxy.platform.Dial, c.proxy.grants, endpoint, rattanadmission.Limits{}, c.proxy.metrics.count, func() {})
 }
 
 // Status implements rattanswitchover.EndpointControl.
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -64,6 +64,8 @@
 	// Idle is the number of connections that stay open without a request: 0 for
 	// all of them, NoIdle for none.
 	Idle int
+	// ByDemand is true when there are more accounts than idle connections.
+	ByDemand bool
 }
 
 // NoIdle closes each connection after its request.
@@ -85,7 +87,7 @@
 
 // inventoryLimits returns the limits of the queue's inventory.
 func (l Limits) inventoryLimits() rattaninventory.Limits {
-	return rattaninventory.Limits{Connections: l.Connections, Idle: l.Idle}
+	return rattaninventory.Limits{Connections: l.Connections, Idle: l.Idle, ByDemand: l.ByDemand}
 }
 
 // A Queue assigns the connections of this daemon to one endpoint.
@@ -164,7 +166,7 @@
 // Request requests a connection. A request that is expected to wait until after its
 // deadline is refused at once, so that its caller can try another endpoint.
 func (q *Queue[C]) Request(w *Waiter[C], now time.Time) Decision {
-	if q.assign(w) {
+	if q.assign(w, now) {
 		return Assigned
 	}
 	if now.Add(q.waitBehind(q.countAhead(w, now))).After(w.Deadline) {
@@ -201,11 +203,11 @@
 
 // assign gives w a connection if one is available and the endpoint may run one more
 // request.
-func (q *Queue[C]) assign(w *Waiter[C]) bool {
+func (q *Queue[C]) assign(w *Waiter[C], now time.Time) bool {
 	if q.Busy() >= q.limits.InFlight {
 		return false
 	}
-	assignment, ok := q.inventory.Take(w.Account)
+	assignment, ok := q.inventory.Take(w.Account, now)
 	if ok {
 		w.Assignment = assignment
 	}
@@ -236,12 +238,46 @@
 	return q.inventory.Surplus()
 }
 
-// Closed records that a connection was closed, or that one could not be opened.
+// Closed records that a connection was closed that Release has given up.
 func (q *Queue[C]) Closed(now time.Time) {
 	q.inventory.Closed()
 	q.dispatch(now)
 }
 
+// Lost records that a connection of an account was closed while it was in use, or that
+// one could not be opened.
+func (q *Queue[C]) Lost(account string, now time.Time) {
+	q.inventory.Lost(account)
+	q.dispatch(now)
+}
+
+// Ahead assigns a connection to be opened before a request needs it, for an account whose
+// next request is expected within the given time, while no request waits and a slot is
+// free. The caller returns it with Opened, or reports the failure with Lost.
+func (q *Queue[C]) Ahead(within time.Duration, now time.Time) (rattaninventory.Assignment[C], string, bool) {
+	if len(q.waiting) > 0 || q.Busy() >= q.limits.InFlight-1 {
+		return rattaninventory.Assignment[C]{}, "", false
+	}
+	return q.inventory.TakeAhead(within, now)
+}
+
+// Opened adds a connection that Ahead has assigned to the idle ones. If the queue now has
+// too many connections, Opened returns one that the caller closes and reports with Closed.
+func (q *Queue[C]) Opened(conn C, account string, now time.Time) (surplus C, ok bool) {
+	if !q.inventory.Put(conn, account) {
+		return conn, true
+	}
+	q.dispatch(now)
+	return q.inventory.Surplus()
+}
+
+// TakeSome removes the given number of idle connections whose next use is expected last;
+// the caller closes them.
+func (q *Queue[C]) TakeSome(count int) []C { return q.inventory.TakeSome(count) }
+
+// Idle returns the number of idle connections.
+func (q *Queue[C]) Idle() int { return q.inventory.Idle() }
+
 // TakeIdle removes all idle connections from the queue; the caller closes them.
 func (q *Queue[C]) TakeIdle() []C { return q.inventory.TakeIdle() }
 
@@ -260,7 +296,7 @@
 			}
 		}
 		w := q.waiting[best]
-		if !q.assign(w) {
+		if !q.assign(w, now) {
 			return
 		}
 		q.waiting = slices.Delete(q.waiting, best, best+1)
--- a/internal/endpoint/rattanowner/owner.go
+++ b/internal/endpoint/rattanowner/owner.go
@@ -6,6 +6,9 @@
 package rattanowner
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanrendezvous"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 )
@@ -14,70 +17,53 @@
 type VM struct {
 	Name          string
 	FailureDomain string
+	// ProcessorCores is the processor time of the daemon, in cores, or 0 when it is not
+	// known.
+	ProcessorCores float64
 }
 
-// Choose returns the owner of an endpoint: the daemon in the endpoint's failure domain
-// with the highest hash of VM name and endpoint id, or that of all daemons when the
-// failure domain has none. It returns false when there is no daemon.
+// defaultProcessorCores is the processor time of a VM that does not tell its own.
+const defaultProcessorCores = 1
+
+// Choose returns the owner of an endpoint, the first of Rank. It returns false when there
+// is no daemon.
 func Choose(endpoint rattancatalog.Endpoint, vms []VM) (string, bool) {
-	var owner string
-	var highestHash uint64
-	var isLocal bool
+	if ranked := Rank(endpoint, vms, 1); len(ranked) > 0 {
+		return ranked[0], true
+	}
+	return "", false
+}
+
+// Rank returns the first n daemons for the connections to an endpoint: the owner, and
+// those that stand in for one that does not answer. They are those of the endpoint's
+// failure domain, or of all when it has none, by a hash of VM name and endpoint id. A VM
+// of twice the processor time is the owner of twice as many endpoints.
+func Rank(endpoint rattancatalog.Endpoint, vms []VM, n int) []string {
+	type scored struct {
+		name  string
+		score float64
+	}
+	var local, all []scored
 	for _, vm := range vms {
-		vmIsLocal := vm.FailureDomain == endpoint.FailureDomain
-		if isLocal && !vmIsLocal {
-			continue
+		cores := vm.ProcessorCores
+		if cores <= 0 {
+			cores = defaultProcessorCores
 		}
-		hash := rattanrendezvous.Weight(vm.Name, endpoint.ID)
-		if owner == "" || vmIsLocal && !isLocal || hash > highestHash {
-			owner, highestHash, isLocal = vm.Name, hash, vmIsLocal
+		entry := scored{name: vm.Name, score: rattanrendezvous.Score(vm.Name, endpoint.ID, cores)}
+		all = append(all, entry)
+		if vm.FailureDomain == endpoint.FailureDomain {
+			local = append(local, entry)
 		}
 	}
-	return owner, owner != ""
-}
-
-// A ConnectionBudget divides the connections that an endpoint accepts.
-type ConnectionBudget struct {
-	// MaxConnections is the number of connections that the endpoint accepts.
-	MaxConnections int
-	// Slots is the number of statements that the endpoint runs at once.
-	Slots int
-}
-
-const (
-	// reservePercent is the part of the connections that stays free for control
-	// requests and for connections that are being closed.
-	reservePercent = 12
-	// fallbackPercent is the part of the connections for daemons that cannot reach
-	// the owner.
-	fallbackPercent = 15
-	// fallbackConnections is how many connections a daemon may have while it cannot
-	// reach the owner.
-	fallbackConnections = 2
-	// minOwnerConnections is the minimum number of connections of the owner.
-	minOwnerConnections = 4
-	// queuedAtEndpoint is how many statements may wait at the endpoint, so that
-	// its slots stay busy between a response and the next statement.
-	queuedAtEndpoint = 1
-)
-
-// OwnerConnections returns how many connections the owner may have.
-func (b ConnectionBudget) OwnerConnections() int {
-	const percent = reservePercent + fallbackPercent
-	return max(b.MaxConnections-(b.MaxConnections*percent+99)/100, minOwnerConnections)
-}
-
-// Idle returns how many idle connections the owner keeps open. An endpoint still
-// counts the connections of daemons that lost power for three seconds, so most of
-// its connections have to stay free for the daemons that replace them.
-func (b ConnectionBudget) Idle() int {
-	const idlePercent = 35
-	return max(b.MaxConnections*idlePercent/100, b.InFlight())
+	if len(local) > 0 {
+		all = local
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, 0, n)
+	for _, entry := range all[:min(n, len(all))] {
+		names = append(names, entry.name)
+	}
+	return names
 }
-
-// FallbackConnections returns how many connections a daemon other than the owner may
-// have.
-func (b ConnectionBudget) FallbackConnections() int { return fallbackConnections }
-
-// InFlight returns how many statements of the owner may be in flight at once.
-func (b ConnectionBudget) InFlight() int { return b.Slots + queuedAtEndpoint }
--- a/internal/endpoint/rattanupstream/control.go
+++ b/internal/endpoint/rattanupstream/control.go
@@ -48,6 +48,7 @@
 	if remaining <= 0 {
 		return Status{}, rattanstatement.Result{}, ErrUnreachable
 	}
+	u.count(CountControl)
 	conn, err := u.dial(endpoint.Address, min(remaining, connectTimeout))
 	if err != nil {
 		return Status{}, rattanstatement.Result{}, errors.Wrap(ErrUnreachable, err.Error())
--- a/internal/endpoint/rattanupstream/reachability.go
+++ b/internal/endpoint/rattanupstream/reachability.go
@@ -16,6 +16,9 @@
 	// unreachableInterval is the wait between two probes of an endpoint that counts
 	// as unreachable.
 	unreachableInterval = 150 * time.Millisecond
+	// answeredPause is how long an endpoint that answered a probe is not probed again. A
+	// statement that is sent after the answer counts as late only after lateAnswerDelay.
+	answeredPause = 100 * time.Millisecond
 	// lateAnswerDelay is how long an answer may take before the endpoint is probed,
 	// while the request goes on waiting.
 	lateAnswerDelay = 120 * time.Millisecond
@@ -32,6 +35,8 @@
 type reachability struct {
 	isProbing    bool
 	failedProbes int
+	// answeredAt is when the endpoint last answered a probe.
+	answeredAt time.Time
 	// unreachable is closed while the endpoint is unreachable.
 	unreachable   chan struct{}
 	isUnreachable bool
@@ -68,7 +73,7 @@
 func (u *Upstream) startProbing() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.reachability.isProbing || u.isClosed {
+	if u.reachability.isProbing || u.isClosed || u.clock.Now().Sub(u.reachability.answeredAt) < answeredPause {
 		return
 	}
 	u.reachability.isProbing = true
@@ -116,6 +121,7 @@
 		return true
 	}
 	if err == nil {
+		u.reachability.answeredAt = u.clock.Now()
 		u.reachability.markReachable()
 		u.reachability.isProbing = false
 		return true
@@ -128,6 +134,7 @@
 }
 
 func (u *Upstream) probeOnce() error {
+	u.count(CountProbed)
 	conn, err := u.dial(u.Endpoint().Address, probeTimeout)
 	if err != nil {
 		return errors.Wrap(errProbeFailed, err.Error())
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,10 @@
 	clock  rattanclock.Clock
 	dial   DialFunc
 	grants Grants
+	// count adds one to a counter.
+	count func(name string)
+
+	isOpeningAhead atomic.Bool
 
 	mu       sync.Mutex
 	endpoint rattancatalog.Endpoint
@@ -77,11 +82,11 @@
 	isClosed           bool
 }
 
-// New returns the Upstream of an endpoint. OnReachabilityChange is called when the
+// New returns the Upstream of an endpoint. Count adds one to a counter. OnReachabilityChange is called when the
 // endpoint becomes unreachable or reachable again.
-func New(clock rattanclock.Clock, dial DialFunc, grants Grants, endpoint rattancatalog.Endpoint, limits rattanadmission.Limits, onReachabilityChange func()) *Upstream {
+func New(clock rattanclock.Clock, dial DialFunc, grants Grants, endpoint rattancatalog.Endpoint, limits rattanadmission.Limits, count func(name string), onReachabilityChange func()) *Upstream {
 	return &Upstream{
-		clock: clock, dial: dial, grants: grants, endpoint: endpoint,
+		clock: clock, dial: dial, grants: grants, count: count, endpoint: endpoint,
 		queue:        rattanadmission.New[*PooledConn](limits),
 		reachability: newReachability(onReachabilityChange),
 	}
@@ -188,6 +193,7 @@
 		return nil, err
 	}
 	if evicted := w.Assignment.Evict; evicted != nil {
+		u.count(CountEvicted)
 		_ = evicted.conn.Close()
 	}
 	if pooled := w.Assignment.Conn; pooled != nil {
@@ -197,6 +203,7 @@
 		}
 		_ = pooled.conn.Close()
 	}
+	u.count(CountOpened)
 	return u.open(account, deadline)
 }
 
@@ -248,7 +255,7 @@
 	pooled, err := u.tryOpen(account, deadline)
 	if err != nil {
 		u.mu.Lock()
-		u.queue.Closed(u.clock.Now())
+		u.queue.Lost(account, u.clock.Now())
 		u.mu.Unlock()
 		return nil, err
 	}
@@ -257,11 +264,11 @@
 
 func (u *Upstream) tryOpen(account string, deadline time.Time) (*PooledConn, error) {
 	endpoint := u.Endpoint()
-	for {
-		now := u.clock.Now()
-		if !now.Before(deadline) {
+	for attempt := 0; ; attempt++ {
+		if !u.waitWhileFull(attempt > 0, deadline) {
 			return nil, ErrOverloaded
 		}
+		now := u.clock.Now()
 		conn, err := u.dial(endpoint.Address, min(connectTimeout, deadline.Sub(now)))
 		if err != nil {
 			u.startProbing()
@@ -281,35 +288,69 @@
 			return &PooledConn{upstream: u, conn: conn, account: account, acquiredAt: u.clock.Now()}, nil
 		}
 		_ = conn.Close()
-		if err := u.refused(result, deadline); err != nil {
+		if err := u.refused(result); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// refused waits for refusedPause after the endpoint refused a connection because it
-// has too many, and closes idle connections. It returns the error for any other
-// refusal, or when the pause would reach beyond the deadline.
-func (u *Upstream) refused(result rattanstatement.Result, deadline time.Time) error {
+// waitWhileFull waits for the end of the pause after the endpoint refused a connection
+// because it has too many: one for this request or, where connections are scarce, any. It
+// returns false when the deadline is before that.
+func (u *Upstream) waitWhileFull(isRefused bool, deadline time.Time) bool {
+	u.mu.Lock()
+	until := u.fullUntil
+	if !isRefused && !u.queue.Limits().ByDemand {
+		until = time.Time{}
+	}
+	u.mu.Unlock()
+	now := u.clock.Now()
+	if !now.Before(deadline) || until.After(deadline) {
+		return false
+	}
+	if now.Before(until) {
+		<-u.clock.After(until.Sub(now))
+	}
+	return true
+}
+
+// refused begins a pause of refusedPause after the endpoint refused a connection because
+// it has too many, and closes idle connections. It returns the error for any other
+// refusal.
+func (u *Upstream) refused(result rattanstatement.Result) error {
 	switch result.Code {
 	case rattanstatement.WrongEndpoint:
 		return ErrWrongEndpoint
 	case rattanstatement.TooManyConnections, rattanstatement.Busy:
 		u.mu.Lock()
 		u.fullUntil = u.clock.Now().Add(refusedPause)
-		idle := u.queue.TakeIdle()
+		idle := u.queue.TakeSome(u.idleToClose(result.Code))
 		u.mu.Unlock()
 		closeAll(idle)
-		if u.clock.Now().Add(refusedPause).After(deadline) {
-			return ErrOverloaded
+		if result.Code == rattanstatement.TooManyConnections {
+			u.count(CountOverCap)
 		}
-		<-u.clock.After(refusedPause)
 		return nil
 	default:
 		return errors.Wrapf(ErrUnreachable, "the endpoint refused the session: %s", result.Code)
 	}
 }
 
+// idleToClose returns how many idle connections are closed after the endpoint refused a
+// connection: all where there is one for each account. Where connections are scarce, each
+// is opened again soon, so a part of them makes room, and none for want of a slot.
+func (u *Upstream) idleToClose(code rattanstatement.Code) int {
+	idle := u.queue.Idle()
+	switch {
+	case !u.queue.Limits().ByDemand:
+		return idle
+	case code == rattanstatement.TooManyConnections:
+		return (idle + 3) / 4
+	default:
+		return 0
+	}
+}
+
 // Release returns a connection to the queue after use.
 func (u *Upstream) Release(pooled *PooledConn) {
 	u.releaseWithServiceTime(pooled, u.clock.Now().Sub(pooled.acquiredAt))
@@ -339,6 +380,7 @@
 	}
 	u.mu.Unlock()
 	if isSurplus {
+		u.count(CountSurplus)
 		_ = surplus.conn.Close()
 	}
 }
@@ -354,10 +396,11 @@
 
 // Discard closes a connection that failed or whose state is unknown.
 func (u *Upstream) Discard(pooled *PooledConn) {
+	u.count(CountDiscarded)
 	_ = pooled.conn.Abort()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.queue.Closed(u.clock.Now())
+	u.queue.Lost(pooled.account, u.clock.Now())
 }
 
 // Close closes all idle connections and marks the endpoint as unreachable. The other
@@ -384,6 +427,8 @@
 	Connections int    `json:"connections"`
 	Limit       int    `json:"limit"`
 	Busy        int    `json:"busy"`
+	Idle        int    `json:"idle"`
+	Pinned      int    `json:"pinned"`
 	Waiting     int    `json:"waiting"`
 	Position    string `json:"position"`
 	IsSuspect   bool   `json:"suspect"`
@@ -397,7 +442,7 @@
 	defer u.mu.Unlock()
 	return State{
 		ID: u.endpoint.ID, Address: u.endpoint.Address,
-		Connections: u.queue.Connections(), Limit: u.queue.Limits().Connections, Busy: u.queue.Busy(), Waiting: u.queue.Waiting(),
+		Connections: u.queue.Connections(), Limit: u.queue.Limits().Connections, Busy: u.queue.Busy(), Idle: u.queue.Idle(), Pinned: u.queue.Pinned(), Waiting: u.queue.Waiting(),
 		Position: u.knownPosition.String(), IsSuspect: u.reachability.isSuspect(),
 		AcceptsNew: acceptsNew,
 	}
