rattanowner: the part of each role, so that no owner goes over an endpoint's limit

The logs show what was possible then, not which it was: 350 of 382 silent owners fall into the cut of nadi (seconds 33 to 38), whose endpoints have an owner inside, which keeps its connections without a lease, and one outside, each with 52 of 72, and each of 88 daemons may open two of its own.

Change: the limits of a role are a decision of rattanowner (ConnectionBudget.Part): an owner whose registration has ended and to which nobody forwards any more gives its connections up, a new owner waits until the endpoint answers and has dropped the former one's, one that was refused for too many gives up half of what it has above a new owner's part for 3 s, and a former owner keeps its slots while statements wait there.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -44,6 +44,9 @@
 	drains *rattandrain.Tracker
 	// tenures tell whether this daemon may use all connections of an owner.
 	tenures rattanowner.Tenures
+	// parts are this daemon's parts of the connections where they are scarce, by id of
+	// the endpoint.
+	parts map[string]rattanowner.Part
 	// histories are the known positions of the groups' primaries.
 	histories map[string]*rattanfreshness.History
 	wake      chan struct{}
@@ -58,6 +61,7 @@
 		drains: rattandrain.New(rattandrain.Limits{
 			Draining: p.settings.DrainLimit(), Evacuated: p.settings.EvacuationLimit(),
 		}),
+		parts:     make(map[string]rattanowner.Part),
 		histories: make(map[string]*rattanfreshness.History),
 		wake:      make(chan struct{}, 1),
 	}
@@ -117,6 +121,7 @@
 			delete(s.missingSince, id)
 			s.drains.Forget(id)
 			s.tenures.Forget(id)
+			delete(s.parts, id)
 			upstream.Close()
 		}
 	}
@@ -185,34 +190,42 @@
 }
 
 // scarceLimits returns this daemon's part of an endpoint's connections where there are more
-// accounts than connections. The owner keeps all of its part open, and less while the
-// endpoint may still count those of the owner before it. A daemon that stands in for the
-// owner, or was the owner, has as much as a new owner, and closes each after use unless the
-// owner does not answer.
+// accounts than connections.
 func (s *endpointSet) scarceLimits(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint, budget rattanowner.ConnectionBudget) rattanadmission.Limits {
+	part := budget.Part(s.role(snapshot, endpoint))
+	if known, ok := s.parts[endpoint.ID]; part != known {
+		s.parts[endpoint.ID] = part
+		if ok || part.IsKept {
+			s.proxy.logger.Info("connections_part", "endpoint", endpoint.ID, "connections", part.Connections, "kept", part.Idle)
+		}
+	}
+	limits := rattanadmission.Limits{Connections: part.Connections, InFlight: part.InFlight, Idle: part.Idle, ByDemand: part.IsKept}
+	if !part.IsKept {
+		limits.Idle = rattanadmission.NoIdle
+	}
+	return limits
+}
+
+// role returns what this daemon is for an endpoint's connections.
+func (s *endpointSet) role(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) rattanowner.Role {
+	var role rattanowner.Role
 	ranked := s.proxy.owners.ranked(snapshot, endpoint)
-	own := s.proxy.settings.VM()
-	limits := rattanadmission.Limits{Connections: budget.FallbackConnections(), InFlight: budget.FallbackConnections(), Idle: rattanadmission.NoIdle}
 	if len(ranked) == 0 {
-		return limits
-	}
-	upstream, isKnown := s.upstreams[endpoint.ID]
-	isRegistered := func(vm string) bool { _, ok := snapshot.VMs[vm]; return ok }
-	isSettled := s.tenures.Observe(endpoint.ID, ranked[0], !isKnown || !upstream.IsSuspect(), isRegistered, s.proxy.clock.Now())
-	isOwner := ranked[0] == own && !s.isSuperseded(snapshot, endpoint.ID)
-	isDeputy := len(ranked) > 1 && ranked[1] == own
-	isFinishing := isKnown && upstream.HasWaiting()
-	if !isOwner && !isDeputy && !isFinishing {
-		return limits
+		return role
 	}
-	limits.Connections, limits.InFlight = budget.TakeoverConnections(), budget.InFlight()
-	switch {
-	case isOwner && isSettled:
-		limits.Connections, limits.Idle, limits.ByDemand = budget.OwnerConnections(), budget.Idle(), true
-	case isOwner, isDeputy && s.proxy.owners.isUnresponsive(ranked[0]):
-		limits.Idle, limits.ByDemand = limits.Connections, true
+	now, own, answers := s.proxy.clock.Now(), s.proxy.settings.VM(), true
+	if upstream, ok := s.upstreams[endpoint.ID]; ok {
+		answers = !upstream.IsSuspect()
+		role.IsFinishing = upstream.HasWaiting()
+		role.IsRefused = now.Sub(upstream.RefusedAt()) < rattanowner.DarkConnectionTime
 	}
-	return limits
+	isRegistered := func(vm string) bool { _, ok := snapshot.VMs[vm]; return ok }
+	role.IsSettled = s.tenures.Observe(endpoint.ID, ranked[0], answers, isRegistered, now)
+	role.IsOwner = ranked[0] == own
+	role.IsSuperseded = role.IsOwner && s.isSuperseded(snapshot, endpoint.ID)
+	role.IsDeputy = len(ranked) > 1 && ranked[1] == own
+	role.OwnerAnswers = !s.proxy.owners.isUnresponsive(ranked[0])
+	return role
 }
 
 // isSuperseded reports whether another daemon is likely to own the connections to an
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -118,9 +118,15 @@
 }
 
 func (f *fleet) configure(version int, rate float64, keys ...string) {
+	f.t.Helper()
+	f.configureAccounts(version, rate, 0, keys...)
+}
+
+// configureAccounts is configure with further accounts.
+func (f *fleet) configureAccounts(version int, rate float64, more int, keys ...string) {
 	f.t.Helper()
 	config := platformtest.Config{
-		Version: version, Account: testAccount, Keys: keys, Rate: rate, Connections: 30,
+		Version: version, Account: testAccount, Keys: keys, MoreAccounts: more, Rate: rate, Connections: 30,
 		Timeout: 2 * time.Second, Objective: 250 * time.Millisecond, Staleness: 1500 * time.Millisecond,
 	}
 	if err := f.store.Put(platformtest.ConfigKey, config.Entry()); err != nil {
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -75,6 +75,8 @@
 	// fullUntil is the end of the pause after the endpoint refused a connection
 	// because it has too many.
 	fullUntil time.Time
+	// refusedAt is when the endpoint last refused one for that reason.
+	refusedAt time.Time
 	// newStatementsUntil is when the endpoint stops getting new statements, zero while
 	// it stays in service.
 	newStatementsUntil time.Time
@@ -323,7 +325,11 @@
 		return ErrWrongEndpoint
 	case rattanstatement.TooManyConnections, rattanstatement.Busy:
 		u.mu.Lock()
-		u.fullUntil = u.clock.Now().Add(refusedPause)
+		now := u.clock.Now()
+		u.fullUntil = now.Add(refusedPause)
+		if result.Code == rattanstatement.TooManyConnections {
+			u.refusedAt = now
+		}
 		idle := u.queue.TakeSome(u.idleToClose(result.Code))
 		u.mu.Unlock()
 		closeAll(idle)
@@ -336,6 +342,13 @@
 	}
 }
 
+// RefusedAt returns when the endpoint last refused a connection because it had too many.
+func (u *Upstream) RefusedAt() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.refusedAt
+}
+
 // idleToClose returns how many idle connections are closed after the endpoint refused a
 // connection: all where there is one for each account. Where connections are scarce, each
 // is opened again soon, so a part of them makes room, and none for want of a slot.
