rattanproxy: a new owner asks the endpoint whether it has dropped the former owner's connections

Cause: after a daemon was killed its connections are gone at once, but its successor kept to a new owner's part, 11 of 72 with room for 4 open transactions, for two seconds.

Change: a new owner reads the connections that the endpoint counts in its status, at most once in 200 ms, and has all of its part when the others hold no more than a new owner's part.

--- a/internal/caller/rattanstatement/statement.go
+++ b/internal/caller/rattanstatement/statement.go
@@ -108,4 +108,7 @@
 	Term uint64
 	// Received is the last position that the endpoint has received.
 	Received rattanmodel.Position
+	// Connections is how many connections the endpoint counts, that of the request
+	// included, or -1 when it does not tell.
+	Connections int
 }
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -23,6 +23,8 @@
 	// refreshInterval separates two checks for endpoints that have disappeared or
 	// do not answer.
 	refreshInterval = 200 * time.Millisecond
+	// statusTimeout limits the request for the connections that an endpoint counts.
+	statusTimeout = 150 * time.Millisecond
 	// supersededAfter is how long after the end of its registration, and after the last
 	// forwarded statement, a daemon assumes that another one is the owner.
 	supersededAfter = 1 * time.Second
@@ -47,6 +49,8 @@
 	// parts are this daemon's parts of the connections where they are scarce, by id of
 	// the endpoint.
 	parts map[string]rattanowner.Part
+	// checkedAt is when an endpoint was last asked for its connections.
+	checkedAt map[string]time.Time
 	// histories are the known positions of the groups' primaries.
 	histories map[string]*rattanfreshness.History
 	wake      chan struct{}
@@ -62,6 +66,7 @@
 			Draining: p.settings.DrainLimit(), Evacuated: p.settings.EvacuationLimit(),
 		}),
 		parts:     make(map[string]rattanowner.Part),
+		checkedAt: make(map[string]time.Time),
 		histories: make(map[string]*rattanfreshness.History),
 		wake:      make(chan struct{}, 1),
 	}
@@ -122,6 +127,7 @@
 			s.drains.Forget(id)
 			s.tenures.Forget(id)
 			delete(s.parts, id)
+			delete(s.checkedAt, id)
 			upstream.Close()
 		}
 	}
@@ -192,7 +198,11 @@
 // scarceLimits returns this daemon's part of an endpoint's connections where there are more
 // accounts than connections.
 func (s *endpointSet) scarceLimits(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint, budget rattanowner.ConnectionBudget) rattanadmission.Limits {
-	part := budget.Part(s.role(snapshot, endpoint))
+	role := s.role(snapshot, endpoint)
+	if role.IsOwner && !role.IsSettled {
+		s.checkDropped(endpoint.ID, budget)
+	}
+	part := budget.Part(role)
 	if known, ok := s.parts[endpoint.ID]; part != known {
 		s.parts[endpoint.ID] = part
 		if ok || part.IsKept {
@@ -228,6 +238,25 @@
 	return role
 }
 
+// checkDropped asks an endpoint in the background whether it still counts connections of
+// the owner before this daemon. The caller holds the lock.
+func (s *endpointSet) checkDropped(id string, budget rattanowner.ConnectionBudget) {
+	upstream, ok := s.upstreams[id]
+	now := s.proxy.clock.Now()
+	if !ok || upstream.IsSuspect() || now.Sub(s.checkedAt[id]) < refreshInterval {
+		return
+	}
+	s.checkedAt[id] = now
+	go func() {
+		status, err := upstream.Status(statusTimeout)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err == nil && budget.HasDropped(status.Connections, upstream.Held()) {
+			s.tenures.Settle(id, s.proxy.settings.VM(), s.proxy.clock.Now())
+		}
+	}()
+}
+
 // isSuperseded reports whether another daemon is likely to own the connections to an
 // endpoint without this one knowing: its registration has ended, and the others forward
 // nothing to it any more.
--- a/internal/endpoint/rattanowner/part.go
+++ b/internal/endpoint/rattanowner/part.go
@@ -28,6 +28,13 @@
 	IsKept bool
 }
 
+// HasDropped reports whether an endpoint that counts so many connections, of which a
+// daemon holds its own, no longer counts those of a former owner. Counted is negative when
+// the endpoint does not tell.
+func (b ConnectionBudget) HasDropped(counted, own int) bool {
+	return counted >= 0 && counted-own <= b.TakeoverConnections()
+}
+
 // Part returns the part of a daemon where connections are scarce. The owner has all but
 // the reserve and the takeover part, which is that of a new owner, of the deputy and of a
 // former owner that finishes its statements.
--- a/internal/endpoint/rattanowner/tenure.go
+++ b/internal/endpoint/rattanowner/tenure.go
@@ -50,6 +50,13 @@
 	return !now.Before(settledAt)
 }
 
+// Settle records that the endpoint has room for all connections of its owner.
+func (t *Tenures) Settle(endpoint, owner string, now time.Time) {
+	if known, ok := t.byEndpoint[endpoint]; ok && known.owner == owner {
+		t.byEndpoint[endpoint] = tenure{owner: owner, settledAt: now}
+	}
+}
+
 // Forget drops what is known of an endpoint.
 func (t *Tenures) Forget(endpoint string) { delete(t.byEndpoint, endpoint) }
 
--- a/internal/endpoint/rattanowner/tenure_test.go
+++ b/internal/endpoint/rattanowner/tenure_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// TestSettledByEndpoint guards against a new owner that waits for connections of a former
+// one which was killed: the endpoint has dropped them and says so. It guards too against
+// an answer for an owner that has changed meanwhile.
+func TestSettledByEndpoint(t *testing.T) {
+	budget := ConnectionBudget{MaxConnections: 72, Slots: 6, Accounts: 86}
+	own := budget.TakeoverConnections()
+	for counted, want := range map[int]bool{own + budget.OwnerConnections(): false, own + 1: true, -1: false} {
+		if got := budget.HasDropped(counted, own); got != want {
+			t.Errorf("the endpoint counts %d, %d of them own: dropped %t, want %t", counted, own, got, want)
+		}
+	}
+	now := time.Unix(1000, 0)
+	none := func(string) bool { return false }
+	var tenures Tenures
+	tenures.Observe("e", "new", true, none, now)
+	tenures.Settle("e", "old", now)
+	if tenures.Observe("e", "new", true, none, now) {
+		t.Error("settled by an answer for another owner")
+	}
+	tenures.Settle("e", "new", now)
+	if !tenures.Observe("e", "new", true, none, now) {
+		t.Error("not settled although the endpoint has dropped the former owner's connections")
+	}
+}
+
 // TestCutEndpointIsNotSettled guards against a new owner with all connections in the
 // moment in which a failure domain is back, with the former owner and its connections.
 func TestCutEndpointIsNotSettled(t *testing.T) {
--- a/internal/endpoint/rattanupstream/ahead.go
+++ b/internal/endpoint/rattanupstream/ahead.go
@@ -59,6 +59,14 @@
 	return u.queue.Limits().ByDemand
 }
 
+// Held returns the number of this daemon's connections that are open, being opened or
+// being closed.
+func (u *Upstream) Held() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.queue.Connections()
+}
+
 // HasWaiting reports whether requests wait for a connection.
 func (u *Upstream) HasWaiting() bool {
 	u.mu.Lock()
