rattanproxy: where connections are scarce, a deputy stands in for an owner that does not answer

Change: a statement whose owner failed goes to the VM that stands second for the endpoint, which has a new owner's part and keeps its connections while the owner is in doubt. Only a daemon that reaches neither opens its own. Each daemon is tried once for a statement.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -234,7 +234,7 @@
 	role.IsOwner = ranked[0] == own
 	role.IsSuperseded = role.IsOwner && s.isSuperseded(snapshot, endpoint.ID)
 	role.IsDeputy = len(ranked) > 1 && ranked[1] == own
-	role.OwnerAnswers = !s.proxy.owners.isUnresponsive(ranked[0])
+	role.OwnerAnswers = !s.proxy.owners.isDoubtful(ranked[0])
 	return role
 }
 
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,23 +66,19 @@
 
 // remote returns the owner of an endpoint's connections and its address, or false
 // when this daemon runs the statement itself. Where connections are scarce, another daemon
-// stands in for an owner that does not answer: there are none for each daemon.
-func (o *owners) remote(upstream *rattanupstream.Upstream) (vm, address string, ok bool) {
+// stands in for an owner that does not answer or has failed: there are none for each
+// daemon.
+func (o *owners) remote(upstream *rattanupstream.Upstream, failed []string) (vm, address string, ok bool) {
 	snapshot := o.proxy.cache.Snapshot()
 	endpoint := upstream.Endpoint()
 	ranked := o.ranked(snapshot, endpoint)
 	if !o.isScarce(snapshot, endpoint) {
 		ranked = ranked[:min(1, len(ranked))]
 	}
-	for _, vm := range ranked {
-		if vm == o.proxy.settings.VM() {
-			return "", "", false
-		}
-		if !o.isUnresponsive(vm) {
-			return vm, snapshot.VMs[vm].Address, true
-		}
-	}
-	return "", "", false
+	vm, ok = rattanowner.Forward(ranked, o.proxy.settings.VM(), func(vm string) bool {
+		return !o.isUnresponsive(vm) && !slices.Contains(failed, vm)
+	})
+	return vm, snapshot.VMs[vm].Address, ok
 }
 
 // isScarce reports whether there are more accounts than connections to an endpoint.
@@ -96,19 +93,28 @@
 	return ok && budget.IsScarce()
 }
 
-// Read implements rattandispatch.Owners.
+// Read implements rattandispatch.Owners. After an owner that did not answer it goes to the
+// daemon that stands in for it, or to the endpoint.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	vm, address, ok := o.remote(upstream)
-	if !ok {
-		return upstream.Read(statement)
+	var failed []string
+	for {
+		vm, address, ok := o.remote(upstream, failed)
+		if !ok {
+			return upstream.Read(statement)
+		}
+		result, err := o.readThrough(vm, address, upstream, statement)
+		var callErr *ownerCallError
+		if !errors.As(err, &callErr) {
+			return result, err
+		}
+		failed = append(failed, vm)
 	}
+}
+
+func (o *owners) readThrough(vm, address string, upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	start := o.proxy.clock.Now()
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_READ, upstream.Endpoint().ID, statement)
 	result, err := o.forward(upstream, vm, address, request, o.forwardDeadline(statement.Deadline))
-	var callErr *ownerCallError
-	if errors.As(err, &callErr) {
-		return upstream.Read(statement)
-	}
 	if err == nil {
 		upstream.ObserveForwarded(result, statement.MinPosition, o.proxy.clock.Now().Sub(start))
 	}
@@ -117,28 +123,43 @@
 
 // Write implements rattandispatch.Owners.
 func (o *owners) Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	vm, address, ok := o.remote(upstream)
-	if !ok {
-		return upstream.Write(statement)
-	}
-	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_WRITE, upstream.Endpoint().ID, statement)
-	result, err := o.forward(upstream, vm, address, request, statement.Deadline)
-	var callErr *ownerCallError
-	if !errors.As(err, &callErr) {
-		return result, err
-	}
-	if callErr.isNotRun {
-		return upstream.Write(statement)
+	var failed []string
+	for {
+		vm, address, ok := o.remote(upstream, failed)
+		if !ok {
+			return upstream.Write(statement)
+		}
+		request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_WRITE, upstream.Endpoint().ID, statement)
+		result, err := o.forward(upstream, vm, address, request, statement.Deadline)
+		var callErr *ownerCallError
+		if !errors.As(err, &callErr) {
+			return result, err
+		}
+		if !callErr.isNotRun {
+			return result, errors.Wrap(rattanupstream.ErrTimeout, callErr.Error())
+		}
+		failed = append(failed, vm)
 	}
-	return result, errors.Wrap(rattanupstream.ErrTimeout, callErr.Error())
 }
 
 // Begin implements rattandispatch.Owners.
 func (o *owners) Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
-	vm, address, ok := o.remote(upstream)
-	if !ok {
-		return upstream.Begin(begin)
+	var failed []string
+	for {
+		vm, address, ok := o.remote(upstream, failed)
+		if !ok {
+			return upstream.Begin(begin)
+		}
+		transaction, result, err := o.beginThrough(vm, address, upstream, begin)
+		var callErr *ownerCallError
+		if !errors.As(err, &callErr) {
+			return transaction, result, err
+		}
+		failed = append(failed, vm)
 	}
+}
+
+func (o *owners) beginThrough(vm, address string, upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
 	transaction := &remoteTransaction{owners: o, upstream: upstream, vm: vm, address: address, name: o.transactionName()}
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_BEGIN, upstream.Endpoint().ID, begin.First)
 	request.Transaction = transaction.name
@@ -150,7 +171,7 @@
 		if !callErr.isNotRun {
 			transaction.Abort()
 		}
-		return upstream.Begin(begin)
+		return nil, result, err
 	case err != nil:
 		return nil, result, err
 	}
@@ -174,6 +195,14 @@
 	return o.proxy.clock.Now().Before(o.unresponsiveUntil[vm])
 }
 
+// isDoubtful reports whether a VM did not answer lately. It stays so for a while after the
+// VM is used again, so that a daemon that stands in for it keeps its connections meanwhile.
+func (o *owners) isDoubtful(vm string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.proxy.clock.Now().Before(o.unresponsiveUntil[vm].Add(ownerBackoff))
+}
+
 func (o *owners) markUnresponsive(vm string, err error) {
 	now := o.proxy.clock.Now()
 	o.mu.Lock()
--- a/internal/endpoint/rattanowner/owner.go
+++ b/internal/endpoint/rattanowner/owner.go
@@ -34,6 +34,21 @@
 	return "", false
 }
 
+// Forward returns the first of the ranked daemons that answers, to which a daemon forwards
+// its statements. It returns false when the daemon itself comes before that, or none
+// answers: the daemon then runs them itself.
+func Forward(ranked []string, own string, answers func(vm string) bool) (string, bool) {
+	for _, vm := range ranked {
+		if vm == own {
+			return "", false
+		}
+		if answers(vm) {
+			return vm, true
+		}
+	}
+	return "", false
+}
+
 // Rank returns the first n daemons for the connections to an endpoint: the owner, and
 // those that stand in for one that does not answer. They are those of the endpoint's
 // failure domain, or of all when it has none, by a hash of VM name and endpoint id. A VM
--- a/internal/endpoint/rattanowner/tenure_test.go
+++ b/internal/endpoint/rattanowner/tenure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,6 +82,31 @@
 	}
 }
 
+// TestForward guards against each of many daemons opening connections of its own to an
+// endpoint whose owner does not answer, and against statements sent in a circle.
+func TestForward(t *testing.T) {
+	tests := []struct {
+		name, own string
+		silent    []string
+		want      string
+	}{
+		{"owner answers", "other", nil, "owner"},
+		{"deputy stands in", "other", []string{"owner"}, "deputy"},
+		{"nobody answers", "other", []string{"owner", "deputy"}, ""},
+		{"the owner itself", "owner", nil, ""},
+		{"the deputy forwards to the owner", "deputy", nil, "owner"},
+		{"the deputy itself", "deputy", []string{"owner"}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			answers := func(vm string) bool { return !slices.Contains(test.silent, vm) }
+			if got, ok := Forward([]string{"owner", "deputy"}, test.own, answers); got != test.want || ok != (test.want != "") {
+				t.Errorf("forwarded to %q (%t), want %q", got, ok, test.want)
+			}
+		})
+	}
+}
+
 // TestTenure guards against a new owner that opens connections while the endpoint still
 // counts those of the former one, and against one that is held back for good.
 func TestTenure(t *testing.T) {
