--- a/internal/endpoint/rattanowner/budget.go
+++ b/internal/endpoint/rattanowner/budget.go
@@ -23,9 +23,11 @@
 	// probe, the requests of a failover leader and three connections that are being
 	// closed while others open.
 	scarceReservePercent = 8
-	// takeoverTransactions is how many open transactions a new owner has room for,
-	// besides the statements in flight.
-	takeoverTransactions = 4
+	// takeoverTransactionsPercent is the part of the connections for the open
+	// transactions of a new owner, besides the statements in flight, and
+	// minTakeoverTransactions the least number of them.
+	takeoverTransactionsPercent = 6
+	minTakeoverTransactions     = 2
 	// fallbackConnections is how many connections a daemon may have while it cannot
 	// reach the owner.
 	fallbackConnections = 2
@@ -58,7 +60,8 @@
 // TakeoverConnections returns how many connections a new owner may have until the
 // endpoint no longer counts those of the owner before it. They are enough for all slots.
 func (b ConnectionBudget) TakeoverConnections() int {
-	return max(b.InFlight()+takeoverTransactions, minOwnerConnections)
+	transactions := max(b.MaxConnections*takeoverTransactionsPercent/100, minTakeoverTransactions)
+	return max(b.InFlight()+transactions, minOwnerConnections)
 }
 
 // Idle returns how many idle connections the owner keeps open: where connections are
--- a/internal/endpoint/rattanowner/tenure_test.go
+++ b/internal/endpoint/rattanowner/tenure_test.go
@@ -199,10 +199,13 @@
 // budget that changes where there is a connection for each account. The limits are those
 // of the users' sites.
 func TestScarceBudget(t *testing.T) {
-	for _, site := range []ConnectionBudget{{MaxConnections: 72, Slots: 6, Accounts: 86}, {MaxConnections: 82, Slots: 5, Accounts: 87}, {MaxConnections: 40, Slots: 3, Accounts: 88}} {
+	for _, site := range []ConnectionBudget{{MaxConnections: 72, Slots: 6, Accounts: 86}, {MaxConnections: 82, Slots: 5, Accounts: 87}, {MaxConnections: 40, Slots: 3, Accounts: 88}, {MaxConnections: 21, Slots: 3, Accounts: 8}} {
 		if sum := site.OwnerConnections() + site.TakeoverConnections() + site.FallbackConnections(); sum > site.MaxConnections {
 			t.Errorf("%d connections of an endpoint that accepts %d", sum, site.MaxConnections)
 		}
+		if site.OwnerConnections() < 3*site.InFlight() {
+			t.Errorf("the owner has %d of %d connections, %d statements in flight", site.OwnerConnections(), site.MaxConnections, site.InFlight())
+		}
 		if site.Idle() != site.OwnerConnections() {
 			t.Errorf("%d idle connections of %d", site.Idle(), site.OwnerConnections())
 		}
