rattanowner: only a daemon that had more keeps its slots for statements that wait

Cause: a daemon that reaches neither owner nor deputy and at which statements wait took the part of a new owner, each of many.

Change: that part is for a daemon that had more than the two connections of its own.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -226,7 +226,7 @@
 	now, own, answers := s.proxy.clock.Now(), s.proxy.settings.VM(), true
 	if upstream, ok := s.upstreams[endpoint.ID]; ok {
 		answers = !upstream.IsSuspect()
-		role.IsFinishing = upstream.HasWaiting()
+		role.HasWaiting, role.Before = upstream.HasWaiting(), s.parts[endpoint.ID]
 		role.IsRefused = now.Sub(upstream.RefusedAt()) < rattanowner.DarkConnectionTime
 	}
 	isRegistered := func(vm string) bool { _, ok := snapshot.VMs[vm]; return ok }
--- a/internal/endpoint/rattanowner/part.go
+++ b/internal/endpoint/rattanowner/part.go
@@ -13,8 +13,10 @@
 	// IsDeputy is true for the daemon that stands in for an owner that does not answer;
 	// OwnerAnswers is whether the owner does, as far as this daemon knows.
 	IsDeputy, OwnerAnswers bool
-	// IsFinishing is true for a daemon at which statements wait for a connection.
-	IsFinishing bool
+	// HasWaiting is true when statements wait for a connection at this daemon, which had
+	// the part Before so far.
+	HasWaiting bool
+	Before     Part
 }
 
 // A Part is a daemon's part of the connections that an endpoint accepts.
@@ -40,7 +42,8 @@
 // former owner that finishes its statements.
 func (b ConnectionBudget) Part(role Role) Part {
 	isOwner := role.IsOwner && !role.IsSuperseded
-	if !isOwner && !role.IsDeputy && !role.IsFinishing {
+	isFinishing := role.HasWaiting && role.Before.Connections > b.FallbackConnections()
+	if !isOwner && !role.IsDeputy && !isFinishing {
 		return Part{Connections: b.FallbackConnections(), InFlight: b.FallbackConnections()}
 	}
 	part := Part{Connections: b.TakeoverConnections(), InFlight: b.InFlight()}
