--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	mu sync.Mutex
 	// unresponsiveUntil is until when a VM that did not answer is not used.
 	unresponsiveUntil map[string]time.Time
+	// rankings are those of one snapshot.
+	rankings rankings
 	// next numbers the forwarded transactions of this daemon.
 	next uint64
 }
@@ -48,40 +51,70 @@
 
 // owner returns the VM that owns the connections to an endpoint.
 func (o *owners) owner(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) (string, bool) {
-	vms := make([]rattanowner.VM, 0, len(snapshot.VMs))
-	for name, vm := range snapshot.VMs {
-		if !vm.IsStopping {
-			vms = append(vms, rattanowner.VM{Name: name, FailureDomain: vm.FailureDomain})
-		}
+	if ranked := o.ranked(snapshot, endpoint); len(ranked) > 0 {
+		return ranked[0], true
 	}
-	return rattanowner.Choose(endpoint, vms)
+	return "", false
+}
+
+// ranked returns the VM that owns the connections to an endpoint and the one that stands
+// in for it.
+func (o *owners) ranked(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rankings.of(snapshot, endpoint)
 }
 
 // remote returns the owner of an endpoint's connections and its address, or false
-// when this daemon runs the statement itself.
-func (o *owners) remote(upstream *rattanupstream.Upstream) (vm, address string, ok bool) {
+// when this daemon runs the statement itself. Where connections are scarce, another daemon
+// stands in for an owner that does not answer or has failed: there are none for each
+// daemon.
+func (o *owners) remote(upstream *rattanupstream.Upstream, failed []string) (vm, address string, ok bool) {
 	snapshot := o.proxy.cache.Snapshot()
-	owner, ok := o.owner(snapshot, upstream.Endpoint())
-	if !ok || owner == o.proxy.settings.VM() || o.isUnresponsive(owner) {
-		return "", "", false
+	endpoint := upstream.Endpoint()
+	ranked := o.ranked(snapshot, endpoint)
+	if !o.isScarce(snapshot, endpoint) {
+		ranked = ranked[:min(1, len(ranked))]
 	}
-	return owner, snapshot.VMs[owner].Address, true
+	vm, ok = rattanowner.Forward(ranked, o.proxy.settings.VM(), func(vm string) bool {
+		return !o.isUnresponsive(vm) && !slices.Contains(failed, vm)
+	})
+	return vm, snapshot.VMs[vm].Address, ok
 }
 
-// Read implements rattandispatch.Owners.
+// isScarce reports whether there are more accounts than connections to an endpoint.
+func (o *owners) isScarce(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) bool {
+	if snapshot.Catalog == nil {
+		return false
+	}
+	group, ok := snapshot.Catalog.Group(endpoint.Group)
+	budget := rattanowner.ConnectionBudget{
+		MaxConnections: group.MaxConnections, Slots: endpoint.Slots, Accounts: snapshot.Catalog.AccountCount(),
+	}
+	return ok && budget.IsScarce()
+}
+
+// Read implements rattandispatch.Owners. After an owner that did not answer it goes to the
+// daemon that stands in for it, or to the endpoint.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	vm, address, ok := o.remote(upstream)
-	if !ok {
-		return upstream.Read(statement)
+	var failed failedCalls
+	for {
+		vm, address, ok := o.remote(upstream, failed.vms)
+		if !ok {
+			result, err := upstream.Read(statement)
+			return result, failed.orLater(err)
+		}
+		result, err := o.readThrough(vm, address, upstream, statement)
+		if !failed.add(vm, err) {
+			return result, failed.orLater(err)
+		}
 	}
+}
+
+func (o *owners) readThrough(vm, address string, upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	start := o.proxy.clock.Now()
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_READ, upstream.Endpoint().ID, statement)
 	result, err := o.forward(upstream, vm, address, request, statement.Deadline)
-	var callErr *ownerCallError
-	if errors.As(err, &callErr) {
-		result, err := upstream.Read(statement)
-		return result, callErr.orLater(err)
-	}
 	if err == nil {
 		upstream.ObserveForwarded(result, statement.MinPosition, o.proxy.clock.Now().Sub(start))
 	}
@@ -90,28 +123,42 @@
 
 // Write implements rattandispatch.Owners.
 func (o *owners) Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	vm, address, ok := o.remote(upstream)
-	if !ok {
-		return upstream.Write(statement)
-	}
-	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_WRITE, upstream.Endpoint().ID, statement)
-	result, err := o.forward(upstream, vm, address, request, statement.Deadline)
-	var callErr *ownerCallError
-	if !errors.As(err, &callErr) {
-		return result, err
-	}
-	if callErr.isNotRun {
-		return upstream.Write(statement)
+	var failed []string
+	for {
+		vm, address, ok := o.remote(upstream, failed)
+		if !ok {
+			return upstream.Write(statement)
+		}
+		request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_WRITE, upstream.Endpoint().ID, statement)
+		result, err := o.forward(upstream, vm, address, request, statement.Deadline)
+		var callErr *ownerCallError
+		if !errors.As(err, &callErr) {
+			return result, err
+		}
+		if !callErr.isNotRun {
+			return result, errors.Wrap(rattanupstream.ErrTimeout, callErr.Error())
+		}
+		failed = append(failed, vm)
 	}
-	return result, errors.Wrap(rattanupstream.ErrTimeout, callErr.Error())
 }
 
 // Begin implements rattandispatch.Owners.
 func (o *owners) Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
-	vm, address, ok := o.remote(upstream)
-	if !ok {
-		return upstream.Begin(begin)
+	var failed failedCalls
+	for {
+		vm, address, ok := o.remote(upstream, failed.vms)
+		if !ok {
+			transaction, result, err := upstream.Begin(begin)
+			return transaction, result, failed.orLater(err)
+		}
+		transaction, result, err := o.beginThrough(vm, address, upstream, begin)
+		if !failed.add(vm, err) {
+			return transaction, result, failed.orLater(err)
+		}
 	}
+}
+
+func (o *owners) beginThrough(vm, address string, upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
 	transaction := &remoteTransaction{owners: o, upstream: upstream, vm: vm, address: address, name: o.transactionName()}
 	request := newWorkRequest(rattanv1.WorkKind_WORK_KIND_BEGIN, upstream.Endpoint().ID, begin.First)
 	request.Transaction = transaction.name
@@ -123,8 +170,7 @@
 		if !callErr.isNotRun {
 			transaction.Abort()
 		}
-		open, result, err := upstream.Begin(begin)
-		return open, result, callErr.orLater(err)
+		return nil, result, err
 	case err != nil:
 		return nil, result, err
 	}
@@ -141,6 +187,14 @@
 	return o.proxy.clock.Now().Before(o.unresponsiveUntil[vm])
 }
 
+// isDoubtful reports whether a VM did not answer lately. It stays so for a while after the
+// VM is used again, so that a daemon that stands in for it keeps its connections meanwhile.
+func (o *owners) isDoubtful(vm string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.proxy.clock.Now().Before(o.unresponsiveUntil[vm].Add(ownerBackoff))
+}
+
 func (o *owners) markUnresponsive(vm string, err error) {
 	now := o.proxy.clock.Now()
 	o.mu.Lock()
@@ -165,13 +219,34 @@
 	return "call to the connection owner failed: " + e.cause.Error()
 }
 
-// orLater returns the error of a second attempt, at the endpoint itself: ErrTimeout, which
-// leaves open whether the statement has run, if the owner may have run it.
-func (e *ownerCallError) orLater(second error) error {
-	if second == nil || e.isNotRun {
-		return second
+// failedCalls are the calls to connection owners that failed for one statement.
+type failedCalls struct {
+	vms []string
+	// mayHaveRun is the error of a call after which the owner may have run the statement,
+	// nil if there is none.
+	mayHaveRun *ownerCallError
+}
+
+// add records the error of a call, if it is an *ownerCallError, and reports whether it is.
+func (f *failedCalls) add(vm string, err error) bool {
+	var callErr *ownerCallError
+	if !errors.As(err, &callErr) {
+		return false
+	}
+	f.vms = append(f.vms, vm)
+	if !callErr.isNotRun {
+		f.mayHaveRun = callErr
+	}
+	return true
+}
+
+// orLater returns the error of the last attempt: ErrTimeout, which leaves open whether the
+// statement has run, if an owner may have run it before.
+func (f *failedCalls) orLater(last error) error {
+	if last == nil || f.mayHaveRun == nil {
+		return last
 	}
-	return errors.Wrapf(rattanupstream.ErrTimeout, "%s, then %s", e, second)
+	return errors.Wrapf(rattanupstream.ErrTimeout, "%s, then %s", f.mayHaveRun, last)
 }
 
 // ownerProbeDelay is how long a connection owner may take to answer before this
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -259,7 +259,7 @@
 	if q.FreeSlots() == 0 {
 		return false
 	}
-	assignment, ok := q.inventory.Take(w.Account)
+	assignment, ok := q.inventory.Take(w.Account, now)
 	if ok {
 		w.Assignment = assignment
 		q.class(w.Priority).start(w.Account, w.floor, q.costs.Of(w.Kind).Mean, now)
@@ -295,12 +295,46 @@
 	return q.inventory.Surplus()
 }
 
-// Closed records that a connection was closed, or that one could not be opened.
+// Closed records that a connection was closed that Release has given up.
 func (q *Queue[C]) Closed(now time.Time) {
 	q.inventory.Closed()
 	q.dispatch(now)
 }
 
+// Lost records that a connection of an account was closed while it was in use, or that
+// one could not be opened.
+func (q *Queue[C]) Lost(account string, now time.Time) {
+	q.inventory.Lost(account)
+	q.dispatch(now)
+}
+
+// Ahead assigns a connection to be opened before a request needs it, for an account whose
+// next request is expected within the given time, while no request waits and a slot is
+// free. The caller returns it with Opened, or reports the failure with Lost.
+func (q *Queue[C]) Ahead(within time.Duration, now time.Time) (rattaninventory.Assignment[C], string, bool) {
+	if len(q.waiting) > 0 || q.Busy() >= q.limits.InFlight-1 {
+		return rattaninventory.Assignment[C]{}, "", false
+	}
+	return q.inventory.TakeAhead(within, now)
+}
+
+// Opened adds a connection that Ahead has assigned to the idle ones. If the queue now has
+// too many connections, Opened returns one that the caller closes and reports with Closed.
+func (q *Queue[C]) Opened(conn C, account string, now time.Time) (surplus C, ok bool) {
+	if !q.inventory.Put(conn, account) {
+		return conn, true
+	}
+	q.dispatch(now)
+	return q.inventory.Surplus()
+}
+
+// TakeSome removes the given number of idle connections whose next use is expected last;
+// the caller closes them.
+func (q *Queue[C]) TakeSome(count int) []C { return q.inventory.TakeSome(count) }
+
+// Idle returns the number of idle connections.
+func (q *Queue[C]) Idle() int { return q.inventory.Idle() }
+
 // TakeIdle removes all idle connections from the queue; the caller closes them.
 func (q *Queue[C]) TakeIdle() []C { return q.inventory.TakeIdle() }
 
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,10 @@
 	clock  rattanclock.Clock
 	dial   DialFunc
 	grants Grants
+	// count adds one to a counter.
+	count func(name string)
+
+	isOpeningAhead atomic.Bool
 
 	mu       sync.Mutex
 	endpoint rattancatalog.Endpoint
@@ -71,6 +76,8 @@
 	// fullUntil is the end of the pause after the endpoint refused a connection
 	// because it has too many.
 	fullUntil time.Time
+	// refusedAt is when the endpoint last refused one for that reason.
+	refusedAt time.Time
 	// newStatementsUntil is when the endpoint stops getting new statements, zero while
 	// it stays in service.
 	newStatementsUntil time.Time
@@ -80,11 +87,11 @@
 	isClosed   bool
 }
 
-// New returns the Upstream of an endpoint. OnReachabilityChange is called when the
+// New returns the Upstream of an endpoint. Count adds one to a counter. OnReachabilityChange is called when the
 // endpoint becomes unreachable or reachable again.
-func New(clock rattanclock.Clock, dial DialFunc, grants Grants, endpoint rattancatalog.Endpoint, limits rattanadmission.Limits, onReachabilityChange func()) *Upstream {
+func New(clock rattanclock.Clock, dial DialFunc, grants Grants, endpoint rattancatalog.Endpoint, limits rattanadmission.Limits, count func(name string), onReachabilityChange func()) *Upstream {
 	return &Upstream{
-		clock: clock, dial: dial, grants: grants, endpoint: endpoint,
+		clock: clock, dial: dial, grants: grants, count: count, endpoint: endpoint,
 		queue:        rattanadmission.New[*PooledConn](limits),
 		reachability: newReachability(onReachabilityChange),
 	}
@@ -200,6 +207,7 @@
 	}
 	assignedAt := u.clock.Now()
 	if evicted := w.Assignment.Evict; evicted != nil {
+		u.count(CountEvicted)
 		_ = evicted.conn.Close()
 	}
 	if pooled := w.Assignment.Conn; pooled != nil {
@@ -209,6 +217,7 @@
 		}
 		_ = pooled.conn.Close()
 	}
+	u.count(CountOpened)
 	pooled, err := u.open(request.Account, request.Deadline)
 	if err != nil {
 		return nil, err
@@ -270,7 +279,7 @@
 	pooled, err := u.tryOpen(account, deadline)
 	if err != nil {
 		u.mu.Lock()
-		u.queue.Closed(u.clock.Now())
+		u.queue.Lost(account, u.clock.Now())
 		u.mu.Unlock()
 		return nil, err
 	}
@@ -279,11 +288,11 @@
 
 func (u *Upstream) tryOpen(account string, deadline time.Time) (*PooledConn, error) {
 	endpoint := u.Endpoint()
-	for {
-		now := u.clock.Now()
-		if !now.Before(deadline) {
+	for attempt := 0; ; attempt++ {
+		if !u.waitWhileFull(attempt > 0, deadline) {
 			return nil, ErrOverloaded
 		}
+		now := u.clock.Now()
 		conn, err := u.dial(endpoint.Address, min(connectTimeout, deadline.Sub(now)))
 		if err != nil {
 			u.startProbing()
@@ -303,35 +312,80 @@
 			return &PooledConn{upstream: u, conn: conn, account: account}, nil
 		}
 		_ = conn.Close()
-		if err := u.refused(result, deadline); err != nil {
+		if err := u.refused(result); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// refused waits for refusedPause after the endpoint refused a connection because it
-// has too many, and closes idle connections. It returns the error for any other
-// refusal, or when the pause would reach beyond the deadline.
-func (u *Upstream) refused(result rattanstatement.Result, deadline time.Time) error {
+// waitWhileFull waits for the end of the pause after the endpoint refused a connection
+// because it has too many: one for this request or, where connections are scarce, any. It
+// returns false when the deadline is before that.
+func (u *Upstream) waitWhileFull(isRefused bool, deadline time.Time) bool {
+	u.mu.Lock()
+	until := u.fullUntil
+	if !isRefused && !u.queue.Limits().ByDemand {
+		until = time.Time{}
+	}
+	u.mu.Unlock()
+	now := u.clock.Now()
+	if !now.Before(deadline) || until.After(deadline) {
+		return false
+	}
+	if now.Before(until) {
+		<-u.clock.After(until.Sub(now))
+	}
+	return true
+}
+
+// refused begins a pause of refusedPause after the endpoint refused a connection because
+// it has too many, and closes idle connections. It returns the error for any other
+// refusal.
+func (u *Upstream) refused(result rattanstatement.Result) error {
 	switch result.Code {
 	case rattanstatement.WrongEndpoint:
 		return ErrWrongEndpoint
 	case rattanstatement.TooManyConnections, rattanstatement.Busy:
 		u.mu.Lock()
-		u.fullUntil = u.clock.Now().Add(refusedPause)
-		idle := u.queue.TakeIdle()
+		now := u.clock.Now()
+		u.fullUntil = now.Add(refusedPause)
+		if result.Code == rattanstatement.TooManyConnections {
+			u.refusedAt = now
+		}
+		idle := u.queue.TakeSome(u.idleToClose(result.Code))
 		u.mu.Unlock()
 		closeAll(idle)
-		if u.clock.Now().Add(refusedPause).After(deadline) {
-			return ErrOverloaded
+		if result.Code == rattanstatement.TooManyConnections {
+			u.count(CountOverCap)
 		}
-		<-u.clock.After(refusedPause)
 		return nil
 	default:
 		return errors.Wrapf(ErrUnreachable, "the endpoint refused the session: %s", result.Code)
 	}
 }
 
+// RefusedAt returns when the endpoint last refused a connection because it had too many.
+func (u *Upstream) RefusedAt() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.refusedAt
+}
+
+// idleToClose returns how many idle connections are closed after the endpoint refused a
+// connection: all where there is one for each account. Where connections are scarce, each
+// is opened again soon, so a part of them makes room, and none for want of a slot.
+func (u *Upstream) idleToClose(code rattanstatement.Code) int {
+	idle := u.queue.Idle()
+	switch {
+	case !u.queue.Limits().ByDemand:
+		return idle
+	case code == rattanstatement.TooManyConnections:
+		return (idle + 3) / 4
+	default:
+		return 0
+	}
+}
+
 // Release returns a connection to the queue after use. It closes the connection that the
 // queue no longer has a place for, if any.
 func (u *Upstream) Release(pooled *PooledConn) {
@@ -346,6 +400,7 @@
 	}
 	u.mu.Unlock()
 	if isSurplus {
+		u.count(CountSurplus)
 		_ = surplus.conn.Close()
 	}
 }
@@ -361,10 +416,11 @@
 
 // Discard closes a connection that failed or whose state is unknown.
 func (u *Upstream) Discard(pooled *PooledConn) {
+	u.count(CountDiscarded)
 	_ = pooled.conn.Abort()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.queue.Closed(u.clock.Now())
+	u.queue.Lost(pooled.account, u.clock.Now())
 }
 
 // Close closes all idle connections and marks the endpoint as unreachable. The other
@@ -391,6 +447,8 @@
 	Connections int    `json:"connections"`
 	Limit       int    `json:"limit"`
 	Busy        int    `json:"busy"`
+	Idle        int    `json:"idle"`
+	Pinned      int    `json:"pinned"`
 	Waiting     int    `json:"waiting"`
 	// WaitingByPriority counts the waiting requests, WaitingAccounts the client
 	// accounts that they are of.
@@ -415,7 +473,7 @@
 		WaitingByPriority: byPriority, WaitingAccounts: accounts, ServiceMS: float64(u.queue.ServiceTime().Microseconds()) / 1000,
 		RefusedNoRoom: counts.RefusedNoRoom, RefusedDisplaced: counts.RefusedDisplaced,
 		ID: u.endpoint.ID, Address: u.endpoint.Address,
-		Connections: u.queue.Connections(), Limit: u.queue.Limits().Connections, Busy: u.queue.Busy(), Waiting: u.queue.Waiting(),
+		Connections: u.queue.Connections(), Limit: u.queue.Limits().Connections, Busy: u.queue.Busy(), Idle: u.queue.Idle(), Pinned: u.queue.Pinned(), Waiting: u.queue.Waiting(),
 		Position: u.knownPosition.String(), IsSuspect: u.reachability.isSuspect(),
 		AcceptsNew: acceptsNew,
 	}
