--- a/internal/peer/rattanlink/kind.go
+++ b/internal/peer/rattanlink/kind.go
@@ -20,6 +20,7 @@
 	KindStop
 	KindPromise
 	KindStoreWatch
+	KindUsage
 )
 
 // String returns the snake case name of k.
@@ -47,6 +48,8 @@
 		return "promise"
 	case KindStoreWatch:
 		return "store_watch"
+	case KindUsage:
+		return "usage"
 	default:
 		return "unknown"
 	}
@@ -77,6 +80,8 @@
 		return KindPromise
 	case *rattanv1.PeerFrame_StoreWatchRequest:
 		return KindStoreWatch
+	case *rattanv1.PeerFrame_UsageRequest:
+		return KindUsage
 	default:
 		return KindUnknown
 	}
