rattanupstream: count the requests that endpoints began to run

Change: a RunCounter gets each statement outside of transactions, and each transaction once, that an endpoint began to run.

--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -41,6 +41,8 @@
 	// prepared has the name of each prepared statement on the connection.
 	prepared   map[PreparedStatement]string
 	acquiredAt time.Time
+	// isRunCounted is true while a transaction is open that has been counted.
+	isRunCounted bool
 }
 
 // Interrupt ends a request that is in flight by closing the connection; the outcome
@@ -97,6 +99,7 @@
 	if err := c.conn.SetDeadline(deadline); err != nil {
 		return rattanstatement.Result{}, &SendError{Cause: err}
 	}
+	sentAt := c.upstream.clock.Now()
 	late := time.AfterFunc(lateAnswerDelay, c.upstream.ObserveTimeout)
 	defer late.Stop()
 	if err := c.conn.Send(append(setup, request)...); err != nil {
@@ -106,6 +109,7 @@
 	for i := range setup {
 		result, err := c.conn.Receive()
 		if err != nil {
+			c.countRun(request, sentAt, result, true)
 			return rattanstatement.Result{}, err
 		}
 		if !result.OK() && refused == nil {
@@ -113,6 +117,7 @@
 		}
 	}
 	result, err := c.conn.Receive()
+	c.countRun(request, sentAt, result, err != nil)
 	if err != nil {
 		return rattanstatement.Result{}, err
 	}
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -53,6 +53,8 @@
 	clock  rattanclock.Clock
 	dial   DialFunc
 	grants Grants
+	// runs is nil unless the runs of callers' requests are counted.
+	runs RunCounter
 
 	mu       sync.Mutex
 	endpoint rattancatalog.Endpoint
