rattanproxy: report the usage of client accounts

Change: with usage_window in the settings, each daemon counts what it sends to endpoints, gives the counts each second to the collector of its failure domain, collectors to those of the others and to the failover leader, which writes the content of each window to the store before it sends it. Log events, counters, state dump, a page in OPERATIONS, the stand-in takes reports.

--- a/internal/config/rattancache/records.go
+++ b/internal/config/rattancache/records.go
@@ -24,6 +24,9 @@
 	SettledKey = KeyPrefix + "settled"
 	// FencingTokenKey holds the fencing token of the last failover leader.
 	FencingTokenKey = KeyPrefix + "duty_token"
+	// UsageKey holds which windows of usage are decided, and the reports of those that may
+	// not have been sent.
+	UsageKey = KeyPrefix + "usage"
 )
 
 // A VMRecord is a daemon's entry in the store, by which the other daemons learn
--- a/internal/config/rattansettings/proxy.go
+++ b/internal/config/rattansettings/proxy.go
@@ -24,6 +24,9 @@
 	rateWindow       time.Duration
 	drainLimit       time.Duration
 	evacuationLimit  time.Duration
+	usageWindow      time.Duration
+	usageDelay       time.Duration
+	usageHandover    time.Duration
 	processorCores   float64
 	logLevel         string
 }
@@ -72,6 +75,9 @@
 	p.rateWindow = r.duration("rate_window", time.Second, time.Minute, 5*time.Second)
 	p.drainLimit = r.duration("drain_limit", time.Second, 10*time.Minute, 7*time.Second)
 	p.evacuationLimit = r.duration("evacuation_limit", time.Second, 10*time.Minute, 5*time.Second)
+	p.usageWindow = r.duration("usage_window", time.Second, time.Hour, 0)
+	p.usageDelay = r.duration("usage_delay", 5*time.Second, time.Hour, 10*time.Second)
+	p.usageHandover = r.duration("usage_handover", 0, time.Minute, 3*time.Second)
 	p.processorCores = r.cores("processor_cores", 1)
 	p.logLevel = r.choice("log_level", "info", "debug", "info", "warn", "error")
 }
@@ -122,6 +128,17 @@
 // statements after the store acknowledged that the domain is evacuated.
 func (p *ProxySettings) EvacuationLimit() time.Duration { return p.evacuationLimit }
 
+// UsageWindow returns the length of the time for which usage is reported, 0 when the
+// fleet does not report usage.
+func (p *ProxySettings) UsageWindow() time.Duration { return p.usageWindow }
+
+// UsageDelay returns how long after the end of a window its report must have arrived.
+func (p *ProxySettings) UsageDelay() time.Duration { return p.usageDelay }
+
+// UsageHandover returns the time for which a daemon that has become the holder of the
+// duty does not send reports yet.
+func (p *ProxySettings) UsageHandover() time.Duration { return p.usageHandover }
+
 // ProcessorCores returns the processor time that the daemon may use, in cores. Daemons
 // with more of it do more of the work for others.
 func (p *ProxySettings) ProcessorCores() float64 { return p.processorCores }
@@ -149,6 +166,9 @@
 		{"rate_window", p.rateWindow != next.rateWindow},
 		{"drain_limit", p.drainLimit != next.drainLimit},
 		{"evacuation_limit", p.evacuationLimit != next.evacuationLimit},
+		{"usage_window", p.usageWindow != next.usageWindow},
+		{"usage_delay", p.usageDelay != next.usageDelay},
+		{"usage_handover", p.usageHandover != next.usageHandover},
 		{"processor_cores", p.processorCores != next.processorCores},
 		{"seed_peers", !slices.Equal(p.seedPeers, next.seedPeers)},
 	} {
--- a/internal/daemon/rattanplatform/platform.go
+++ b/internal/daemon/rattanplatform/platform.go
@@ -14,12 +14,16 @@
 )
 
 // New returns the users' platform as the daemon uses it. The addresses (host:port)
-// are those of the shared store and of the service that promotes endpoints.
+// are those of the shared store and of the service that promotes endpoints
+// and takes the reports of usage.
 func New(storeAddress, promoterAddress string) rattanproxy.Platform {
+	store := platform.NewStore(storeAddress)
 	return rattanproxy.Platform{
-		Store:    platform.NewStore(storeAddress),
-		Decoder:  platform.Decoder{},
-		Promoter: platform.NewPromoter(promoterAddress),
+		Store:         store,
+		Decoder:       platform.Decoder{},
+		Promoter:      platform.NewPromoter(promoterAddress),
+		UsageReporter: platform.NewUsageReporter(promoterAddress),
+		ObserveDates:  store.ObserveDates,
 		Dial: func(address string, timeout time.Duration) (rattanupstream.Conn, error) {
 			conn, err := platform.DialEndpoint(address, timeout)
 			if err != nil {
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -95,6 +95,9 @@
 			continue
 		}
 		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.wakeUp)
+		if s.proxy.usage != nil {
+			s.upstreams[id].SetRunCounter(s.proxy.usage)
+		}
 		s.proxy.logger.Info("endpoint_found", "endpoint", id, "group", endpoint.Group, "failure_domain", endpoint.FailureDomain,
 			"draining", endpoint.IsDraining)
 	}
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	lease rattankv.Lease
 	token int64
+	// takenAt is when this daemon took the leadership.
+	takenAt time.Time
 	// toleranceLoweredAt is when this daemon took the leadership, or last removed
 	// a member so that the quorum tolerates fewer missing daemons.
 	toleranceLoweredAt time.Time
@@ -64,7 +66,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lease, l.token = lease, token
-	l.toleranceLoweredAt = l.proxy.boot.Now()
+	l.takenAt = l.proxy.boot.Now()
+	l.toleranceLoweredAt = l.takenAt
+}
+
+// sinceTaken returns the time since this daemon took the leadership.
+func (l *leadership) sinceTaken() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.proxy.boot.Now().Sub(l.takenAt)
 }
 
 // sinceToleranceLowered returns for how long the number of tolerated daemons has
@@ -84,7 +94,7 @@
 // runLeadership takes the failover leadership when it is free, and runs
 // switchovers and removes members while this daemon is the leader.
 func (p *Proxy) runLeadership(ctx context.Context) error {
-	held := &leadership{proxy: p}
+	held := p.leadership
 	daemons := newMembers(p)
 	runner := &switchoverRunner{
 		proxy:    p,
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -50,6 +50,8 @@
 	group     *rattanlineserver.Group
 	endpoints map[string]*rattanlineserver.Endpoint
 	daemons   []*testDaemon
+	// moreSettings are lines for the settings of the daemons.
+	moreSettings string
 	// platform connects a daemon to the platform at an address.
 	platform func(address string) rattanproxy.Platform
 }
@@ -83,7 +85,13 @@
 // newFleet starts daemons, alternately in the failure domains a and b.
 func newFleet(t *testing.T, daemons int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, group: rattanlineserver.NewGroup("orders", 20*time.Millisecond), endpoints: make(map[string]*rattanlineserver.Endpoint)}
+	return newFleetWith(t, daemons, "")
+}
+
+// newFleetWith starts daemons with further lines in their settings.
+func newFleetWith(t *testing.T, daemons int, moreSettings string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, moreSettings: moreSettings, group: rattanlineserver.NewGroup("orders", 20*time.Millisecond), endpoints: make(map[string]*rattanlineserver.Endpoint)}
 	f.platform = func(address string) rattanproxy.Platform { return rattanplatform.New(address, address) }
 	f.store = rattankvserver.New(func(_, id string) bool {
 		ok := f.group.Promote(id)
@@ -172,7 +180,7 @@
 stop_timeout = 4s
 drain_limit = 3s
 evacuation_limit = 3s
-`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address))
+%s`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address, f.moreSettings))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -43,6 +43,13 @@
 // count adds one to a counter.
 func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
+// set sets a value.
+func (m *metrics) set(name string, value int64) {
+	gauge := new(expvar.Int)
+	gauge.Set(value)
+	m.counters.Set(name, gauge)
+}
+
 // countStatement counts a statement by its outcome and records its latency.
 func (m *metrics) countStatement(consistency string, code rattanstatement.Code, took time.Duration) {
 	m.count("statements_" + consistency + "_" + code.String())
@@ -91,6 +98,7 @@
 	VMs                   []string               `json:"vms"`
 	Primaries             map[string]string      `json:"primaries"`
 	Endpoints             []rattanupstream.State `json:"endpoints"`
+	Usage                 *usageState            `json:"usage,omitempty"`
 }
 
 func (p *Proxy) dump() dump {
@@ -99,6 +107,7 @@
 		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
+		Usage: p.usage.state(),
 	}
 	if snapshot.Catalog != nil {
 		d.Configuration = snapshot.Catalog.Version()
--- a/internal/daemon/rattanproxy/peers.go
+++ b/internal/daemon/rattanproxy/peers.go
@@ -25,6 +25,9 @@
 	server.Handle(rattanlink.KindStoreWatch, p.follower.handleWatch)
 	server.Handle(rattanlink.KindStop, p.relay.handleStop)
 	server.Handle(rattanlink.KindPromise, p.extension.handleGrantExtension)
+	if p.usage != nil {
+		server.Handle(rattanlink.KindUsage, p.usage.handle)
+	}
 	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve peers")
 	}
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -52,6 +52,11 @@
 	Decoder rattancache.Decoder
 	// Promoter makes endpoints primary.
 	Promoter rattanswitchover.Promoter
+	// UsageReporter reports the usage of client accounts.
+	UsageReporter UsageReporter
+	// ObserveDates sets what gets the date that another system names in a response, cut to
+	// whole seconds, with the time that the response took.
+	ObserveDates func(observe func(date time.Time, took time.Duration))
 	// Dial connects to endpoints.
 	Dial rattanupstream.DialFunc
 	// Caller returns the caller's side of an accepted connection.
@@ -88,11 +93,14 @@
 	endpoints   *endpointSet
 	owners      *owners
 	// forwarded holds the transactions of other daemons on this one's connections.
-	forwarded    *forwardedWork
-	metrics      *metrics
-	relay        *relay
-	follower     *follower
-	juries       *juries
+	forwarded  *forwardedWork
+	metrics    *metrics
+	relay      *relay
+	follower   *follower
+	juries     *juries
+	leadership *leadership
+	// usage is nil unless the settings ask for usage reports.
+	usage        *usage
 	extension    *extension
 	isolation    isolation
 	dispatch     *rattandispatch.Dispatcher
@@ -120,6 +128,8 @@
 		grants:      rattangrant.New(boot, grantLifetime),
 		switchovers: rattangrant.NewSwitchoverEstimator(clock),
 	}
+	p.leadership = &leadership{proxy: p}
+	p.usage = newUsage(p)
 	p.endpoints = newEndpointSet(p)
 	p.owners = newOwners(p)
 	p.forwarded = newForwardedWork(p)
@@ -159,6 +169,10 @@
 	tree.Add(newService("isolation", p.watchIsolation))
 	tree.Add(newService("token_pools", p.admission.watchOwners))
 	tree.Add(newService("settings", p.watchSettings))
+	if p.usage != nil {
+		tree.Add(newService("usage", p.usage.run))
+		tree.Add(newService("usage_reports", p.usage.runReports))
+	}
 	tree.Add(newService("callers", func(ctx context.Context) error { return p.accept(ctx, callers) }))
 	var finished sync.WaitGroup
 	finished.Go(func() { _ = tree.Serve(running) })
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -33,6 +33,9 @@
 		}
 		<-p.clock.After(50 * time.Millisecond)
 	}
+	if p.usage != nil {
+		p.usage.flush()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout/2)
 	defer cancel()
 	if err := p.registration.unregister(ctx); err != nil {
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -1,5 +1,5 @@
 // Package rattankvserver is a stand-in for the user's platform in tests: its
-// key-value store over HTTP and the call that promotes an endpoint.
+// key-value store over HTTP, the call that promotes an endpoint and the reports of usage.
 package rattankvserver
 
 import (
@@ -47,7 +47,9 @@
 	// calls counts the calls by the first part of their path.
 	calls map[string]int
 	// stallCount is the number of calls of SilenceWatches.
-	stallCount int
+	stallCount   int
+	usageMode    UsageMode
+	usageReports []UsageReport
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 }
@@ -189,6 +191,8 @@
 		s.serveKeepAlive(w, strings.TrimPrefix(path, "/kv-keep/"))
 	case strings.HasPrefix(path, "/kv-lease-end/"):
 		s.serveEndLease(w, strings.TrimPrefix(path, "/kv-lease-end/"))
+	case path == "/usage":
+		s.serveUsage(w, r)
 	case path == "/promote":
 		s.servePromote(w, r)
 	default:
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -44,11 +44,13 @@
 	listener net.Listener
 
 	// The fields below are guarded by the group's mutex.
-	log           []commit
-	conns         map[net.Conn]struct{}
-	isDown        bool
-	tenants       map[string]int
-	opened        int
+	log     []commit
+	conns   map[net.Conn]struct{}
+	isDown  bool
+	tenants map[string]int
+	opened  int
+	// started counts the requests that began to run: single statements and transactions.
+	started       int
 	lostResponses int
 	// reports counts the entries that the endpoint has published.
 	reports int
@@ -132,11 +134,24 @@
 
 // recordNew records the arrival of a new statement. The caller holds the group's mutex.
 func (e *Endpoint) recordNew() {
+	e.started++
 	if now := time.Now(); !e.closesAt.IsZero() && now.After(e.closesAt) {
 		e.late = append(e.late, now)
 	}
 }
 
+// Started returns how many requests began to run at the group's endpoints so far: single
+// statements and transactions.
+func (g *Group) Started() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	started := 0
+	for _, e := range g.endpoints {
+		started += e.started
+	}
+	return started
+}
+
 // Opened returns how many sessions have been opened at the endpoint so far.
 func (e *Endpoint) Opened() int {
 	e.group.mu.Lock()
