rattanproxy: tests for reports by turns and after a restored store that fail without their rules

Cause: without the wait of a new leader TestUsageTurns passed, and without passing over ended windows TestOneContent did. A write that the store refuses (429, 503) is repeated without reading the record again.

--- a/internal/daemon/rattanproxy/usagereports.go
+++ b/internal/daemon/rattanproxy/usagereports.go
@@ -75,8 +75,10 @@
 		u.reports.loadedToken = token
 	}
 	if err := u.decide(ctx, token); err != nil {
-		// What the store holds now is not known.
-		u.reports.loadedToken = 0
+		if !errors.Is(err, rattankv.ErrUnavailable) {
+			// What the store holds now is not known.
+			u.reports.loadedToken = 0
+		}
 		return errors.Wrap(err, "write the record of usage")
 	}
 	return u.sendNext(ctx, token)
--- a/internal/standin/rattankvserver/controls.go
+++ b/internal/standin/rattankvserver/controls.go
@@ -25,6 +25,15 @@
 	s.refusedClients[client] = isRefused
 }
 
+// Expire ends the lease that a key is bound to.
+func (s *Server) Expire(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lease := s.items[key].Lease; lease != 0 {
+		s.endLease(lease)
+	}
+}
+
 // SilenceWatches makes the watches in progress hang until their client gives up, as
 // when a connection is lost without being closed. Later watches are served.
 func (s *Server) SilenceWatches() {
--- a/internal/standin/rattankvserver/usage.go
+++ b/internal/standin/rattankvserver/usage.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 )
 
 // A UsageReport is a report of usage that the platform has accepted.
@@ -13,6 +14,8 @@
 	Counts map[string]uint64 `json:"counts"`
 	Holder string            `json:"-"`
 	Token  int64             `json:"-"`
+	// At is when the platform accepted it.
+	At time.Time `json:"-"`
 }
 
 // A UsageMode is what becomes of reports of usage.
@@ -47,7 +50,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	report.Token = token
+	report.Token, report.At = token, time.Now()
 	s.mu.Lock()
 	mode := s.usageMode
 	if mode != UsageRefused {
