--- a/internal/proof/rattansoak/run.go
+++ b/internal/proof/rattansoak/run.go
@@ -27,6 +27,9 @@
 // reads.
 type Result struct {
 	Acknowledged, Refused, InDoubt, Reads int
+	// Usage is the number of requests in the accepted reports of usage, and Windows that of
+	// their windows.
+	Usage, Windows int
 	// Faults are the injected faults, in order.
 	Faults []string
 	// Planned are the works that took endpoints out of service, in order, and the
@@ -82,6 +85,7 @@
 	r.checkWrites()
 	r.checkReads()
 	r.checkLateStatements()
+	r.checkUsage()
 	return r.result, err
 }
 
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -70,8 +70,8 @@
 	for _, violation := range result.Violations {
 		t.Error(violation)
 	}
-	t.Logf("%d writes acknowledged, %d refused, %d with unknown outcome, %d reads, %d faults",
-		result.Acknowledged, result.Refused, result.InDoubt, result.Reads, len(result.Faults))
+	t.Logf("%d writes acknowledged, %d refused, %d with unknown outcome, %d reads, %d faults, %d requests in %d windows of usage",
+		result.Acknowledged, result.Refused, result.InDoubt, result.Reads, len(result.Faults), result.Usage, result.Windows)
 	if t.Failed() {
 		saveLogs(t, fleet, result, seed)
 	}
