--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -59,6 +59,8 @@
 	count func(name string)
 
 	isOpeningAhead atomic.Bool
+	// runs is nil unless the runs of callers' requests are counted.
+	runs RunCounter
 
 	mu       sync.Mutex
 	endpoint rattancatalog.Endpoint
