--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -11,6 +11,7 @@
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandrain"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanfreshness"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattaninventory"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanowner"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 )
@@ -23,6 +24,11 @@
 	// refreshInterval separates two checks for endpoints that have disappeared or
 	// do not answer.
 	refreshInterval = 200 * time.Millisecond
+	// statusTimeout limits the request for the connections that an endpoint counts.
+	statusTimeout = 150 * time.Millisecond
+	// supersededAfter is how long after the end of its registration, and after the last
+	// forwarded statement, a daemon assumes that another one is the owner.
+	supersededAfter = 1 * time.Second
 )
 
 // An endpointSet holds the upstreams of all endpoints. It implements
@@ -39,6 +45,13 @@
 	missingSince map[string]time.Time
 	// drains decides until when endpoints that go out of service get new statements.
 	drains *rattandrain.Tracker
+	// tenures tell whether this daemon may use all connections of an owner.
+	tenures rattanowner.Tenures
+	// parts are this daemon's parts of the connections where they are scarce, by id of
+	// the endpoint.
+	parts map[string]rattanowner.Part
+	// checkedAt is when an endpoint was last asked for its connections.
+	checkedAt map[string]time.Time
 	// histories are the known positions of the groups' primaries.
 	histories map[string]*rattanfreshness.History
 	// replicas are the known positions of all endpoints.
@@ -55,6 +68,8 @@
 		drains: rattandrain.New(rattandrain.Limits{
 			Draining: p.settings.DrainLimit(), Evacuated: p.settings.EvacuationLimit(),
 		}),
+		parts:     make(map[string]rattanowner.Part),
+		checkedAt: make(map[string]time.Time),
 		histories: make(map[string]*rattanfreshness.History),
 		replicas:  rattanfreshness.NewReplicas(),
 		wake:      make(chan struct{}, 1),
@@ -104,7 +119,10 @@
 			upstream.Update(endpoint, limits)
 			continue
 		}
-		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.wakeUp)
+		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.proxy.metrics.count, s.wakeUp)
+		if s.proxy.usage != nil {
+			s.upstreams[id].SetRunCounter(s.proxy.usage)
+		}
 		s.proxy.logger.Info("endpoint_found", "endpoint", id, "group", endpoint.Group, "failure_domain", endpoint.FailureDomain,
 			"draining", endpoint.IsDraining)
 	}
@@ -121,6 +139,9 @@
 			delete(s.missingSince, id)
 			s.drains.Forget(id)
 			s.replicas.Forget(id)
+			s.tenures.Forget(id)
+			delete(s.parts, id)
+			delete(s.checkedAt, id)
 			upstream.Close()
 		}
 	}
@@ -174,9 +195,13 @@
 	if !ok {
 		return rattanadmission.Limits{Connections: 1, InFlight: 1}
 	}
-	budget := rattanowner.ConnectionBudget{MaxConnections: group.MaxConnections, Slots: endpoint.Slots}
-	owner, ok := s.proxy.owners.owner(snapshot, endpoint)
-	if ok && owner == s.proxy.settings.VM() {
+	budget := rattanowner.ConnectionBudget{
+		MaxConnections: group.MaxConnections, Slots: endpoint.Slots, Accounts: snapshot.Catalog.AccountCount(),
+	}
+	if budget.IsScarce() {
+		return s.scarceLimits(snapshot, endpoint, budget)
+	}
+	if owner, ok := s.proxy.owners.owner(snapshot, endpoint); ok && owner == s.proxy.settings.VM() {
 		return rattanadmission.Limits{
 			Connections: budget.OwnerConnections(), InFlight: budget.InFlight(), Idle: budget.Idle(), IsShared: snapshot.Catalog.IsShared(),
 		}
@@ -189,6 +214,96 @@
 	}
 }
 
+// scarceLimits returns this daemon's part of an endpoint's connections where there are more
+// accounts than connections.
+func (s *endpointSet) scarceLimits(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint, budget rattanowner.ConnectionBudget) rattanadmission.Limits {
+	role := s.role(snapshot, endpoint)
+	if role.IsOwner && !role.IsSettled {
+		s.checkDropped(endpoint.ID, budget)
+	}
+	part := budget.Part(role)
+	if known, ok := s.parts[endpoint.ID]; part != known {
+		s.parts[endpoint.ID] = part
+		if ok || part.IsKept {
+			s.proxy.logger.Info("connections_part", "endpoint", endpoint.ID, "connections", part.Connections, "kept", part.Idle)
+		}
+	}
+	limits := rattanadmission.Limits{
+		Connections: part.Connections, InFlight: part.InFlight, Idle: part.Idle, ByDemand: part.IsKept, IsShared: snapshot.Catalog.IsShared(),
+	}
+	if !part.IsKept {
+		limits.Idle = rattanadmission.NoIdle
+	}
+	return limits
+}
+
+// role returns what this daemon is for an endpoint's connections.
+func (s *endpointSet) role(snapshot *rattancache.Snapshot, endpoint rattancatalog.Endpoint) rattanowner.Role {
+	var role rattanowner.Role
+	ranked := s.proxy.owners.ranked(snapshot, endpoint)
+	if len(ranked) == 0 {
+		return role
+	}
+	now, own, answers := s.proxy.clock.Now(), s.proxy.settings.VM(), true
+	if upstream, ok := s.upstreams[endpoint.ID]; ok {
+		answers = !upstream.IsSuspect()
+		role.HasWaiting, role.Before = upstream.HasWaiting(), s.parts[endpoint.ID]
+		role.IsRefused = now.Sub(upstream.RefusedAt()) < rattanowner.DarkConnectionTime
+	}
+	isRegistered := func(vm string) bool { _, ok := snapshot.VMs[vm]; return ok }
+	role.IsSettled = s.tenures.Observe(endpoint.ID, ranked[0], answers, isRegistered, now)
+	role.IsOwner = ranked[0] == own
+	role.IsSuperseded = role.IsOwner && s.isSuperseded(snapshot, endpoint.ID)
+	role.IsDeputy = len(ranked) > 1 && ranked[1] == own
+	role.OwnerAnswers = !s.proxy.owners.isDoubtful(ranked[0])
+	return role
+}
+
+// checkDropped asks an endpoint in the background whether it still counts connections of
+// the owner before this daemon. The caller holds the lock.
+func (s *endpointSet) checkDropped(id string, budget rattanowner.ConnectionBudget) {
+	upstream, ok := s.upstreams[id]
+	now := s.proxy.clock.Now()
+	if !ok || upstream.IsSuspect() || now.Sub(s.checkedAt[id]) < refreshInterval {
+		return
+	}
+	s.checkedAt[id] = now
+	go func() {
+		status, err := upstream.Status(statusTimeout)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err == nil && budget.HasDropped(status.Connections, upstream.Held()) {
+			s.tenures.Settle(id, s.proxy.settings.VM(), s.proxy.clock.Now())
+		}
+	}()
+}
+
+// isSuperseded reports whether another daemon is likely to own the connections to an
+// endpoint without this one knowing: its registration has ended, and the others forward
+// nothing to it any more.
+func (s *endpointSet) isSuperseded(snapshot *rattancache.Snapshot, endpoint string) bool {
+	if len(snapshot.VMs) < 2 {
+		return false
+	}
+	_, until := s.proxy.registration.Lease()
+	return s.proxy.boot.Now().After(until.Add(supersededAfter)) && s.proxy.forwarded.idleTime(endpoint) > supersededAfter
+}
+
+// openAhead opens connections ahead of demand at the endpoints whose scarce connections
+// this daemon owns.
+func (s *endpointSet) openAhead(ctx context.Context) error {
+	for s.proxy.sleep(ctx, rattaninventory.AheadInterval) {
+		s.mu.Lock()
+		for _, upstream := range s.upstreams {
+			if upstream.IsByDemand() {
+				go upstream.OpenAhead()
+			}
+		}
+		s.mu.Unlock()
+	}
+	return nil
+}
+
 // Upstreams implements rattandispatch.Endpoints.
 func (s *endpointSet) Upstreams(group string) []*rattanupstream.Upstream {
 	s.mu.Lock()
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -50,6 +50,8 @@
 	group     *rattanlineserver.Group
 	endpoints map[string]*rattanlineserver.Endpoint
 	daemons   []*testDaemon
+	// moreSettings are lines for the settings of the daemons.
+	moreSettings string
 	// platform connects a daemon to the platform at an address.
 	platform func(address string) rattanproxy.Platform
 	// hasMetrics is true when the daemons serve metrics and dumps.
@@ -85,8 +87,15 @@
 
 // newFleet starts daemons, alternately in the failure domains a and b.
 func newFleet(t *testing.T, daemons int) *fleet {
+	t.Helper()
+	return newFleetWith(t, daemons, "")
+}
+
+// newFleetWith starts daemons with further lines in their settings.
+func newFleetWith(t *testing.T, daemons int, moreSettings string) *fleet {
 	t.Helper()
 	f := newFleetWithoutDaemons(t)
+	f.moreSettings = moreSettings
 	f.startAll(daemons)
 	return f
 }
@@ -132,9 +141,15 @@
 }
 
 func (f *fleet) configure(version int, rate float64, keys ...string) {
+	f.t.Helper()
+	f.configureAccounts(version, rate, 0, keys...)
+}
+
+// configureAccounts is configure with further accounts.
+func (f *fleet) configureAccounts(version int, rate float64, more int, keys ...string) {
 	f.t.Helper()
 	config := platformtest.Config{
-		Version: version, Account: testAccount, Keys: keys, Rate: rate, Connections: 30,
+		Version: version, Account: testAccount, Keys: keys, MoreAccounts: more, Rate: rate, Connections: 30,
 		Timeout: 2 * time.Second, Objective: 250 * time.Millisecond, Staleness: 1500 * time.Millisecond,
 	}
 	if err := f.store.Put(platformtest.ConfigKey, config.Entry()); err != nil {
@@ -199,7 +214,7 @@
 drain_limit = 3s
 evacuation_limit = 3s
 %s
-`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address, metrics))
+%s`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address, metrics, f.moreSettings))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -43,6 +43,13 @@
 // count adds one to a counter.
 func (m *metrics) count(name string) { m.counters.Add(name, 1) }
 
+// set sets a value.
+func (m *metrics) set(name string, value int64) {
+	gauge := new(expvar.Int)
+	gauge.Set(value)
+	m.counters.Set(name, gauge)
+}
+
 // countStatement counts a statement by its outcome and records its latency.
 func (m *metrics) countStatement(consistency string, code rattanstatement.Code, took time.Duration) {
 	m.count("statements_" + consistency + "_" + code.String())
@@ -92,6 +99,7 @@
 	Primaries             map[string]string      `json:"primaries"`
 	Endpoints             []rattanupstream.State `json:"endpoints"`
 	Loads                 []loadState            `json:"loads"`
+	Usage                 *usageState            `json:"usage,omitempty"`
 }
 
 func (p *Proxy) dump() dump {
@@ -101,6 +109,7 @@
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
 		Loads: p.loads.State(),
+		Usage: p.usage.state(),
 	}
 	if snapshot.Catalog != nil {
 		d.Configuration = snapshot.Catalog.Version()
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -27,12 +27,15 @@
 			for _, s := range p.sessions.list() {
 				s.closeIdle()
 			}
-			if p.sessions.count() == 0 && p.forwarded.count() == 0 {
+			if p.sessions.count() == 0 && p.forwarded.isIdle() {
 				break
 			}
 		}
 		<-p.clock.After(50 * time.Millisecond)
 	}
+	if p.usage != nil {
+		p.usage.flush()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout/2)
 	defer cancel()
 	if err := p.registration.unregister(ctx); err != nil {
--- a/internal/endpoint/rattanadmission/queue.go
+++ b/internal/endpoint/rattanadmission/queue.go
@@ -174,6 +174,12 @@
 // Cost returns the cost of a kind of request.
 func (q *Queue[C]) Cost(kind rattanwork.Kind) rattanwork.Cost { return q.costs.Of(kind) }
 
+// Charge adds the time of a slot, beyond the expected one, to the service that an account
+// has had. It is negative when the request took less.
+func (q *Queue[C]) Charge(account string, priority int, service time.Duration) {
+	q.class(priority).charge(account, service)
+}
+
 // Observe records the time that a request held a slot.
 func (q *Queue[C]) Observe(kind rattanwork.Kind, held time.Duration) { q.costs.Observe(kind, held) }
 
@@ -185,7 +191,7 @@
 			slots.occupy(q.costs.Of(w.Kind).Mean)
 		}
 	}
-	return q.stretched(slots[0], q.shareFor(priority, now))
+	return stretched(slots[0], q.shareFor(priority, now))
 }
 
 // Request requests a connection. A request that cannot be served in time is refused at
@@ -242,7 +248,7 @@
 // retryAfter returns when there is expected to be room for a refused request.
 func (q *Queue[C]) retryAfter(w *Waiter[C], p *plan[C], now time.Time) time.Duration {
 	share := q.shareFor(w.Priority, now)
-	earliest := min(q.stretched(p.slots[0], share), maxReturn)
+	earliest := min(stretched(p.slots[0], share), maxReturn)
 	request := returning{account: w.Account, cost: q.costs.Of(w.Kind).Mean}
 	return q.returns.book(request, earliest, share*float64(q.limits.InFlight), now)
 }
@@ -253,7 +259,7 @@
 	if q.FreeSlots() == 0 {
 		return false
 	}
-	assignment, ok := q.inventory.Take(w.Account)
+	assignment, ok := q.inventory.Take(w.Account, now)
 	if ok {
 		w.Assignment = assignment
 		q.class(w.Priority).start(w.Account, w.floor, q.costs.Of(w.Kind).Mean, now)
@@ -289,12 +295,46 @@
 	return q.inventory.Surplus()
 }
 
-// Closed records that a connection was closed, or that one could not be opened.
+// Closed records that a connection was closed that Release has given up.
 func (q *Queue[C]) Closed(now time.Time) {
 	q.inventory.Closed()
 	q.dispatch(now)
 }
 
+// Lost records that a connection of an account was closed while it was in use, or that
+// one could not be opened.
+func (q *Queue[C]) Lost(account string, now time.Time) {
+	q.inventory.Lost(account)
+	q.dispatch(now)
+}
+
+// Ahead assigns a connection to be opened before a request needs it, for an account whose
+// next request is expected within the given time, while no request waits and a slot is
+// free. The caller returns it with Opened, or reports the failure with Lost.
+func (q *Queue[C]) Ahead(within time.Duration, now time.Time) (rattaninventory.Assignment[C], string, bool) {
+	if len(q.waiting) > 0 || q.Busy() >= q.limits.InFlight-1 {
+		return rattaninventory.Assignment[C]{}, "", false
+	}
+	return q.inventory.TakeAhead(within, now)
+}
+
+// Opened adds a connection that Ahead has assigned to the idle ones. If the queue now has
+// too many connections, Opened returns one that the caller closes and reports with Closed.
+func (q *Queue[C]) Opened(conn C, account string, now time.Time) (surplus C, ok bool) {
+	if !q.inventory.Put(conn, account) {
+		return conn, true
+	}
+	q.dispatch(now)
+	return q.inventory.Surplus()
+}
+
+// TakeSome removes the given number of idle connections whose next use is expected last;
+// the caller closes them.
+func (q *Queue[C]) TakeSome(count int) []C { return q.inventory.TakeSome(count) }
+
+// Idle returns the number of idle connections.
+func (q *Queue[C]) Idle() int { return q.inventory.Idle() }
+
 // TakeIdle removes all idle connections from the queue; the caller closes them.
 func (q *Queue[C]) TakeIdle() []C { return q.inventory.TakeIdle() }
 
--- a/internal/endpoint/rattanadmission/waiter.go
+++ b/internal/endpoint/rattanadmission/waiter.go
@@ -66,6 +66,8 @@
 	// Idle is the number of connections that stay open without a request: 0 for
 	// all of them, NoIdle for none.
 	Idle int
+	// ByDemand is true when there are more accounts than idle connections.
+	ByDemand bool
 	// IsShared is true when requests of several priorities or accounts compete. The
 	// order is then by priority, account and objective, with room kept for the more
 	// urgent; otherwise by arrival.
@@ -91,5 +93,5 @@
 
 // inventoryLimits returns the limits of the queue's inventory.
 func (l Limits) inventoryLimits() rattaninventory.Limits {
-	return rattaninventory.Limits{Connections: l.Connections, Idle: l.Idle}
+	return rattaninventory.Limits{Connections: l.Connections, Idle: l.Idle, ByDemand: l.ByDemand}
 }
--- a/internal/endpoint/rattandispatch/placed_test.go
+++ b/internal/endpoint/rattandispatch/placed_test.go
@@ -98,7 +98,7 @@
 	grants.MarkInitialSync(clock.now)
 	for _, id := range []string{"primary", "r1", "r2"} {
 		s.upstreams = append(s.upstreams, rattanupstream.New(clock, nil, grants, rattancatalog.Endpoint{ID: id, Group: "orders"},
-			rattanadmission.Limits{Connections: 6, InFlight: 6}, func() {}))
+			rattanadmission.Limits{Connections: 6, InFlight: 6}, func(string) {}, func() {}))
 		s.loads[id] = rattanwork.Load{Slots: 6, FreeSlots: 6, ServiceTime: 30 * ms}
 		s.answers[id] = s.answer(rattanstatement.Result{Rows: []string{"ROW"}, Position: s.position(0)}, nil)
 	}
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -41,9 +41,18 @@
 	sessionVars map[string]string
 	// prepared has the name of each prepared statement on the connection.
 	prepared map[PreparedStatement]string
-	// acquiredAt is when the current request got its slot, kind that request's kind.
+	// acquiredAt is when the current request got its slot. kind and priority are that
+	// request's.
 	acquiredAt time.Time
 	kind       rattanwork.Kind
+	priority   int
+	// isRunCounted is true while a transaction is open that has been counted.
+	isRunCounted bool
+}
+
+// begin records the request for which the connection is used from now on.
+func (c *PooledConn) begin(request AcquireRequest, assignedAt time.Time) {
+	c.acquiredAt, c.kind, c.priority = assignedAt, request.Kind, request.Priority
 }
 
 // Interrupt ends a request that is in flight by closing the connection; the outcome
@@ -100,6 +109,7 @@
 	if err := c.conn.SetDeadline(deadline); err != nil {
 		return rattanstatement.Result{}, &SendError{Cause: err}
 	}
+	sentAt := c.upstream.clock.Now()
 	late := time.AfterFunc(lateAnswerDelay, c.upstream.ObserveTimeout)
 	defer late.Stop()
 	if err := c.conn.Send(append(setup, request)...); err != nil {
@@ -109,6 +119,7 @@
 	for i := range setup {
 		result, err := c.conn.Receive()
 		if err != nil {
+			c.countRun(request, sentAt, result, true)
 			return rattanstatement.Result{}, err
 		}
 		if !result.OK() && refused == nil {
@@ -116,6 +127,7 @@
 		}
 	}
 	result, err := c.conn.Receive()
+	c.countRun(request, sentAt, result, err != nil)
 	if err != nil {
 		return rattanstatement.Result{}, err
 	}
