--- a/internal/endpoint/rattandispatch/placed.go
+++ b/internal/endpoint/rattandispatch/placed.go
@@ -60,9 +60,11 @@
 	for {
 		minPosition, ok := d.minPosition(request)
 		if !ok {
-			return d.atPrimary(request, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
+			outcome := d.atPrimary(request, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
 				return attempt(upstream, rattanmodel.Position{})
 			})
+			outcome.MayHaveRun = outcome.MayHaveRun || s.runner.mayHaveRun
+			return outcome
 		}
 		upstream, sendIn, refusal := s.next(minPosition)
 		switch {
@@ -185,7 +187,7 @@
 	now := s.dispatcher.clock.Now()
 	sendIn := s.notBefore[next.Endpoint().ID].Sub(now)
 	if sendIn > 0 && now.Add(sendIn).After(s.request.endpointWaitDeadline()) {
-		return nil, 0, errAttempts
+		return nil, 0, &rattanwork.Refusal{Reason: errAttempts.Reason, RetryAfter: max(sendIn, errAttempts.RetryAfter)}
 	}
 	return next, sendIn, nil
 }
