rattanisolation: lost contacts are confirmed by pings, and isolate with the store's silence

Change: the late VMs are pinged and the store is called within 200 ms; if none answers, the daemon is isolated without waiting for the probes. An overloaded VM answers the ping and clears the suspicion. Measured: two cases of TestDecide ('failure domain cut off, endpoints not probed yet' fails before); tests of rattanproxy pass.

--- a/internal/daemon/rattanisolation/contacts.go
+++ b/internal/daemon/rattanisolation/contacts.go
@@ -1,6 +1,10 @@
 package rattanisolation
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// lateVMs is how many VMs must be late before all contacts may be lost: one alone
@@ -42,6 +46,9 @@
 	}
 }
 
+// LateVMs returns the VMs that have not answered a request in time.
+func (c *Contacts) LateVMs() []string { return slices.Collect(maps.Keys(c.late)) }
+
 // AreLost reports whether no VM of another failure domain has answered since the requests
 // that several of them leave unanswered were sent.
 func (c *Contacts) AreLost(now time.Time) bool {
--- a/internal/daemon/rattanisolation/isolation.go
+++ b/internal/daemon/rattanisolation/isolation.go
@@ -26,6 +26,9 @@
 	IsOutageShared bool
 	// HoldsGrants is true while the daemon may send requests to primaries.
 	HoldsGrants bool
+	// AreContactsLost is true while no VM of another failure domain answers, nor do those
+	// that were late answer a ping.
+	AreContactsLost bool
 	// Reachable is how many of the Endpoints answer this daemon.
 	Reachable, Endpoints int
 }
@@ -40,8 +43,8 @@
 	recoveredSince time.Time
 }
 
-// Decide returns whether the daemon is isolated: partitioned from the store and at
-// least half of the endpoints, or without the store and without grants of its own
+// Decide returns whether the daemon is isolated: partitioned from the store and from the
+// other failure domains or at least half of the endpoints, or without the store and without grants of its own
 // or delegated ones for grantlessTimeout. Load: daemons that start inside a failure
 // domain that is cut off know the configuration from their neighbours. As long as a few
 // of a failure domain's daemons seem ready, its callers keep coming to all of them, so a
@@ -55,7 +58,8 @@
 	} else if d.grantlessSince.IsZero() {
 		d.grantlessSince = now
 	}
-	isPartitioned := c.IsStoreLost && c.Endpoints > 0 && 2*c.Reachable <= c.Endpoints
+	areEndpointsLost := c.Endpoints > 0 && 2*c.Reachable <= c.Endpoints
+	isPartitioned := c.IsStoreLost && (c.AreContactsLost || areEndpointsLost)
 	isGrantless := !d.grantlessSince.IsZero() && now.Sub(d.grantlessSince) >= grantlessTimeout
 	if isPartitioned || isGrantless {
 		d.isIsolated, d.recoveredSince = true, time.Time{}
--- a/internal/daemon/rattanisolation/isolation_test.go
+++ b/internal/daemon/rattanisolation/isolation_test.go
@@ -21,6 +21,8 @@
 		{"just started, store unavailable to all", Conditions{IsStoreLost: true, IsOutageShared: true, Reachable: 9, Endpoints: 9}, 0, false},
 		{"well", Conditions{HasReachedStore: true, HoldsGrants: true, Reachable: 9, Endpoints: 9}, time.Minute, false},
 		{"failure domain partitioned", Conditions{IsStoreLost: true, HoldsGrants: true, Reachable: 3, Endpoints: 9}, 0, true},
+		{"failure domain cut off, endpoints not probed yet", Conditions{HasReachedStore: true, IsStoreLost: true, AreContactsLost: true, HoldsGrants: true, Reachable: 9, Endpoints: 9}, 0, true},
+		{"contacts lost, store available", Conditions{HasReachedStore: true, AreContactsLost: true, HoldsGrants: true, Reachable: 9, Endpoints: 9}, time.Minute, false},
 		{"some endpoints lost, store available", Conditions{HasReachedStore: true, HoldsGrants: true, Reachable: 3, Endpoints: 9}, time.Minute, false},
 		{"store unavailable, others delegate grants", Conditions{IsStoreLost: true, HoldsGrants: true, Reachable: 9, Endpoints: 9}, time.Minute, false},
 		{"store unavailable briefly", Conditions{HasReachedStore: true, IsStoreLost: true, Reachable: 9, Endpoints: 9}, grantlessTimeout / 2, false},
--- a/internal/daemon/rattanproxy/isolation.go
+++ b/internal/daemon/rattanproxy/isolation.go
@@ -15,9 +15,9 @@
 const (
 	// isolationInterval separates two checks of whether the daemon is isolated.
 	isolationInterval = 100 * time.Millisecond
-	// contactCheckTimeout limits the call to the store when no VM of another failure
-	// domain answers.
-	contactCheckTimeout = 250 * time.Millisecond
+	// contactCheckTimeout limits the call to the store and the pings of other VMs when no
+	// VM of another failure domain answers.
+	contactCheckTimeout = 200 * time.Millisecond
 )
 
 // isolation holds whether the daemon is partitioned from what it needs to serve
@@ -44,6 +44,13 @@
 	i.contacts.Late(vm, sentAt)
 }
 
+// lateVMs returns the VMs of other failure domains that have not answered in time.
+func (i *isolation) lateVMs() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.contacts.LateVMs()
+}
+
 func (i *isolation) areContactsLost(now time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -59,9 +66,7 @@
 	for p.sleep(ctx, isolationInterval) {
 		areContactsLost := p.isolation.areContactsLost(p.clock.Now())
 		if areContactsLost && !checked {
-			p.logger.Info("contacts_lost")
-			p.endpoints.probeAll()
-			p.checkStore(ctx)
+			areContactsLost = p.confirmContactsLost(ctx)
 		}
 		checked = areContactsLost
 		isLost := p.registration.storeLost.Load()
@@ -71,8 +76,8 @@
 		probed = isLost
 		reachable, total := p.endpoints.reachable()
 		isIsolated := decider.Decide(rattanisolation.Conditions{
-			HasReachedStore: p.registration.storeReached.Load(),
-			IsStoreLost:     isLost, IsOutageShared: p.relay.isOutageShared.Load(), HoldsGrants: p.grants.IsHeld(), Reachable: reachable, Endpoints: total,
+			HasReachedStore: p.registration.storeReached.Load(), AreContactsLost: areContactsLost,
+			IsStoreLost: isLost, IsOutageShared: p.relay.isOutageShared.Load(), HoldsGrants: p.grants.IsHeld(), Reachable: reachable, Endpoints: total,
 		}, p.boot.Now())
 		if p.isolation.isIsolated.Swap(isIsolated) != isIsolated {
 			p.logger.Warn("isolation", "isolated", isIsolated, "store_lost", isLost, "grants", p.grants.IsHeld(),
@@ -87,17 +92,41 @@
 	return nil
 }
 
-// checkStore finds out at once whether the store answers, which the renewals of the
+// confirmContactsLost pings the VMs of other failure domains that are late: an overloaded
+// one is late too, but answers a ping. While none does, the store and the endpoints are
+// checked at once.
+func (p *Proxy) confirmContactsLost(ctx context.Context) bool {
+	pingCtx, cancel := context.WithTimeout(ctx, contactCheckTimeout)
+	defer cancel()
+	vms := p.cache.Snapshot().VMs
+	var checks sync.WaitGroup
+	for _, vm := range p.isolation.lateVMs() {
+		checks.Go(func() {
+			sentAt := p.clock.Now()
+			if p.peers.Answers(pingCtx, vms[vm].Address) {
+				p.isolation.recordAnswer(vm, sentAt)
+			}
+		})
+	}
+	checks.Go(func() { p.checkStore(pingCtx) })
+	checks.Wait()
+	if !p.isolation.areContactsLost(p.clock.Now()) {
+		return false
+	}
+	p.logger.Info("contacts_lost", "store_lost", p.registration.storeLost.Load())
+	p.endpoints.probeAll()
+	return true
+}
+
+// checkStore finds out whether the store answers until ctx ends, which the renewals of the
 // lease would show later.
 func (p *Proxy) checkStore(ctx context.Context) {
 	lease, _ := p.registration.Lease()
 	if lease.IsZero() {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, contactCheckTimeout)
-	defer cancel()
-	if err := p.platform.Store.KeepAlive(callCtx, lease); err != nil && !errors.Is(err, rattankv.ErrLeaseEnded) {
-		p.markStoreLost(ctx, "check", err)
+	if err := p.platform.Store.KeepAlive(ctx, lease); err != nil && !errors.Is(err, rattankv.ErrLeaseEnded) {
+		p.markStoreLost(context.WithoutCancel(ctx), "check", err)
 	}
 }
 
