rattanproxy: a request that is tried again counts once in usage; a window before the leader's start is not billed as zero

After power_off_all, window was reported with no requests, since new daemons called it complete. Change: the caller's daemon remembers the id of a statement with an attempt that ran and did not succeed, and marks the next attempt as a repeat. A window in which nobody is known to have counted is reported only if it began after the leader's process. TestCountRun, TestUnknownWindow fail without it; the tests of rattanproxy pass.

--- a/internal/caller/rattanstatement/statement.go
+++ b/internal/caller/rattanstatement/statement.go
@@ -68,6 +68,9 @@
 	MinPosition rattanmodel.Position
 	// Term is the term of a StepDown request.
 	Term uint64
+	// IsRepeat is true when an earlier attempt of the request has run at an endpoint. It is
+	// not sent.
+	IsRepeat bool
 }
 
 // A TransactionStatus says whether a session has an open transaction and whether
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -69,6 +69,13 @@
 
 // Read implements rattandispatch.Owners.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	result, err := o.read(upstream, statement)
+	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	return result, err
+}
+
+func (o *owners) read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	vm, address, ok := o.remote(upstream)
 	if !ok {
 		return upstream.Read(statement)
@@ -88,6 +95,13 @@
 
 // Write implements rattandispatch.Owners.
 func (o *owners) Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	result, err := o.write(upstream, statement)
+	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	return result, err
+}
+
+func (o *owners) write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	vm, address, ok := o.remote(upstream)
 	if !ok {
 		return upstream.Write(statement)
@@ -106,6 +120,13 @@
 
 // Begin implements rattandispatch.Owners.
 func (o *owners) Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
+	begin.First.IsRepeat = o.proxy.usage.hasBegun(begin.First.StatementID)
+	transaction, result, err := o.begin(upstream, begin)
+	o.proxy.usage.recordAttempt(begin.First.StatementID, result, err)
+	return transaction, result, err
+}
+
+func (o *owners) begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
 	vm, address, ok := o.remote(upstream)
 	if !ok {
 		return upstream.Begin(begin)
--- a/internal/daemon/rattanproxy/usage.go
+++ b/internal/daemon/rattanproxy/usage.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/limit/rattanusage"
@@ -26,6 +29,9 @@
 	// usageFlushTimeout limits the last exchange, which takes from the time that is kept
 	// for the unregistration.
 	usageFlushTimeout = 200 * time.Millisecond
+	// attemptMemory is how long an attempt that failed is remembered: longer than a caller
+	// waits for its request.
+	attemptMemory = 10 * time.Second
 	// relayMemory is how long a daemon that is no longer the collector of another one still
 	// passes on what it got from it.
 	relayMemory = 10 * time.Second
@@ -52,6 +58,10 @@
 	// unusableUntil is until when each VM that did not take counts is not a collector.
 	unusableUntil map[string]time.Time
 
+	// begun holds the callers' requests with an attempt that ran and did not succeed, by
+	// the statement's id, with the time of the attempt. Another attempt is no other request.
+	begun map[string]time.Time
+
 	reports usageReports
 }
 
@@ -63,7 +73,8 @@
 		return nil
 	}
 	u := &usage{
-		proxy: p, length: p.settings.UsageWindow(), ledger: rattanusage.NewLedger(),
+		proxy: p, length: p.settings.UsageWindow(), begun: make(map[string]time.Time),
+		ledger:  rattanusage.NewLedger(rattanusage.WindowAt(p.clock.Now(), p.settings.UsageWindow())),
 		relayed: make(map[string]time.Time), passed: make(map[string]uint64), unusableUntil: make(map[string]time.Time),
 	}
 	if p.platform.ObserveDates != nil {
@@ -92,6 +103,30 @@
 	}
 }
 
+// hasBegun reports whether an attempt of a caller's request, by its statement's id, has
+// run at an endpoint. Without usage reports it returns false.
+func (u *usage) hasBegun(statementID string) bool {
+	if u == nil {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, ok := u.begun[statementID]
+	return ok
+}
+
+// recordAttempt records the outcome of an attempt of a caller's request. Without usage
+// reports it does nothing.
+func (u *usage) recordAttempt(statementID string, result rattanstatement.Result, err error) {
+	hasRun := errors.Is(err, rattanupstream.ErrTimeout) || err == nil && !result.OK() && rattanupstream.HasRun(result.Code)
+	if u == nil || !hasRun {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.begun[statementID] = u.proxy.clock.Now()
+}
+
 // run exchanges counts until ctx ends.
 func (u *usage) run(ctx context.Context) error {
 	for u.proxy.sleep(ctx, usageInterval) {
@@ -114,7 +149,8 @@
 func (u *usage) complete(settle time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.now()
+	now, local := u.now(), u.proxy.clock.Now()
+	maps.DeleteFunc(u.begun, func(_ string, at time.Time) bool { return local.Sub(at) > attemptMemory })
 	u.ledger.Forget(rattanusage.KeepFrom(now, u.length))
 	u.ledger.Complete(u.proxy.registration.incarnation, rattanusage.WindowAt(now.Add(-settle), u.length)-1)
 }
--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -35,6 +35,7 @@
 		Kind: kind, Endpoint: endpoint, Account: statement.Account, Priority: uint32(statement.Priority), Values: statement.SessionVars,
 		StatementId: statement.StatementID, Text: statement.Text, Shape: statement.Prepared.Text, Writes: statement.IsWrite,
 		Argument: statement.Argument, Floor: statement.MinPosition.Wire(),
+		IsRepeat:    statement.IsRepeat,
 		ObjectiveMs: uint32(max(time.Until(statement.Objective), 0).Milliseconds()),
 	}
 }
@@ -48,7 +49,7 @@
 			Deadline:  now.Add(time.Duration(request.GetDeadlineMs()) * time.Millisecond),
 		},
 		SessionVars: request.GetValues(), StatementID: request.GetStatementId(), Text: request.GetText(),
-		Argument: request.GetArgument(), IsWrite: request.GetWrites(),
+		Argument: request.GetArgument(), IsWrite: request.GetWrites(), IsRepeat: request.GetIsRepeat(),
 		MinPosition: rattanmodel.PositionFromWire(request.GetFloor()),
 	}
 	if request.GetShape() != "" {
--- a/internal/endpoint/rattanupstream/runs.go
+++ b/internal/endpoint/rattanupstream/runs.go
@@ -19,16 +19,17 @@
 
 // countRun counts the request that a statement begins. The statement was sent at a time
 // and answered with a result, or its answer was lost. It does not count if it is one of the
-// daemon itself, has not run, or belongs to a transaction that has been counted. A
+// daemon itself, has not run, repeats one that has, or belongs to a transaction that has been
+// counted. A
 // statement without an answer most likely ran: it had reached the endpoint's connection.
 func (c *PooledConn) countRun(statement rattanstatement.Request, sentAt time.Time, result rattanstatement.Result, isLost bool) {
 	if statement.Kind == rattanstatement.Begin || statement.Kind == rattanstatement.BeginRead {
 		c.isRunCounted = false
 	}
 	isFirst := !c.isRunCounted
-	if isFirst && statement.ID != "" && c.account != "" && hasRun(result.Code) {
+	if isFirst && statement.ID != "" && c.account != "" && HasRun(result.Code) {
 		c.isRunCounted = true
-		if c.upstream.runs != nil {
+		if c.upstream.runs != nil && !statement.IsRepeat {
 			c.upstream.runs.CountRun(c.account, sentAt)
 		}
 	}
@@ -37,7 +38,7 @@
 	}
 }
 
-// hasRun reports whether an endpoint began to run a statement that it answered with a code.
-func hasRun(code rattanstatement.Code) bool {
+// HasRun reports whether an endpoint began to run a statement that it answered with a code.
+func HasRun(code rattanstatement.Code) bool {
 	return !code.NotRun() && code != rattanstatement.Malformed && code != rattanstatement.Aborted
 }
--- a/internal/endpoint/rattanupstream/runs_test.go
+++ b/internal/endpoint/rattanupstream/runs_test.go
@@ -41,6 +41,7 @@
 func TestCountRun(t *testing.T) {
 	begin, rollback := rattanstatement.Request{Kind: rattanstatement.Begin}, rattanstatement.Request{Kind: rattanstatement.Rollback}
 	statement := rattanstatement.Request{ID: "1", Text: "READ i1"}
+	repeat := rattanstatement.Request{ID: "1", Text: "READ i1", IsRepeat: true}
 	idle, open := rattanstatement.Result{}, rattanstatement.Result{TransactionStatus: rattanstatement.InTransaction}
 	refused := func(code rattanstatement.Code) rattanstatement.Result { return rattanstatement.Refuse(code, "") }
 	for _, test := range []struct {
@@ -52,6 +53,8 @@
 		{"statements", []rattanstatement.Request{statement, statement}, []rattanstatement.Result{idle, idle}, 2},
 		{"refused", []rattanstatement.Request{statement, statement}, []rattanstatement.Result{refused(rattanstatement.Busy), refused(rattanstatement.Behind)}, 0},
 		{"failed", []rattanstatement.Request{statement}, []rattanstatement.Result{refused(rattanstatement.Failed)}, 1},
+		{"repeated", []rattanstatement.Request{statement, repeat}, []rattanstatement.Result{refused(rattanstatement.Failed), idle}, 1},
+		{"repeated transaction", []rattanstatement.Request{begin, repeat, statement}, []rattanstatement.Result{open, open, idle}, 0},
 		{"answer lost", []rattanstatement.Request{statement}, nil, 1},
 		{"transaction", []rattanstatement.Request{begin, statement, statement, statement}, []rattanstatement.Result{open, open, open, idle}, 1},
 		{"transaction and statement", []rattanstatement.Request{begin, statement, statement, statement}, []rattanstatement.Result{open, open, idle, idle}, 2},
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -52,13 +52,15 @@
 	IsWrite bool
 	// MinPosition is the position that the endpoint must hold, zero for none.
 	MinPosition rattanmodel.Position
+	// IsRepeat is true when an earlier attempt of the request has run at an endpoint.
+	IsRepeat bool
 }
 
 // wireRequests returns the setup requests and the request for the statement on a
 // pooled connection.
 func (r StatementRequest) wireRequests(pooled *PooledConn) ([]rattanstatement.Request, rattanstatement.Request) {
 	setup := pooled.SetupRequests(r.SessionVars)
-	request := rattanstatement.Request{ID: r.StatementID, Text: r.Text, MinPosition: r.MinPosition}
+	request := rattanstatement.Request{ID: r.StatementID, Text: r.Text, MinPosition: r.MinPosition, IsRepeat: r.IsRepeat}
 	if r.Prepared != (PreparedStatement{}) {
 		name, prepare := pooled.Prepare(r.Prepared)
 		setup = append(setup, prepare...)
--- a/internal/limit/rattanusage/book_test.go
+++ b/internal/limit/rattanusage/book_test.go
@@ -55,7 +55,7 @@
 }
 
 func (m *reportModel) newHolder() *modelHolder {
-	h := &modelHolder{ledger: NewLedger()}
+	h := &modelHolder{ledger: NewLedger(0)}
 	for window := int64(firstWindow); window < firstWindow+300; window++ {
 		m.revision++
 		h.ledger.Add(window, "one", "miny", int64(m.revision))
@@ -202,7 +202,7 @@
 func TestDecideWaits(t *testing.T) {
 	var book Book
 	book.Load(Record{}, false, 1, 10)
-	ledger := NewLedger()
+	ledger := NewLedger(0)
 	ledger.Add(10, "one", "miny", 4)
 	ledger.Complete("one", 10)
 	end := End(10, testLength)
@@ -228,7 +228,8 @@
 func TestUnknownWindow(t *testing.T) {
 	var book Book
 	book.Load(Record{Era: 1, Through: 9}, true, 1, 12)
-	ledger := NewLedger()
+	ledger := NewLedger(11)
+	ledger.Complete("one", 10)
 	ledger.Add(11, "one", "miny", 4)
 	decision, _ := book.Decide(ledger, []string{"one"}, End(11, testLength).Add(testTiming.Collect), testTiming)
 	if len(decision.Skipped) != 1 || len(decision.Decided) != 1 || decision.Decided[0].Report.Window != 11 {
--- a/internal/limit/rattanusage/ledger.go
+++ b/internal/limit/rattanusage/ledger.go
@@ -30,8 +30,9 @@
 	through map[string]numbered
 	// state numbers the changes.
 	state uint64
-	// first is the first window that is kept.
-	first int64
+	// first is the first window that is kept, since the first one of which this daemon
+	// would know.
+	first, since int64
 }
 
 type entryKey struct {
@@ -52,9 +53,9 @@
 	state  uint64
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{entries: make(map[entryKey]*entry), through: make(map[string]numbered)}
+// NewLedger returns an empty ledger of a daemon that started in a window.
+func NewLedger(since int64) *Ledger {
+	return &Ledger{since: since, entries: make(map[entryKey]*entry), through: make(map[string]numbered)}
 }
 
 // Add counts requests of an account in a window, by this incarnation. It returns false if
@@ -165,12 +166,11 @@
 	return missing
 }
 
-// Knows reports whether some daemon has counted in a window or has completed it.
+// Knows reports whether some daemon has counted in a window, or would have been known to:
+// the daemon of the ledger had started by then.
 func (l *Ledger) Knows(window int64) bool {
-	for _, through := range l.through {
-		if through.number >= window {
-			return true
-		}
+	if window >= max(l.since, l.first) {
+		return true
 	}
 	for key := range l.entries {
 		if key.window == window {
--- a/internal/limit/rattanusage/ledger_test.go
+++ b/internal/limit/rattanusage/ledger_test.go
@@ -25,7 +25,7 @@
 
 func newModelDaemon(number int) *modelDaemon {
 	return &modelDaemon{
-		incarnation: fmt.Sprint("daemon", number), ledger: NewLedger(),
+		incarnation: fmt.Sprint("daemon", number), ledger: NewLedger(0),
 		holds: make(map[countKey]uint64), passed: make(map[string]uint64),
 	}
 }
@@ -106,7 +106,7 @@
 // TestMissing guards against a window that is reported as complete while a daemon may
 // still count in it.
 func TestMissing(t *testing.T) {
-	ledger := NewLedger()
+	ledger := NewLedger(0)
 	ledger.Complete("one", 7)
 	ledger.Merge(Changes{CompleteThrough: map[string]int64{"two": 6, "one": 5}})
 	for window, want := range map[int64]string{6: "[three]", 7: "[three two]", 8: "[one three two]"} {
@@ -119,7 +119,7 @@
 // TestForget guards against a memory that grows, and against a forgotten window that comes
 // back from another daemon.
 func TestForget(t *testing.T) {
-	ledger := NewLedger()
+	ledger := NewLedger(0)
 	ledger.Add(4, "one", "miny", 2)
 	ledger.Add(5, "one", "miny", 3)
 	ledger.Forget(5)
