--- a/internal/config/rattansettings/proxy.go
+++ b/internal/config/rattansettings/proxy.go
@@ -76,8 +76,8 @@
 	p.drainLimit = r.duration("drain_limit", time.Second, 10*time.Minute, 7*time.Second)
 	p.evacuationLimit = r.duration("evacuation_limit", time.Second, 10*time.Minute, 5*time.Second)
 	p.usageWindow = r.duration("usage_window", time.Second, time.Hour, 0)
-	p.usageDelay = r.duration("usage_delay", 5*time.Second, time.Hour, 10*time.Second)
-	p.usageHandover = r.duration("usage_handover", 0, time.Minute, 3*time.Second)
+	p.usageDelay = r.duration("usage_delay", time.Second, time.Hour, 10*time.Second)
+	p.usageHandover = r.duration("usage_handover", 0, 10*time.Minute, 3*time.Second)
 	p.processorCores = r.cores("processor_cores", 1)
 	p.logLevel = r.choice("log_level", "info", "debug", "info", "warn", "error")
 }
