--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -112,6 +112,13 @@
 // Read implements rattandispatch.Owners. After an owner that did not answer it goes to the
 // daemon that stands in for it, or to the endpoint.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	result, err := o.read(upstream, statement)
+	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	return result, err
+}
+
+func (o *owners) read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	var failed failedCalls
 	for {
 		vm, address, ok := o.remote(upstream, failed.vms)
@@ -137,6 +144,13 @@
 
 // Write implements rattandispatch.Owners.
 func (o *owners) Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	result, err := o.write(upstream, statement)
+	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	return result, err
+}
+
+func (o *owners) write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
 	var failed []string
 	for {
 		vm, address, ok := o.remote(upstream, failed)
@@ -158,6 +172,13 @@
 
 // Begin implements rattandispatch.Owners.
 func (o *owners) Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
+	begin.First.IsRepeat = o.proxy.usage.hasBegun(begin.First.StatementID)
+	transaction, result, err := o.begin(upstream, begin)
+	o.proxy.usage.recordAttempt(begin.First.StatementID, result, err)
+	return transaction, result, err
+}
+
+func (o *owners) begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
 	var failed failedCalls
 	for {
 		vm, address, ok := o.remote(upstream, failed.vms)
