--- a/internal/config/rattansettings/proxy.go
+++ b/internal/config/rattansettings/proxy.go
@@ -25,9 +25,14 @@
 	drainLimit       time.Duration
 	evacuationLimit  time.Duration
 	processorCores   float64
+	egressBudget     int64
 	logLevel         string
 }
 
+// maxEgressKiB is the largest egress budget, in KiB a second: that of a link of
+// 8 Gbit/s.
+const maxEgressKiB = 1 << 20
+
 // LoadProxySettings reads the settings of a proxy from a file. The error is a
 // *ValidationErrors, or the reason why the file cannot be read.
 func LoadProxySettings(path string) (*ProxySettings, error) {
@@ -73,6 +78,7 @@
 	p.drainLimit = r.duration("drain_limit", time.Second, 10*time.Minute, 7*time.Second)
 	p.evacuationLimit = r.duration("evacuation_limit", time.Second, 10*time.Minute, 5*time.Second)
 	p.processorCores = r.cores("processor_cores", 1)
+	p.egressBudget = int64(r.integer("egress_budget", " KiB a second", 0, maxEgressKiB, 0)) * 1024
 	p.logLevel = r.choice("log_level", "info", "debug", "info", "warn", "error")
 }
 
@@ -126,6 +132,10 @@
 // with more of it do more of the work for others.
 func (p *ProxySettings) ProcessorCores() float64 { return p.processorCores }
 
+// EgressBudget returns the bytes a second of work that the daemon may exchange with
+// other failure domains by choice, 0 for no limit.
+func (p *ProxySettings) EgressBudget() int64 { return p.egressBudget }
+
 // LogLevel returns "debug", "info", "warn" or "error".
 func (p *ProxySettings) LogLevel() string { return p.logLevel }
 
@@ -150,6 +160,7 @@
 		{"drain_limit", p.drainLimit != next.drainLimit},
 		{"evacuation_limit", p.evacuationLimit != next.evacuationLimit},
 		{"processor_cores", p.processorCores != next.processorCores},
+		{"egress_budget", p.egressBudget != next.egressBudget},
 		{"seed_peers", !slices.Equal(p.seedPeers, next.seedPeers)},
 	} {
 		if key.differs {
--- a/internal/config/rattansettings/proxy_test.go
+++ b/internal/config/rattansettings/proxy_test.go
@@ -18,7 +18,7 @@
 
 // TestParseProxySettings guards against defaults and values that are lost.
 func TestParseProxySettings(t *testing.T) {
-	settings, err := ParseProxySettings("test", proxyText+"rate_window = 4s\ndrain_limit = 10000ms\nprocessor_cores = 0.192\n")
+	settings, err := ParseProxySettings("test", proxyText+"rate_window = 4s\ndrain_limit = 10000ms\nprocessor_cores = 0.192\negress_budget = 64\n")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -28,6 +28,9 @@
 	if settings.DrainLimit() != 10*time.Second || settings.EvacuationLimit() != 5*time.Second {
 		t.Errorf("got the limits %s and %s", settings.DrainLimit(), settings.EvacuationLimit())
 	}
+	if settings.EgressBudget() != 64*1024 {
+		t.Errorf("got the egress budget %d", settings.EgressBudget())
+	}
 }
 
 // TestParseProxySettingsErrors guards against a wrong value that is accepted, and
@@ -41,6 +44,8 @@
 		{"processor_cores = 0", "processor_cores", "a number of cores from 0.001 to 1024"},
 		{"processor_cores = NaN", "processor_cores", "a number of cores from 0.001 to 1024"},
 		{"processor_cores = -1", "processor_cores", "a number of cores from 0.001 to 1024"},
+		{"egress_budget = -1", "egress_budget", "from 0 to 1048576 KiB a second"},
+		{"egress_budget = 64 KiB", "egress_budget", "from 0 to 1048576 KiB a second"},
 	} {
 		t.Run(test.line, func(t *testing.T) {
 			_, err := ParseProxySettings("test", proxyText+test.line+"\n")
@@ -58,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, line := range []string{"rate_window = 9s", "drain_limit = 9s", "evacuation_limit = 9s", "processor_cores = 2", "seed_peers = 127.0.0.1:9"} {
+	for _, line := range []string{"rate_window = 9s", "drain_limit = 9s", "evacuation_limit = 9s", "processor_cores = 2", "egress_budget = 9", "seed_peers = 127.0.0.1:9"} {
 		after, err := ParseProxySettings("test", proxyText+line+"\n")
 		if err != nil {
 			t.Fatal(err)
