rattanproxy: bytes between failure domains by kind of message, work by group

Cause: nothing showed what crosses between failure domains, nor for which group. Change: calls of peers report their bytes; those to other failure domains are counted by kind, work by group with and without a choice, and taken from the egress budget. The decision is in the state dump; nothing asks it yet. Result: TestExchangesAreObserved (counts within 144 bytes of the connection's).

--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -91,6 +91,7 @@
 	VMs                   []string               `json:"vms"`
 	Primaries             map[string]string      `json:"primaries"`
 	Endpoints             []rattanupstream.State `json:"endpoints"`
+	Egress                egressState            `json:"egress"`
 }
 
 func (p *Proxy) dump() dump {
@@ -99,6 +100,7 @@
 		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
+		Egress: p.egress.state(),
 	}
 	if snapshot.Catalog != nil {
 		d.Configuration = snapshot.Catalog.Version()
@@ -120,7 +122,10 @@
 		return nil
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.writeText(w) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		p.metrics.writeText(w)
+		p.egress.writeText(w)
+	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(p.dump()); err != nil {
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -192,6 +192,9 @@
 	sent := o.proxy.boot.Now()
 	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkRequest{WorkRequest: request}}
 	reply, err := o.proxy.peers.Call(ctx, address, frame)
+	if isOutside && !rattanlink.IsUnsent(err) {
+		o.proxy.egress.recordWork(upstream, frame, reply)
+	}
 	if err != nil {
 		callErr := &ownerCallError{cause: err, isNotRun: rattanlink.IsUnsent(err)}
 		o.markUnresponsive(vm, callErr)
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -87,6 +87,7 @@
 	switchovers *rattangrant.SwitchoverEstimator
 	endpoints   *endpointSet
 	owners      *owners
+	egress      *egress
 	// forwarded holds the transactions of other daemons on this one's connections.
 	forwarded    *forwardedWork
 	metrics      *metrics
@@ -122,6 +123,7 @@
 	}
 	p.endpoints = newEndpointSet(p)
 	p.owners = newOwners(p)
+	p.egress = newEgress(p)
 	p.forwarded = newForwardedWork(p)
 	p.metrics = newMetrics()
 	p.relay = newRelay(p)
@@ -132,7 +134,8 @@
 	p.registration = newRegistration(p)
 	p.admission = newAdmission(p)
 	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
-		rattanlink.WithMaxBackoff(peerBackoff), rattanlink.WithStreamOpenTimeout(peerAckTimeout))
+		rattanlink.WithMaxBackoff(peerBackoff), rattanlink.WithStreamOpenTimeout(peerAckTimeout),
+		rattanlink.WithExchangeObserver(p.egress.observeExchange))
 	return p
 }
 
--- a/internal/peer/rattanlink/client.go
+++ b/internal/peer/rattanlink/client.go
@@ -98,6 +98,11 @@
 	defer stop()
 	frame.Id = c.lastID.Add(1)
 	response, err := c.exchange(stream, frame)
+	if !IsUnsent(err) {
+		c.options.onExchange(Exchange{
+			Address: address, Kind: KindOf(frame), SentBytes: FrameBytes(frame), ReceivedBytes: FrameBytes(response),
+		})
+	}
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
--- a/internal/peer/rattanlink/client_test.go
+++ b/internal/peer/rattanlink/client_test.go
@@ -101,6 +101,43 @@
 	}
 }
 
+// TestExchangesAreObserved guards against bytes between failure domains that are not
+// counted: the observed bytes are those of the connection, but for what opens the session
+// and what is still to be written.
+func TestExchangesAreObserved(t *testing.T) {
+	listener := listen(t, "127.0.0.1:0")
+	serve(t, borrowServer(), listener)
+	var mutex sync.Mutex
+	var observed Exchange
+	client := newTestClient(t, WithExchangeObserver(func(exchange Exchange) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		observed.Address, observed.Kind = exchange.Address, exchange.Kind
+		observed.SentBytes += exchange.SentBytes
+		observed.ReceivedBytes += exchange.ReceivedBytes
+	}))
+	for loan := range uint64(50) {
+		assertBorrow(t, client, listener.Addr().String(), loan+200)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	counted := client.Counters()
+	if observed.Address != listener.Addr().String() || observed.Kind != KindBorrow {
+		t.Errorf("observed calls of kind %s to %s", observed.Kind, observed.Address)
+	}
+	assertNear(t, "sent", observed.SentBytes, counted.BytesSent)
+	assertNear(t, "received", observed.ReceivedBytes, counted.BytesReceived)
+}
+
+// assertNear checks an observed number of bytes against that of the connection.
+func assertNear(t *testing.T, what string, observed int, counted uint64) {
+	t.Helper()
+	const slack = 4 * streamBytes
+	if difference := observed - int(counted); difference < -slack || difference > slack {
+		t.Errorf("observed %d bytes %s, the connection counts %d", observed, what, counted)
+	}
+}
+
 // TestCallRefused guards against a failed call that breaks the session for others:
 // one without a handler, one that is too large, and one that times out.
 func TestCallRefused(t *testing.T) {
--- a/internal/peer/rattanlink/option.go
+++ b/internal/peer/rattanlink/option.go
@@ -63,6 +63,7 @@
 	maxBackoff        time.Duration
 	streamOpenTimeout time.Duration
 	onPanic           func(*PanicError)
+	onExchange        func(Exchange)
 	dial              func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -124,6 +125,12 @@
 	return func(o *options) { o.dial = dial }
 }
 
+// WithExchangeObserver sets the function that is called after each call of a client that
+// has sent its request.
+func WithExchangeObserver(onExchange func(Exchange)) Option {
+	return func(o *options) { o.onExchange = onExchange }
+}
+
 // WithPanicHandler sets the function that is called with each panic of a handler.
 func WithPanicHandler(onPanic func(*PanicError)) Option {
 	return func(o *options) { o.onPanic = onPanic }
@@ -141,6 +148,7 @@
 		maxBackoff:        DefaultMaxBackoff,
 		streamOpenTimeout: DefaultStreamOpenTimeout,
 		onPanic:           func(*PanicError) {},
+		onExchange:        func(Exchange) {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		},
