--- a/internal/daemon/rattanproxy/egress.go
+++ b/internal/daemon/rattanproxy/egress.go
@@ -10,6 +10,7 @@
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanegress"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
@@ -31,11 +32,14 @@
 	return &egress{proxy: p, policy: rattanegress.New(p.settings.EgressBudget(), random, p.clock.Now())}
 }
 
-// Allows reports whether a read of a group may leave the failure domain, given its
+var _ rattanplacement.Egress = (*egress)(nil)
+
+// Allows implements rattanplacement.Egress. It reports whether a read of a group may leave the failure domain, given its
 // expected completions at the best endpoints inside and outside.
 func (e *egress) Allows(group string, local, remote time.Duration) bool {
+	comparison := rattanegress.Comparison{Local: local, Remote: remote, HasReport: e.hasReport(group)}
 	e.mu.Lock()
-	decision := e.policy.Decide(group, rattanegress.Comparison{Local: local, Remote: remote}, e.proxy.clock.Now())
+	decision := e.policy.Decide(group, comparison, e.proxy.clock.Now())
 	e.mu.Unlock()
 	if change := decision.Change; change != nil {
 		e.proxy.logger.Info("egress_changed", "group", change.Group, "share", change.Share, "reason", change.Reason,
@@ -44,6 +48,17 @@
 	return decision.IsAllowed
 }
 
+// hasReport reports whether the load of an endpoint of a group in another failure domain
+// is known.
+func (e *egress) hasReport(group string) bool {
+	for _, upstream := range e.proxy.endpoints.Upstreams(group) {
+		if !e.proxy.endpoints.IsLocal(upstream.Endpoint()) && e.proxy.loads.isKnown(upstream.Endpoint()) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordWork counts the bytes of a group's work that was sent to another failure domain.
 func (e *egress) recordWork(upstream *rattanupstream.Upstream, request, response *rattanv1.PeerFrame) {
 	group := upstream.Endpoint().Group
--- a/internal/endpoint/rattanegress/policy.go
+++ b/internal/endpoint/rattanegress/policy.go
@@ -31,8 +31,8 @@
 	// Local and Remote are those at the best endpoint inside and outside of the failure
 	// domain.
 	Local, Remote time.Duration
-	// ReportAge is the age of the load reports from which they are derived.
-	ReportAge time.Duration
+	// HasReport is true when a recent load report of an endpoint outside is known.
+	HasReport bool
 }
 
 // A Decision is the answer for one read.
@@ -71,6 +71,7 @@
 
 type group struct {
 	share
+	probedAt                 time.Time
 	logged                   float64
 	chosenBytes, forcedBytes int64
 }
@@ -88,10 +89,8 @@
 	g := p.group(name)
 	hasBudget := p.budget.left(now) > 0
 	reason := g.update(comparison, hasBudget, now)
-	return Decision{
-		IsAllowed: hasBudget && g.value > 0 && p.random.Float64() < g.value,
-		Change:    g.change(name, reason),
-	}
+	isAllowed := g.value > 0 && p.random.Float64() < g.value || g.probe(comparison, now)
+	return Decision{IsAllowed: hasBudget && isAllowed, Change: g.change(name, reason)}
 }
 
 // Sent records bytes of a group's work that crossed the border of the failure domain,
@@ -133,6 +132,21 @@
 	return g
 }
 
+// probeInterval separates two reads of a group that leave although nothing is known of
+// the load outside. The response to such a read has a report.
+const probeInterval = time.Second
+
+// probe reports whether a read is to find out the load outside: none is known, and an
+// idle endpoint there would be faster.
+func (g *group) probe(comparison Comparison, now time.Time) bool {
+	gain := comparison.Local - comparison.Remote
+	if comparison.HasReport || gain <= margin(comparison.Local) || now.Sub(g.probedAt) < probeInterval {
+		return false
+	}
+	g.probedAt = now
+	return true
+}
+
 // loggedChange is the change of a share that is logged, besides those from and to zero.
 const loggedChange = 0.25
 
--- a/internal/endpoint/rattanegress/share.go
+++ b/internal/endpoint/rattanegress/share.go
@@ -29,8 +29,6 @@
 	settledPart = 0.05
 	// smoothingTime is the time constant of the mean of the comparisons.
 	smoothingTime = 350 * time.Millisecond
-	// maxReportAge is the age from which on a report counts as none.
-	maxReportAge = time.Second
 	// maxSilence is how long a share stays as it is when no read is compared.
 	maxSilence = 2 * time.Second
 )
@@ -63,7 +61,7 @@
 // update changes the value in steps after a comparison. Without a budget it does not
 // rise.
 func (s *share) update(comparison Comparison, mayRise bool, now time.Time) Reason {
-	if comparison.ReportAge > maxReportAge {
+	if !comparison.HasReport {
 		return s.decay(now)
 	}
 	if silent := s.at(now); silent < s.value {
@@ -78,7 +76,7 @@
 	s.steppedAt, s.stepGain = now, s.gain
 	step := min(elapsed, maxStepTime).Seconds() * changePerSecond
 	unsettled := time.Duration(settledPart * float64(s.local))
-	margin := max(s.local/marginDivisor, minMargin)
+	margin := margin(s.local)
 	switch {
 	case s.gain > margin && mayRise && s.gain >= previousGain-unsettled && s.mayTurn(true, now):
 		strength := min(float64(s.gain-margin)/float64(margin), 1)
@@ -93,6 +91,10 @@
 	return s.reason()
 }
 
+// margin returns by how much the endpoints outside have to be faster than a completion
+// inside.
+func margin(local time.Duration) time.Duration { return max(local/marginDivisor, minMargin) }
+
 // compare adds a comparison to the means.
 func (s *share) compare(comparison Comparison, now time.Time) {
 	weight := 1.0
