rattanlink, rattanproxy: fewer bytes between daemons for the same answers

Change: the header of a stream's first data opens it, in place of one of its own (older daemons read that); a successful answer of the primary does not repeat the primary's position, which the asking daemon takes from the answer itself; a load does not repeat endpoint, incarnation and position that the asking daemon has. What is decided stays the same.

--- a/internal/daemon/rattanproxy/egress.go
+++ b/internal/daemon/rattanproxy/egress.go
@@ -63,7 +63,7 @@
 func (e *egress) recordWork(upstream *rattanupstream.Upstream, request, response *rattanv1.PeerFrame) {
 	group := upstream.Endpoint().Group
 	hasChoice := isRead(request.GetWorkRequest()) && e.hasLocalEndpoint(group)
-	bytes := rattanlink.FrameBytes(request) + rattanlink.FrameBytes(response)
+	bytes := rattanlink.RequestBytes(request) + rattanlink.ResponseBytes(response)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.policy.Sent(group, int64(bytes), hasChoice, e.proxy.clock.Now())
--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -50,6 +50,7 @@
 func (f *forwardedWork) handle(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	begun := f.proxy.boot.Now()
 	response := f.run(frame.GetWorkRequest())
+	trimLoad(response, frame.GetWorkRequest().GetEndpoint(), f.proxy.registration.incarnation)
 	response.TookUs = uint32(f.proxy.boot.Now().Sub(begun).Microseconds())
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkResponse{WorkResponse: response}}, nil
 }
@@ -68,7 +69,7 @@
 		}
 		response := f.start(upstream, request, statement)
 		f.observePosition(upstream, response)
-		f.proxy.attachObservation(response, upstream.Endpoint().Group)
+		f.proxy.attachObservation(response, upstream.Endpoint())
 		f.proxy.loads.attach(response, upstream)
 		return response
 	default:
--- a/internal/daemon/rattanproxy/observation.go
+++ b/internal/daemon/rattanproxy/observation.go
@@ -4,18 +4,20 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 // attachObservation adds the newest known position of a group's primary to a
 // response, so that daemons that rarely query the primary know a minimum position
-// for reads.
-func (p *Proxy) attachObservation(response *rattanv1.WorkResponse, group string) {
-	primary, ok := p.grants.Primary(group)
-	if !ok {
+// for reads. A successful answer of the primary itself has a newer one.
+func (p *Proxy) attachObservation(response *rattanv1.WorkResponse, endpoint rattancatalog.Endpoint) {
+	primary, ok := p.grants.Primary(endpoint.Group)
+	isSuccess := response.GetFailure() == rattanv1.WorkFailure_WORK_FAILURE_UNSPECIFIED && response.GetCode() == 0
+	if !ok || primary == endpoint.ID && isSuccess {
 		return
 	}
-	position, queriedAt, ok := p.endpoints.History(group).Newest()
+	position, queriedAt, ok := p.endpoints.History(endpoint.Group).Newest()
 	if !ok {
 		return
 	}
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -237,6 +237,7 @@
 	}
 	response := reply.GetWorkResponse()
 	o.proxy.loads.observePath(vm, o.proxy.boot.Now().Sub(sent), time.Duration(response.GetTookUs())*time.Microsecond)
+	completeLoad(response, upstream.Endpoint().ID, o.proxy.cache.Snapshot().VMs[vm].Incarnation)
 	o.proxy.loads.learn(response.GetLoad(), "")
 	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
 	return decodeWorkResponse(response)
--- a/internal/peer/rattanlink/client.go
+++ b/internal/peer/rattanlink/client.go
@@ -100,7 +100,7 @@
 	response, err := c.exchange(stream, frame)
 	if !IsUnsent(err) {
 		c.options.onExchange(Exchange{
-			Address: address, Kind: KindOf(frame), SentBytes: FrameBytes(frame), ReceivedBytes: FrameBytes(response),
+			Address: address, Kind: KindOf(frame), SentBytes: RequestBytes(frame), ReceivedBytes: ResponseBytes(response),
 		})
 	}
 	if err != nil {
--- a/internal/peer/rattanlink/joinconn.go
+++ b/internal/peer/rattanlink/joinconn.go
@@ -1,8 +1,10 @@
 package rattanlink
 
 import (
+	"bytes"
 	"encoding/binary"
 	"net"
+	"slices"
 )
 
 // Layout of a yamux header: version, type, flags, stream, length.
@@ -16,7 +18,8 @@
 // joinConn joins a yamux header and the write that follows it into one write.
 // yamux writes a header and its body separately, and a call writes its request
 // right after it has opened a stream; each separate write costs 22 bytes for
-// another TLS record, and a TCP segment. The order of the bytes does not change.
+// another TLS record, and a TCP segment. The header that only opens a stream is left
+// out: the header of the stream's first data opens it instead.
 // yamux writes from one goroutine, so held needs no mutex.
 type joinConn struct {
 	net.Conn
@@ -30,8 +33,7 @@
 // Otherwise it writes what it has held back and p together.
 func (c *joinConn) Write(p []byte) (int, error) {
 	if !c.body && len(p) == headerBytes && hasNextWrite(p) {
-		c.held = append(c.held, p...)
-		c.body = p[1] == typeData
+		c.hold(p)
 		return len(p), nil
 	}
 	c.body = false
@@ -46,6 +48,31 @@
 	return len(p), nil
 }
 
+// hold holds a header back. If it is that of the first data of a stream whose opening is
+// held back, it opens the stream in its place.
+func (c *joinConn) hold(p []byte) {
+	c.body = p[1] == typeData
+	header := bytes.Clone(p)
+	if at := c.opening(p); c.body && at >= 0 {
+		c.held = slices.Delete(c.held, at, at+headerBytes)
+		binary.BigEndian.PutUint16(header[2:], binary.BigEndian.Uint16(header[2:])|flagSYN)
+	}
+	c.held = append(c.held, header...)
+}
+
+// opening returns the index in held of the header that opens the stream of another
+// header and does nothing else, or -1.
+func (c *joinConn) opening(p []byte) int {
+	for at := 0; at+headerBytes <= len(c.held); at += headerBytes {
+		header := c.held[at : at+headerBytes]
+		isOpening := header[1] == typeWindowUpdate && binary.BigEndian.Uint16(header[2:]) == flagSYN && binary.BigEndian.Uint32(header[8:]) == 0
+		if isOpening && bytes.Equal(header[4:8], p[4:8]) {
+			return at
+		}
+	}
+	return -1
+}
+
 // hasNextWrite reports whether another write follows header at once: it belongs to
 // data with a body, or opens a stream. The acknowledgement of a stream must not be
 // held back: the side that opened the stream waits for it while the handler runs.
--- a/internal/peer/rattanlink/traffic.go
+++ b/internal/peer/rattanlink/traffic.go
@@ -6,17 +6,24 @@
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
-// streamBytes is what a stream adds to a frame in each direction: the yamux headers that
-// open or acknowledge the stream, carry the data and close it.
-const streamBytes = 3 * headerBytes
+// requestBytes and responseBytes are what a stream adds to a frame in each direction: the
+// yamux headers that carry the data and close the stream, and with a response the one that
+// acknowledges the stream.
+const (
+	requestBytes  = frameHeaderBytes + 2*headerBytes
+	responseBytes = frameHeaderBytes + 3*headerBytes
+)
+
+// RequestBytes returns how many bytes a request adds to the session that carries it,
+// without those of TLS, TCP and IP.
+func RequestBytes(frame *rattanv1.PeerFrame) int { return requestBytes + proto.Size(frame) }
 
-// FrameBytes returns how many bytes a frame adds to the session that carries it, without
-// those of TLS, TCP and IP. A nil frame adds none.
-func FrameBytes(frame *rattanv1.PeerFrame) int {
+// ResponseBytes returns the same of a response. A nil response adds none.
+func ResponseBytes(frame *rattanv1.PeerFrame) int {
 	if frame == nil {
 		return 0
 	}
-	return streamBytes + frameHeaderBytes + proto.Size(frame)
+	return responseBytes + proto.Size(frame)
 }
 
 // An Exchange is one call of a Client that has sent its request.
