--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -162,7 +163,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, leaderProbeTimeout+time.Duration(len(snapshot.VMs))*leaderProbeTimeoutPerVM)
 	defer cancel()
-	reply, err := p.peers.Call(callCtx, leader.Address, p.relay.knowledgeRequest(p.cache.Revision()))
+	// The probe needs no contents of the store.
+	reply, err := p.peers.Call(callCtx, leader.Address, p.relay.knowledgeRequest(math.MaxInt64))
 	if err == nil && reply.GetKnowledgeResponse().GetGrantMs() > 0 {
 		return
 	}
--- a/internal/endpoint/rattanegress/policy.go
+++ b/internal/endpoint/rattanegress/policy.go
@@ -147,13 +147,13 @@
 	return true
 }
 
-// loggedChange is the change of a share that is logged, besides those from and to zero.
+// loggedChange is the change of a share that is logged, besides the return to zero.
 const loggedChange = 0.25
 
 // change returns the change since the last one that was logged, if it is to be logged.
 func (g *group) change(name string, reason Reason) *Change {
 	difference := max(g.value-g.logged, g.logged-g.value)
-	if difference < loggedChange && (g.value == 0) == (g.logged == 0) {
+	if difference < loggedChange && (g.value > 0 || g.logged == 0) {
 		return nil
 	}
 	g.logged = g.value
--- a/internal/endpoint/rattanegress/share.go
+++ b/internal/endpoint/rattanegress/share.go
@@ -9,7 +9,8 @@
 	// minMargin and marginDivisor give by how much the endpoints outside have to be
 	// faster for the share to rise: by this time, and by this part of the time inside.
 	// The share falls when they are no faster, and between the two it stays as it is.
-	minMargin     = 5 * time.Millisecond
+	// Objectives are some hundreds of milliseconds: to gain less does not help a caller.
+	minMargin     = 20 * time.Millisecond
 	marginDivisor = 4
 	// stepInterval separates two steps of a share: the load reports have to show the
 	// effect of a step before the next one.
@@ -29,6 +30,8 @@
 	settledPart = 0.05
 	// smoothingTime is the time constant of the mean of the comparisons.
 	smoothingTime = 350 * time.Millisecond
+	// maxWeight is the weight of one comparison at most, when reads are rare.
+	maxWeight = 0.5
 	// maxSilence is how long a share stays as it is when no read is compared.
 	maxSilence = 2 * time.Second
 )
@@ -99,7 +102,7 @@
 func (s *share) compare(comparison Comparison, now time.Time) {
 	weight := 1.0
 	if elapsed := now.Sub(s.comparedAt); elapsed < maxSilence {
-		weight = 1 - math.Exp(-elapsed.Seconds()/smoothingTime.Seconds())
+		weight = min(1-math.Exp(-elapsed.Seconds()/smoothingTime.Seconds()), maxWeight)
 	}
 	gain := comparison.Local - comparison.Remote
 	s.gain += time.Duration(weight * float64(gain-s.gain))
