--- a/internal/daemon/rattanproxy/loads.go
+++ b/internal/daemon/rattanproxy/loads.go
@@ -1,12 +1,15 @@
 package rattanproxy
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandispatch"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpressure"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
@@ -48,6 +51,8 @@
 func (l *loads) attach(response *rattanv1.WorkResponse, upstream *rattanupstream.Upstream) {
 	if l.proxy.owners.isOwned(upstream) {
 		response.Load = encodeLoad(l.report(upstream), 0)
+		// The asking daemon knows which endpoint it has asked for.
+		response.Load.Endpoint = ""
 	}
 }
 
@@ -61,11 +66,16 @@
 	return load
 }
 
+// learnResponse takes the report in an owner's response to work for an endpoint.
+func (l *loads) learnResponse(response *rattanv1.WorkResponse, endpoint string) {
+	if load := response.GetLoad(); load != nil {
+		load.Endpoint = endpoint
+		l.learn(load, "")
+	}
+}
+
 // learn takes a report that came with a message from a VM, empty for the owner itself.
 func (l *loads) learn(load *rattanv1.EndpointLoad, from string) {
-	if load == nil {
-		return
-	}
 	report := rattanpressure.Report{
 		Load: decodeLoad(load), From: from,
 		MadeAt: l.proxy.boot.Now().Add(-time.Duration(load.GetAgeMs()) * time.Millisecond),
@@ -78,7 +88,7 @@
 		return
 	}
 	l.proxy.metrics.count("loads_learnt")
-	l.proxy.endpoints.Replicas().ObserveReport(report.Endpoint, report.StartedUnixMS, report.Position, report.MadeAt)
+	l.proxy.endpoints.Replicas().Observe(report.Endpoint, report.StartedUnixMS, report.Position, report.MadeAt.Add(-report.PositionAge))
 }
 
 // begin records work that this daemon forwards to an endpoint's owner. The returned
@@ -136,14 +146,19 @@
 // own returns the reports of the endpoints whose connections this daemon owns.
 func (l *loads) own() []*rattanv1.EndpointLoad {
 	var reports []*rattanv1.EndpointLoad
-	for _, upstream := range l.proxy.endpoints.all() {
-		if l.proxy.owners.isOwned(upstream) {
-			reports = append(reports, encodeLoad(l.report(upstream), 0))
-		}
+	for _, upstream := range l.owned() {
+		reports = append(reports, encodeLoad(l.report(upstream), 0))
 	}
 	return reports
 }
 
+// owned returns the endpoints whose connections this daemon owns.
+func (l *loads) owned() []*rattanupstream.Upstream {
+	return slices.DeleteFunc(l.proxy.endpoints.all(), func(upstream *rattanupstream.Upstream) bool {
+		return !l.proxy.owners.isOwned(upstream)
+	})
+}
+
 // news returns the reports that a VM has not been told of yet, with those that this
 // daemon makes.
 func (l *loads) news(vm string) []*rattanv1.EndpointLoad {
@@ -176,6 +191,15 @@
 	}
 }
 
+// logOutlier logs an endpoint that has become an outlier of its group or is none any more.
+func (p *Proxy) logOutlier(change rattanoutlier.Change) {
+	if change.IsOut {
+		p.metrics.count("outliers")
+	}
+	p.logger.Info("endpoint_outlier", "endpoint", change.ID, "out", change.IsOut, "reason", string(change.Reason),
+		"service_ms", change.Service.Milliseconds(), "failure_share", change.FailureShare)
+}
+
 // A loadState is the newest report of an endpoint, for dumps.
 type loadState struct {
 	Endpoint     string  `json:"endpoint"`
@@ -188,6 +212,8 @@
 	ServiceMS    float64 `json:"service_ms"`
 	FailureShare float64 `json:"failure_share"`
 	LagMS        int64   `json:"lag_ms"`
+	// Weight is below 1 for an outlier of its group.
+	Weight float64 `json:"weight"`
 }
 
 // State returns the board, for dumps.
@@ -196,12 +222,15 @@
 	l.mu.Lock()
 	reports := l.board.Reports()
 	l.mu.Unlock()
+	for _, upstream := range l.owned() {
+		reports = append(reports, rattanpressure.Report{Load: l.report(upstream), MadeAt: now})
+	}
 	states := make([]loadState, 0, len(reports))
 	for _, report := range reports {
 		state := loadState{
 			Endpoint: report.Endpoint, Owner: report.Owner, From: report.From, AgeMS: now.Sub(report.MadeAt).Milliseconds(),
 			Slots: report.Slots, FreeSlots: report.FreeSlots, ServiceMS: float64(report.ServiceTime.Microseconds()) / 1000,
-			FailureShare: report.FailureShare,
+			FailureShare: report.FailureShare, Weight: l.proxy.dispatch.OutlierWeight(report.Endpoint),
 		}
 		for _, wait := range report.Wait {
 			state.WaitMS = append(state.WaitMS, wait.Milliseconds())
@@ -223,12 +252,16 @@
 		AgeMs: uint32((max(age, 0) + time.Millisecond - 1) / time.Millisecond),
 		Slots: uint32(load.Slots), FreeSlots: uint32(load.FreeSlots), FreeConnections: uint32(load.FreeConnections),
 		ServiceUs:       uint32(load.ServiceTime.Microseconds()),
-		FailurePermille: uint32(load.FailureShare * 1000),
-		Position:        load.Position.Wire(),
+		FailurePermille: uint32(math.Round(load.FailureShare * 1000)),
+		Position:        load.Position.Wire(), PositionAgeMs: uint32(min(load.PositionAge, time.Hour).Milliseconds()) + 1,
 	}
 	for _, wait := range load.Wait {
 		encoded.WaitMs = append(encoded.WaitMs, uint32(wait.Milliseconds()))
 	}
+	// Further priorities wait as long as the last one given.
+	for n := len(encoded.WaitMs); n > 1 && encoded.WaitMs[n-1] == encoded.WaitMs[n-2]; n-- {
+		encoded.WaitMs = encoded.WaitMs[:n-1]
+	}
 	return encoded
 }
 
@@ -239,6 +272,7 @@
 		ServiceTime:  time.Duration(encoded.GetServiceUs()) * time.Microsecond,
 		FailureShare: float64(encoded.GetFailurePermille()) / 1000,
 		Position:     rattanmodel.PositionFromWire(encoded.GetPosition()),
+		PositionAge:  time.Duration(encoded.GetPositionAgeMs()) * time.Millisecond,
 	}
 	waits := encoded.GetWaitMs()
 	for i := range load.Wait {
--- a/internal/daemon/rattanproxy/trim.go
+++ b/internal/daemon/rattanproxy/trim.go
@@ -7,16 +7,13 @@
 )
 
 // trimLoad removes from the load in a response what the asking daemon knows: the
-// endpoint that it asked for, the incarnation of the daemon that it asked, and the
-// position that the response has already.
-func trimLoad(response *rattanv1.WorkResponse, endpoint, incarnation string) {
+// incarnation of the daemon that it asked, and the position that the response has
+// already.
+func trimLoad(response *rattanv1.WorkResponse, incarnation string) {
 	load := response.GetLoad()
 	if load == nil {
 		return
 	}
-	if load.GetEndpoint() == endpoint {
-		load.Endpoint = ""
-	}
 	if load.GetKeeper() == incarnation {
 		load.Keeper = ""
 	}
@@ -27,14 +24,11 @@
 
 // completeLoad restores what trimLoad has removed. It drops the load when the
 // incarnation of the answering daemon is not known.
-func completeLoad(response *rattanv1.WorkResponse, endpoint, incarnation string) {
+func completeLoad(response *rattanv1.WorkResponse, incarnation string) {
 	load := response.GetLoad()
 	if load == nil {
 		return
 	}
-	if load.GetEndpoint() == "" {
-		load.Endpoint = endpoint
-	}
 	if load.GetKeeper() == "" {
 		load.Keeper = incarnation
 	}
