rattanplacement: a read that nothing inside serves in time leaves without asking; docs of leaving the failure domain

Change: an endpoint inside counts against leaving only if it completes the read within its objective and holds its position within 20 ms of a free slot.

--- a/internal/endpoint/rattanplacement/placement.go
+++ b/internal/endpoint/rattanplacement/placement.go
@@ -16,6 +16,9 @@
 	// remotePenalty is how much sooner an endpoint outside the failure domain must
 	// complete a read without a policy for that.
 	remotePenalty = 20 * time.Millisecond
+	// maxLocalLag is how much longer than for a slot a read waits for its position inside
+	// the failure domain while an endpoint outside holds it.
+	maxLocalLag = 20 * time.Millisecond
 	// minPrimaryReserve is how much sooner the primary must at least complete a read
 	// that a replica can serve: only the primary can run writes.
 	minPrimaryReserve = 10 * time.Millisecond
@@ -216,13 +219,14 @@
 
 // preferred returns the options that are to be considered, by cost: those that are not
 // demoted if there are any, and of these only the ones inside the failure domain unless
-// the egress policy lets the read leave it.
+// the egress policy lets the read leave it. The policy is not asked when nothing inside
+// serves the read in time: then it has no choice.
 func (p *Placer) preferred(read Read, options []option) []option {
 	if kept := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return o.isDemoted }); len(kept) > 0 {
 		options = kept
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return int(a.cost - b.cost) })
-	local := slices.IndexFunc(options, func(o option) bool { return o.IsLocal })
+	local := slices.IndexFunc(options, func(o option) bool { return o.isServedInside(read) })
 	remote := slices.IndexFunc(options, func(o option) bool { return !o.IsLocal })
 	if local < 0 || remote < 0 {
 		return options
@@ -233,6 +237,12 @@
 	return slices.DeleteFunc(options, func(o option) bool { return !o.IsLocal })
 }
 
+// isServedInside reports whether the endpoint is inside the failure domain, holds the
+// read's position soon, and completes the read within its objective.
+func (o option) isServedInside(read Read) bool {
+	return o.IsLocal && o.HoldsIn-o.Wait <= maxLocalLag && o.completion <= read.ObjectiveIn
+}
+
 // choose chooses among the options that are nearly as good as the first one: the one
 // that the account prefers while the room is even, so that few accounts use the
 // connections of an endpoint, and else one at random by room, so that the daemons that
--- a/internal/endpoint/rattanplacement/placement_test.go
+++ b/internal/endpoint/rattanplacement/placement_test.go
@@ -141,3 +141,34 @@
 		}
 	})
 }
+
+// deniedEgress lets no read leave the failure domain.
+type deniedEgress struct{}
+
+// Allows implements Egress.
+func (deniedEgress) Allows(string, time.Duration, time.Duration) bool { return false }
+
+// TestLeavingWithoutChoice guards against reads that an egress policy holds in a failure
+// domain which cannot serve them in time, and against ones that leave although it can.
+func TestLeavingWithoutChoice(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(local *Candidate)
+		want   string
+	}{
+		{"a queue that ends within the objective", func(local *Candidate) { local.Wait = 300 * ms }, "local"},
+		{"a queue that ends after the objective", func(local *Candidate) { local.Wait = 500 * ms }, "remote"},
+		{"a position that is held almost at once", func(local *Candidate) { local.HoldsIn = 15 * ms }, "local"},
+		{"a position that is held within the objective", func(local *Candidate) { local.HoldsIn = 200 * ms }, "remote"},
+		{"a position that is held after the objective", func(local *Candidate) { local.HoldsIn = 1600 * ms }, "remote"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			placer := New(deniedEgress{}, func() float64 { return 0 })
+			candidates := group(func(local, _, _ *Candidate) { test.change(local) })
+			choice, refusal := placer.Place(Read{ObjectiveIn: 400 * ms, DeadlineIn: 2 * time.Second}, candidates)
+			if refusal != nil || choice.ID != test.want {
+				t.Errorf("placed at %q (refusal %v), want %q", choice.ID, refusal, test.want)
+			}
+		})
+	}
+}
