rattanproxy: the daemons of the tests never share a port

Cause: TestFollowers failed once (vm-10: listen for callers: address already in use): freeAddress draws one of 10,000 ports, checks it and frees it again, and the tests in parallel give some hundreds of them to daemons that listen later. Change: an address is given once in a process. What is asserted stays as it was. Other processes can still take a port.

--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -136,13 +136,20 @@
 	ports     = 10_000
 )
 
-// freeAddress returns an address on which nothing listens.
+// givenAddresses are the addresses that freeAddress has returned: the daemon that got one
+// may not listen on it yet.
+var givenAddresses sync.Map
+
+// freeAddress returns an address on which nothing listens and that no other daemon of the
+// tests has got.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
+		if _, isGiven := givenAddresses.LoadOrStore(address, true); isGiven {
+			continue
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
 			return address
 		}
