--- a/internal/endpoint/rattanegress/policy.go
+++ b/internal/endpoint/rattanegress/policy.go
@@ -89,8 +89,8 @@
 	g := p.group(name)
 	hasBudget := p.budget.left(now) > 0
 	reason := g.update(comparison, hasBudget, now)
-	isAllowed := g.value > 0 && p.random.Float64() < g.value || g.probe(comparison, now)
-	return Decision{IsAllowed: hasBudget && isAllowed, Change: g.change(name, reason)}
+	isAllowed := hasBudget && (p.random.Float64() < g.value || g.probe(comparison, now))
+	return Decision{IsAllowed: isAllowed, Change: g.change(name, reason)}
 }
 
 // Sent records bytes of a group's work that crossed the border of the failure domain,
--- a/internal/endpoint/rattanegress/share.go
+++ b/internal/endpoint/rattanegress/share.go
@@ -25,8 +25,8 @@
 	minShare = 0.01
 	// turnPause is how long a share stays as it is before it changes the other way.
 	turnPause = 500 * time.Millisecond
-	// settledPart is the change of the gain between two steps, as a part of the time
-	// inside, from which on it counts as being on its way back: no step adds to it.
+	// settledPart is the change of the gain between two steps, as a part of the completion
+	// inside, from which on the gain counts as moving by itself: no step adds to it.
 	settledPart = 0.05
 	// smoothingTime is the time constant of the mean of the comparisons.
 	smoothingTime = 350 * time.Millisecond
@@ -71,27 +71,35 @@
 		s.value = silent
 	}
 	s.compare(comparison, now)
-	elapsed := now.Sub(s.steppedAt)
-	if elapsed < stepInterval {
-		return s.reason()
+	if now.Sub(s.steppedAt) >= stepInterval {
+		s.step(mayRise, now)
 	}
-	previousGain := s.stepGain
+	return s.reason()
+}
+
+// step moves the value by the gain, unless the gain already moves the same way by itself
+// or the value has just changed the other way.
+func (s *share) step(mayRise bool, now time.Time) {
+	size := min(now.Sub(s.steppedAt), maxStepTime).Seconds() * changePerSecond
+	growth := s.gain - s.stepGain
 	s.steppedAt, s.stepGain = now, s.gain
-	step := min(elapsed, maxStepTime).Seconds() * changePerSecond
-	unsettled := time.Duration(settledPart * float64(s.local))
+	settled := time.Duration(settledPart * float64(s.local))
 	margin := margin(s.local)
 	switch {
-	case s.gain > margin && mayRise && s.gain >= previousGain-unsettled && s.mayTurn(true, now):
+	case s.gain > margin && mayRise && growth >= -settled && s.mayTurn(true, now):
 		strength := min(float64(s.gain-margin)/float64(margin), 1)
-		if s.value == 0 {
-			s.change(firstShare, true, now)
-		} else {
-			s.change(s.value+step*strength, true, now)
-		}
-	case s.gain <= 0 && s.gain <= previousGain+unsettled && s.mayTurn(false, now):
-		s.change(s.value-step, false, now)
+		s.rise(size*strength, now)
+	case s.gain <= 0 && growth <= settled && s.mayTurn(false, now):
+		s.change(s.value-size, false, now)
 	}
-	return s.reason()
+}
+
+func (s *share) rise(size float64, now time.Time) {
+	if s.value == 0 {
+		s.change(firstShare, true, now)
+		return
+	}
+	s.change(s.value+size, true, now)
 }
 
 // margin returns by how much the endpoints outside have to be faster than a completion
