--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -164,11 +164,12 @@
 	ports     = 10_000
 )
 
-// givenAddresses are the addresses that freeAddress has returned: tests that run side by
-// side use them some time later.
+// givenAddresses are the addresses that freeAddress has returned: the daemon that got one
+// may not listen on it yet.
 var givenAddresses sync.Map
 
-// freeAddress returns an address on which nothing listens.
+// freeAddress returns an address on which nothing listens and that no other daemon of the
+// tests has got.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range 100 {
@@ -176,8 +177,7 @@
 		if _, isGiven := givenAddresses.LoadOrStore(address, true); isGiven {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
+		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
 			return address
 		}
--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -57,6 +57,7 @@
 	f.begin(frame.GetWorkRequest())
 	defer f.finish()
 	response := f.run(frame.GetWorkRequest())
+	trimLoad(response, f.proxy.registration.incarnation)
 	response.TookUs = uint32(f.proxy.boot.Now().Sub(begun).Microseconds())
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkResponse{WorkResponse: response}}, nil
 }
@@ -103,7 +104,7 @@
 		}
 		response := f.start(upstream, request, statement)
 		f.observePosition(upstream, response)
-		f.proxy.attachObservation(response, upstream.Endpoint().Group)
+		f.proxy.attachObservation(response, upstream.Endpoint())
 		f.proxy.loads.attach(response, upstream)
 		return response
 	default:
--- a/internal/daemon/rattanproxy/loads.go
+++ b/internal/daemon/rattanproxy/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandispatch"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanpressure"
@@ -133,6 +134,14 @@
 	return rattandispatch.Expectation{Load: estimate.Load, Age: estimate.Age, Busy: estimate.Busy, Path: path}
 }
 
+// isKnown reports whether there is a recent report of an endpoint.
+func (l *loads) isKnown(endpoint rattancatalog.Endpoint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.board.Estimate(endpoint.ID, endpoint.StartedUnixMS, l.proxy.boot.Now())
+	return ok
+}
+
 // own returns the reports of the endpoints whose connections this daemon owns.
 func (l *loads) own() []*rattanv1.EndpointLoad {
 	var reports []*rattanv1.EndpointLoad
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -100,6 +100,7 @@
 	Endpoints             []rattanupstream.State `json:"endpoints"`
 	Loads                 []loadState            `json:"loads"`
 	Usage                 *usageState            `json:"usage,omitempty"`
+	Egress                egressState            `json:"egress"`
 }
 
 func (p *Proxy) dump() dump {
@@ -108,8 +109,9 @@
 		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
-		Loads: p.loads.State(),
-		Usage: p.usage.state(),
+		Loads:  p.loads.State(),
+		Usage:  p.usage.state(),
+		Egress: p.egress.state(),
 	}
 	if snapshot.Catalog != nil {
 		d.Configuration = snapshot.Catalog.Version()
@@ -131,7 +133,10 @@
 		return nil
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.writeText(w) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		p.metrics.writeText(w)
+		p.egress.writeText(w)
+	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(p.dump()); err != nil {
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -312,6 +312,9 @@
 	sent := o.proxy.boot.Now()
 	frame := &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkRequest{WorkRequest: request}}
 	reply, err := o.proxy.peers.Call(ctx, address, frame)
+	if isOutside && !rattanlink.IsUnsent(err) {
+		o.proxy.egress.recordWork(upstream, frame, reply)
+	}
 	if err != nil {
 		callErr := &ownerCallError{cause: err, isNotRun: rattanlink.IsUnsent(err)}
 		if isOutside {
@@ -325,6 +328,7 @@
 	}
 	response := reply.GetWorkResponse()
 	o.proxy.loads.observePath(vm, o.proxy.boot.Now().Sub(sent), time.Duration(response.GetTookUs())*time.Microsecond)
+	completeLoad(response, o.proxy.cache.Snapshot().VMs[vm].Incarnation)
 	o.proxy.loads.learnResponse(response, upstream.Endpoint().ID)
 	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
 	return decodeWorkResponse(response)
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -95,6 +95,7 @@
 	endpoints   *endpointSet
 	owners      *owners
 	loads       *loads
+	egress      *egress
 	// forwarded holds the transactions of other daemons on this one's connections.
 	forwarded  *forwardedWork
 	metrics    *metrics
@@ -137,6 +138,7 @@
 	p.endpoints = newEndpointSet(p)
 	p.owners = newOwners(p)
 	p.loads = newLoads(p)
+	p.egress = newEgress(p)
 	p.forwarded = newForwardedWork(p)
 	p.metrics = newMetrics()
 	p.relay = newRelay(p)
@@ -144,11 +146,12 @@
 	p.juries = &juries{proxy: p}
 	p.extension = newExtension(p)
 	p.dispatch = rattandispatch.New(clock, p.endpoints, p.owners, p.grants, p.switchovers,
-		rattanplacement.New(rattanplacement.FixedEgress{}, rand.Float64), p.logOutlier)
+		rattanplacement.New(p.egress, rand.Float64), p.logOutlier)
 	p.registration = newRegistration(p)
 	p.admission = newAdmission(p)
 	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
-		rattanlink.WithMaxBackoff(peerBackoff), rattanlink.WithStreamOpenTimeout(peerAckTimeout))
+		rattanlink.WithMaxBackoff(peerBackoff), rattanlink.WithStreamOpenTimeout(peerAckTimeout),
+		rattanlink.WithExchangeObserver(p.egress.observeExchange))
 	return p
 }
 
