config check: a configuration of the users' platform is checked before it is sent

Cause: the operators' wish; a configuration with a fault is seen only once it is in force. Not done: limits against the deployment's endpoints (slots, number of VMs).

--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -69,6 +69,7 @@
 	cmd.AddCommand(
 		newAccountCmd(c),
 		newCheckCmd(c),
+		newConfigCmd(c),
 		newCredentialCmd(c),
 		newDemoCmd(c),
 		newDomainCmd(c),
