--- a/internal/daemon/rattanproxy/egress_fleet_test.go
+++ b/internal/daemon/rattanproxy/egress_fleet_test.go
@@ -35,7 +35,9 @@
 // the other failure domain, and have no choice.
 func TestEgressIsCounted(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 2)
+	f := newFleetWithoutDaemons(t)
+	f.hasMetrics = true
+	f.startAll(2)
 	inside, outside := f.daemons[0], f.daemons[1]
 	f.dial(inside, "checkout", testKey).retryUntilOK("WRITE i1 first", waitBound)
 	if f.group.Primary() != "e1" {
