--- a/internal/endpoint/rattanupstream/ahead.go
+++ b/internal/endpoint/rattanupstream/ahead.go
@@ -30,25 +30,7 @@
 	if err != nil {
 		return
 	}
-	u.addIdle(pooled)
-}
-
-// addIdle adds a connection that no request has used to the idle ones.
-func (u *Upstream) addIdle(pooled *PooledConn) {
-	now := u.clock.Now()
-	u.mu.Lock()
-	surplus, isSurplus := pooled, true
-	if !u.isClosed {
-		surplus, isSurplus = u.queue.Opened(pooled, pooled.account, now)
-	}
-	if isSurplus {
-		u.queue.Closed(now)
-	}
-	u.mu.Unlock()
-	if isSurplus {
-		u.count(CountSurplus)
-		_ = surplus.conn.Close()
-	}
+	u.putBack(pooled, u.queue.Opened)
 }
 
 // IsByDemand reports whether this daemon owns the endpoint's connections and they are
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -348,12 +348,16 @@
 
 // Release returns a connection to the queue after use. It closes the connection that the
 // queue no longer has a place for, if any.
-func (u *Upstream) Release(pooled *PooledConn) {
+func (u *Upstream) Release(pooled *PooledConn) { u.putBack(pooled, u.queue.Release) }
+
+// putBack gives an idle connection to the queue by one of its methods, which returns the
+// connection that it has no place for, if any. That one is closed.
+func (u *Upstream) putBack(pooled *PooledConn, put func(conn *PooledConn, account string, now time.Time) (*PooledConn, bool)) {
 	now := u.clock.Now()
 	u.mu.Lock()
 	surplus, isSurplus := pooled, true
 	if !u.isClosed {
-		surplus, isSurplus = u.queue.Release(pooled, pooled.account, now)
+		surplus, isSurplus = put(pooled, pooled.account, now)
 	}
 	if isSurplus {
 		u.queue.Closed(now)
