rattanproxy: an operation waits a moment for the next owner of its account's pool

Change: that pause is 40 ms, and an operation whose pool owners all accept no connection waits up to 160 ms for another one.

--- a/internal/daemon/rattanproxy/admission.go
+++ b/internal/daemon/rattanproxy/admission.go
@@ -11,6 +11,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/limit/rattanquota"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
@@ -20,6 +21,12 @@
 	// poolOwnerBackoff is how long a pool owner that did not answer is not called
 	// again.
 	poolOwnerBackoff = 300 * time.Millisecond
+	// endedOwnerBackoff is the same for a pool owner that accepts no connection: when a
+	// daemon has ended, the next owner is known about 100 ms later.
+	endedOwnerBackoff = 40 * time.Millisecond
+	// endedOwnerWait is how long an operation waits for the next owner, before it is
+	// refused although nobody knows whether the account is over its rate.
+	endedOwnerWait = 160 * time.Millisecond
 )
 
 // An admission limits every client account to its rate and burst over all
@@ -43,6 +50,8 @@
 	// backoffUntil is until when each pool owner is not called. Only the call in
 	// progress uses it.
 	backoffUntil map[string]time.Time
+	// areOwnersGone is true when no pool owner accepted a connection at the last call.
+	areOwnersGone bool
 	// callDone is closed when the call to the pool owners that is in progress
 	// ends.
 	callDone chan struct{}
@@ -67,19 +76,33 @@
 	state.RecordDemand(now)
 	state.waiting++
 	defer func() { state.waiting-- }()
+	until := now.Add(endedOwnerWait)
 	for {
 		if state.Take(now) {
 			return 0, true
 		}
 		wanted := state.TokensToRequest(state.waiting, now)
-		if wanted == 0 {
+		switch {
+		case wanted > 0:
+			a.requestTokens(state, account, snapshot, wanted)
+		case state.areOwnersGone && now.Before(until):
+			a.waitForOwner(state.RetryAfter(now))
+			snapshot = a.proxy.cache.Snapshot()
+		default:
 			return state.RetryAfter(now), false
 		}
-		a.requestTokens(state, account, snapshot, wanted)
 		now = a.proxy.clock.Now()
 	}
 }
 
+// waitForOwner waits while no owner of an account's pools is known to live. The caller
+// holds a.mu, which is released meanwhile and held again on return.
+func (a *admission) waitForOwner(wait time.Duration) {
+	a.mu.Unlock()
+	<-a.proxy.clock.After(wait)
+	a.mu.Lock()
+}
+
 // Return takes back the token of an operation of a client account that no endpoint has
 // run.
 func (a *admission) Return(name string) {
@@ -114,8 +137,9 @@
 	owners := a.owners.nearestFirst(account, snapshot, a.proxy.settings.FailureDomain(), a.proxy.clock.Now())
 	request := tokenRequest{account: account, waiting: state.waiting, wanted: wanted}
 	a.mu.Unlock()
-	granted, retryAfter := a.callOwners(state.backoffUntil, owners, request)
+	granted, retryAfter, areGone := a.callOwners(state.backoffUntil, owners, request)
 	a.mu.Lock()
+	state.areOwnersGone = areGone
 	state.AddTokens(granted, retryAfter, a.proxy.clock.Now())
 	state.callDone = nil
 	close(callDone)
@@ -128,28 +152,34 @@
 	waiting, wanted int64
 }
 
-// callOwners calls the owners of an account's pools until one grants tokens.
-func (a *admission) callOwners(backoffUntil map[string]time.Time, owners []poolOwner, request tokenRequest) (int64, time.Duration) {
+// callOwners calls the owners of an account's pools until one grants tokens. It also
+// reports whether none of them accepts a connection.
+func (a *admission) callOwners(backoffUntil map[string]time.Time, owners []poolOwner, request tokenRequest) (granted int64, retryAfter time.Duration, areGone bool) {
 	wait := poolOwnerBackoff
+	areGone = true
 	for _, owner := range owners {
 		now := a.proxy.clock.Now()
 		if until := backoffUntil[owner.vm]; now.Before(until) {
 			wait = min(wait, until.Sub(now))
+			areGone = false
 			continue
 		}
-		granted, retryAfter := a.callOwner(owner, request)
+		granted, retryAfter, isGone := a.callOwner(owner, request)
 		if granted > 0 {
-			return granted, 0
+			return granted, 0, false
 		}
+		areGone = areGone && isGone
 		backoffUntil[owner.vm] = a.proxy.clock.Now().Add(retryAfter)
 		wait = min(wait, retryAfter)
 	}
-	return 0, wait
+	return 0, wait, areGone && len(owners) > 0
 }
 
-func (a *admission) callOwner(owner poolOwner, request tokenRequest) (int64, time.Duration) {
+// callOwner calls one owner. It also reports whether the owner accepts no connection.
+func (a *admission) callOwner(owner poolOwner, request tokenRequest) (granted int64, retryAfter time.Duration, isGone bool) {
 	if owner.vm == a.proxy.settings.VM() {
-		return a.grant(request)
+		granted, retryAfter = a.grant(request)
+		return granted, retryAfter, false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tokenTimeout)
 	defer cancel()
@@ -159,10 +189,13 @@
 	reply, err := a.proxy.peers.Call(ctx, owner.address, frame)
 	if err != nil {
 		a.proxy.logger.Info("tokens_unavailable", "account", request.account.Name, "keeper", owner.vm, "wanted", request.wanted, "error", err)
-		return 0, poolOwnerBackoff
+		if rattanlink.IsUnsent(err) {
+			return 0, endedOwnerBackoff, true
+		}
+		return 0, poolOwnerBackoff, false
 	}
 	tokens := reply.GetTokenResponse()
-	return int64(tokens.GetGranted()), time.Duration(tokens.GetRetryAfterMs()) * time.Millisecond
+	return int64(tokens.GetGranted()), time.Duration(tokens.GetRetryAfterMs()) * time.Millisecond, false
 }
 
 // grant grants tokens from a pool that this daemon owns. It grants none while another
