--- a/internal/daemon/rattanproxy/leaving_test.go
+++ b/internal/daemon/rattanproxy/leaving_test.go
@@ -21,7 +21,7 @@
 
 // TestLastEndpointLeaves guards against new statements at an endpoint that drains or
 // is evacuated, after the limit for it, because no other endpoint of its group can
-// become the primary (DRAIN at 69.032 s on pvl-korvaus).
+// become the primary.
 func TestLastEndpointLeaves(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
--- a/internal/endpoint/rattaninventory/load_test.go
+++ b/internal/endpoint/rattaninventory/load_test.go
@@ -38,7 +38,7 @@
 	serves func(account string, kind int, isWrite bool) bool
 }
 
-func vanua() inventoryLoad {
+func sixSlots() inventoryLoad {
 	return inventoryLoad{
 		accounts: 86, connections: 72, slots: 6, rate: 1379.0 / 24,
 		work:  [3]time.Duration{11 * time.Millisecond, 55 * time.Millisecond, 33 * time.Millisecond},
@@ -47,7 +47,7 @@
 	}
 }
 
-func aeapn() inventoryLoad {
+func fiveSlots() inventoryLoad {
 	return inventoryLoad{
 		accounts: 87, connections: 82, slots: 5, rate: 1055.0 / 24,
 		work:  [3]time.Duration{6800 * time.Microsecond, 34 * time.Millisecond, 20 * time.Millisecond},
@@ -331,7 +331,7 @@
 }
 
 func sites() map[string]inventoryLoad {
-	return map[string]inventoryLoad{"vanua": vanua(), "aeapn": aeapn()}
+	return map[string]inventoryLoad{"six slots": sixSlots(), "five slots": fiveSlots()}
 }
 
 const (
