--- /dev/null
+++ b/review/rattanrig/platform.go
@@ -0,0 +1,239 @@
+package rattanrig
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/standin/rattankvserver"
+)
+
+const (
+	// heartbeat is the time between two liveness reports of an instance.
+	heartbeat = 1200 * time.Millisecond
+	// storePage is the number of items in one response of the store.
+	storePage = 500
+)
+
+// A Call is a call that reached the platform.
+type Call struct {
+	Method, Path, Client string
+	Body                 []byte
+}
+
+// A Platform is the stand-in of the users' platform with its store. Instances report to it.
+type Platform struct {
+	record   *Record
+	store    *rattankvserver.Server
+	server   *http.Server
+	address  string
+	services []*Service
+	stop     chan struct{}
+
+	mu      sync.Mutex
+	version int
+	// losesAnswer selects the calls that are done and not answered.
+	losesAnswer func(Call) bool
+}
+
+// NewPlatform starts the platform for services.
+func NewPlatform(services []*Service, record *Record) (*Platform, error) {
+	p := &Platform{record: record, services: services, stop: make(chan struct{}), losesAnswer: func(Call) bool { return false }}
+	p.store = rattankvserver.New(p.promote)
+	p.store.SetPageSize(storePage)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p.address = listener.Addr().String()
+	p.server = &http.Server{Handler: p, ReadHeaderTimeout: time.Minute}
+	go func() { _ = p.server.Serve(listener) }()
+	if err := p.report(); err != nil {
+		return nil, err
+	}
+	go p.heartbeats()
+	return p, nil
+}
+
+// Address returns the address of the store and of the duties.
+func (p *Platform) Address() string { return p.address }
+
+// LoseAnswers selects the calls that are done and not answered.
+func (p *Platform) LoseAnswers(selects func(Call) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losesAnswer = selects
+}
+
+func (p *Platform) promote(service, id string) bool {
+	p.record.Line("promote %s of %s", id, service)
+	for _, s := range p.services {
+		if s.Name() == service {
+			return s.Promote(id)
+		}
+	}
+	return false
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		p.store.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	call := Call{Method: r.Method, Path: r.URL.Path, Body: body, Client: r.RemoteAddr}
+	p.mu.Lock()
+	isLost := p.losesAnswer(call)
+	p.mu.Unlock()
+	if !isLost {
+		p.store.ServeHTTP(w, r)
+		return
+	}
+	answer := httptest.NewRecorder()
+	p.store.ServeHTTP(answer, r)
+	p.record.Line("answer lost: %s %s %s -> %d", r.Method, r.URL.Path, describeTxn(body), answer.Code)
+	// The call is done. Its connection returns nothing further.
+	<-r.Context().Done()
+}
+
+// describeTxn lists the keys that a transaction writes, each with an asterisk if the call
+// has conditions.
+func describeTxn(body []byte) string {
+	mark := ""
+	if HasCondition(body) {
+		mark = "*"
+	}
+	var keys []string
+	for _, key := range WrittenKeys(body) {
+		keys = append(keys, key+mark)
+	}
+	return strings.Join(keys, " ")
+}
+
+type txn struct {
+	Expect []struct {
+		Key string `json:"key"`
+	} `json:"expect"`
+	Writes []struct {
+		Key string `json:"key"`
+	} `json:"writes"`
+}
+
+// HasCondition reports whether a call is a write under a condition.
+func HasCondition(body []byte) bool {
+	var t txn
+	return json.Unmarshal(body, &t) == nil && len(t.Expect) > 0
+}
+
+// WrittenKeys returns the keys that a call writes.
+func WrittenKeys(body []byte) []string {
+	var t txn
+	if json.Unmarshal(body, &t) != nil {
+		return nil
+	}
+	var keys []string
+	for _, w := range t.Writes {
+		keys = append(keys, w.Key)
+	}
+	return keys
+}
+
+// report lets all live instances report.
+func (p *Platform) report() error {
+	for _, s := range p.services {
+		for _, instance := range s.Instances() {
+			if instance.IsDark() {
+				continue
+			}
+			if err := p.store.Put("servers/"+instance.ID(), instance.Entry()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// heartbeats lets live instances report, and removes the entries of others after three
+// intervals of silence.
+func (p *Platform) heartbeats() {
+	silent := make(map[string]int)
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(heartbeat):
+		}
+		if err := p.report(); err != nil {
+			p.record.Line("report failed: %v", err)
+		}
+		for _, s := range p.services {
+			for _, instance := range s.Instances() {
+				if !instance.IsDark() {
+					continue
+				}
+				if silent[instance.ID()]++; silent[instance.ID()] == 3 {
+					p.store.Delete("servers/" + instance.ID())
+					p.record.Line("entry of %s is removed", instance.ID())
+				}
+			}
+		}
+	}
+}
+
+// Report lets all live instances report at once, as after a change of their state.
+func (p *Platform) Report() error { return p.report() }
+
+// Close stops the platform.
+func (p *Platform) Close() {
+	close(p.stop)
+	_ = p.server.Close()
+}
+
+// Key is the key of all clients, and Tenant the tenant that holds it.
+const (
+	Key    = "review-key"
+	Tenant = "review-tenant"
+)
+
+// Configure writes the next version of the configuration: for each service, a database of
+// each route type, named after the service and the type, with the figures of a small
+// deployment.
+func (p *Platform) Configure() error {
+	p.mu.Lock()
+	p.version++
+	version := p.version
+	p.mu.Unlock()
+	var routes, services []any
+	for _, s := range p.services {
+		services = append(services, map[string]any{"name": s.Name(), "max_conns": s.options.Connections, "sync_replicas": s.options.SyncReplicas})
+		for _, r := range []struct {
+			kind                                 string
+			timeout, target, staleness, priority int
+		}{
+			{"primary", 1000, 200, 0, 1},
+			{"bounded_staleness", 2000, 600, 1500, 2},
+			{"read_your_writes", 1000, 400, 2500, 2},
+		} {
+			name := s.Name() + "-" + r.kind
+			routes = append(routes, map[string]any{
+				"name": name, "database_name": name, "service": s.Name(), "route_type": r.kind, "priority": r.priority,
+				"timeout_ms": r.timeout, "target_latency_ms": r.target, "max_staleness_ms": r.staleness,
+			})
+		}
+	}
+	return p.store.Put("op/config", map[string]any{
+		"version": version, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 5000},
+		"tenants": []any{map[string]any{"name": Tenant, "api_keys": []string{Key}, "rate_per_s": 2000, "burst": 2000}},
+	})
+}
