--- a/review/rattanreview/sync.go
+++ b/review/rattanreview/sync.go
@@ -16,7 +16,7 @@
 	drainBefore = 2 * time.Second
 	// nearLag and farLag are the lags of the two replicas.
 	nearLag = 20 * time.Millisecond
-	farLag  = 100 * time.Millisecond
+	farLag  = 60 * time.Millisecond
 )
 
 // runSync crashes the primary of a service with one synchronous replica while the replica
--- a/review/rattanrig/fleet.go
+++ b/review/rattanrig/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +17,39 @@
 // program is the daemon's binary, as the deploy file builds it.
 const program = "target/rattanstream"
 
+// running are the processes that this program has started and that have not ended.
+var running processes
+
+// processes is a set of processes.
+type processes struct {
+	mu  sync.Mutex
+	set map[*os.Process]struct{}
+}
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.set == nil {
+		p.set = make(map[*os.Process]struct{})
+	}
+	p.set[process] = struct{}{}
+}
+
+func (p *processes) remove(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.set, process)
+}
+
+// KillAll kills the processes that this program has started.
+func KillAll() {
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	for process := range running.set {
+		_ = process.Kill()
+	}
+}
+
 // A Fleet is the daemons of a script, as processes with the command of the deploy file.
 type Fleet struct {
 	record    *Record
@@ -74,13 +108,24 @@
 	return strings.Join(addresses, ", ")
 }
 
+// The ports of the daemons are below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
+// freeAddress returns a loopback address on which nothing listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const attempts = 100
+	var err error
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // Daemons returns the daemons.
@@ -110,12 +155,14 @@
 	if err := process.Start(); err != nil {
 		return err
 	}
+	running.add(process.Process)
 	ended := make(chan struct{})
 	d.process, d.ended = process, ended
 	d.record.Line("daemon %s starts, process %d", d.Name, process.Process.Pid)
 	go func() {
 		defer close(ended)
 		err := process.Wait()
+		running.remove(process.Process)
 		d.record.Line("daemon %s has ended: %v", d.Name, err)
 	}()
 	return nil
@@ -170,7 +217,23 @@
 			d.Wait()
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.directory)
+	_ = os.RemoveAll(f.directory)
+}
+
+// Memory returns the process's memory in bytes that is not backed by a file.
+func (d *Daemon) Memory() int {
+	d.mu.Lock()
+	pid := d.process.Process.Pid
+	d.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		var kb int
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kb); err == nil {
+			return kb << 10
+		}
 	}
+	return 0
 }
--- a/review/rattanrig/platform.go
+++ b/review/rattanrig/platform.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -21,10 +23,10 @@
 	storePage = 500
 )
 
-// A Call is a call that reached the platform.
+// A Call is a call that the platform has carried out or refused.
 type Call struct {
-	Method, Path, Client string
-	Body                 []byte
+	Body   []byte
+	IsDone bool
 }
 
 // A Platform is the stand-in of the users' platform with its store. Instances report to it.
@@ -92,33 +94,41 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	call := Call{Method: r.Method, Path: r.URL.Path, Body: body, Client: r.RemoteAddr}
+	call := Call{Body: body}
+	answer := httptest.NewRecorder()
+	p.store.ServeHTTP(answer, r)
+	call.IsDone = answer.Code == http.StatusOK
 	p.mu.Lock()
 	isLost := p.losesAnswer(call)
 	p.mu.Unlock()
-	if !isLost {
-		p.store.ServeHTTP(w, r)
+	if isLost || HasCondition(body) {
+		p.record.Line("%s %s %s -> %d, answer lost: %t", r.Method, r.URL.Path, describeTxn(body), answer.Code, isLost)
+	}
+	if isLost {
+		// The call is done. Its connection returns nothing further.
+		<-r.Context().Done()
 		return
 	}
-	answer := httptest.NewRecorder()
-	p.store.ServeHTTP(answer, r)
-	p.record.Line("answer lost: %s %s %s -> %d", r.Method, r.URL.Path, describeTxn(body), answer.Code)
-	// The call is done. Its connection returns nothing further.
-	<-r.Context().Done()
+	maps.Copy(w.Header(), answer.Header())
+	w.WriteHeader(answer.Code)
+	// An error means that the client has closed the connection and needs no answer.
+	_, _ = w.Write(answer.Body.Bytes())
 }
 
-// describeTxn lists the keys that a transaction writes, each with an asterisk if the call
-// has conditions.
+// describeTxn lists what a transaction writes, after "if" when it has a condition.
 func describeTxn(body []byte) string {
-	mark := ""
-	if HasCondition(body) {
-		mark = "*"
+	var t txn
+	if json.Unmarshal(body, &t) != nil {
+		return ""
 	}
-	var keys []string
-	for _, key := range WrittenKeys(body) {
-		keys = append(keys, key+mark)
+	var b strings.Builder
+	if len(t.Expect) > 0 {
+		b.WriteString("if ")
 	}
-	return strings.Join(keys, " ")
+	for _, w := range t.Writes {
+		fmt.Fprintf(&b, "%s=%s ", w.Key, w.Value)
+	}
+	return strings.TrimSpace(b.String())
 }
 
 type txn struct {
@@ -126,7 +136,8 @@
 		Key string `json:"key"`
 	} `json:"expect"`
 	Writes []struct {
-		Key string `json:"key"`
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
 	} `json:"writes"`
 }
 
@@ -136,17 +147,17 @@
 	return json.Unmarshal(body, &t) == nil && len(t.Expect) > 0
 }
 
-// WrittenKeys returns the keys that a call writes.
-func WrittenKeys(body []byte) []string {
+// WrittenValues returns the values that a call writes.
+func WrittenValues(body []byte) []string {
 	var t txn
 	if json.Unmarshal(body, &t) != nil {
 		return nil
 	}
-	var keys []string
+	var values []string
 	for _, w := range t.Writes {
-		keys = append(keys, w.Key)
+		values = append(values, string(w.Value))
 	}
-	return keys
+	return values
 }
 
 // report lets all live instances report.
--- a/review/rattanrig/record.go
+++ b/review/rattanrig/record.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// maxLine is after how many bytes a line of a record is cut.
+const maxLine = 300
+
 // A Record is the file in which a script writes what was sent, answered and run. It is
 // safe for concurrent use.
 type Record struct {
@@ -33,8 +36,12 @@
 func (r *Record) Line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	line := fmt.Sprintf(format, args...)
+	if len(line) > maxLine {
+		line = line[:maxLine] + "..."
+	}
 	// An error of the writer is reported by Close.
-	_, _ = fmt.Fprintf(r.writer, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, args...)...)
+	_, _ = fmt.Fprintf(r.writer, "%8.3f %s\n", time.Since(r.start).Seconds(), line)
 }
 
 // Say writes a line and prints it.
--- a/review/rattanrig/service.go
+++ b/review/rattanrig/service.go
@@ -95,8 +95,8 @@
 	born       int64
 	// lag is after which time the instance applies a commit as a replica.
 	lag time.Duration
-	// failSet makes the instance fail each such share of the SET statements.
-	failSet float64
+	// grey is the share of its requests that the instance fails.
+	grey float64
 }
 
 // NewService returns a service with one instance in each zone, the first one its primary.
@@ -206,11 +206,12 @@
 	i.lag = lag
 }
 
-// FailSet makes the instance fail a share of its SET statements.
-func (i *Instance) FailSet(share float64) {
+// SetGrey makes the instance fail a share of its requests, whatever they are. Its status
+// queries stay good.
+func (i *Instance) SetGrey(share float64) {
 	i.service.mu.Lock()
 	defer i.service.mu.Unlock()
-	i.failSet = share
+	i.grey = share
 }
 
 // Primary returns the instance that leads the newest term, nil if it has crashed.
--- a/review/rattanrig/session.go
+++ b/review/rattanrig/session.go
@@ -180,6 +180,10 @@
 	if s.state == "T" && s.isPlain && !i.isPrimary && (verb == "READ" || verb == "WRITE" || verb == "COMMIT" && len(s.writes) > 0) {
 		return s.failLocked("READONLY " + i.id), true
 	}
+	if verb != "STATUS" && verb != "STEPDOWN" && rand.Float64() < i.grey {
+		i.service.record.Line("instance %s fails %s %s", i.id, id, text)
+		return s.failLocked("FAILED"), true
+	}
 	switch verb {
 	case "BEGIN":
 		s.isPlain = rest != "READ"
@@ -190,10 +194,6 @@
 	case "ROLLBACK":
 		s.state, s.writes = "I", nil
 	case "SET":
-		if rand.Float64() < i.failSet {
-			i.service.record.Line("instance %s fails %s", i.id, text)
-			return s.failLocked("FAILED"), true
-		}
 		name, value, _ := strings.Cut(rest, " ")
 		s.values[name] = value
 	case "RESET":
