--- a/review/rattanreview/main.go
+++ b/review/rattanreview/main.go
@@ -37,7 +37,6 @@
 	"sync":       runSync,
 	"stop":       runStop,
 	"values":     runValues,
-	"memory":     runMemory,
 }
 
 func main() {
