--- a/review/rattanreview/main.go
+++ b/review/rattanreview/main.go
@@ -33,10 +33,13 @@
 type scenario func(record *rattanrig.Record, isTroubled bool) (isBroken bool, err error)
 
 var scenarios = map[string]scenario{
+	"drill":      runDrill,
 	"leadership": runLeadership,
 	"sync":       runSync,
 	"stop":       runStop,
-	"values":     runValues,
+	// Shown, but not among the five cases.
+	"values": runValues,
+	"memory": runMemory,
 }
 
 func main() {
--- a/review/rattanrig/client.go
+++ b/review/rattanrig/client.go
@@ -113,3 +113,20 @@
 
 // Close ends the session.
 func (s *Session) Close() { _ = s.conn.Close() }
+
+// Send sends bytes.
+func (s *Session) Send(text string) error {
+	const sendTimeout = 5 * time.Second
+	_ = s.conn.SetDeadline(time.Now().Add(sendTimeout))
+	_, err := s.conn.Write([]byte(text))
+	return err
+}
+
+// Await waits for the answer to what was sent.
+func (s *Session) Await(limit time.Duration) {
+	_ = s.conn.SetDeadline(time.Now().Add(limit))
+	var a Answer
+	if err := s.receive(&a); err != nil {
+		s.record.Line("no answer from %s: %v", s.daemon, err)
+	}
+}
--- a/review/rattanrig/fleet.go
+++ b/review/rattanrig/fleet.go
@@ -219,3 +219,21 @@
 	}
 	_ = os.RemoveAll(f.directory)
 }
+
+// Memory returns the process's memory in bytes that is not backed by a file.
+func (d *Daemon) Memory() int {
+	d.mu.Lock()
+	pid := d.process.Process.Pid
+	d.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		var kb int
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kb); err == nil {
+			return kb << 10
+		}
+	}
+	return 0
+}
--- a/review/rattanrig/platform.go
+++ b/review/rattanrig/platform.go
@@ -248,3 +248,17 @@
 		"tenants": []any{map[string]any{"name": Tenant, "api_keys": []string{Key}, "rate_per_s": 2000, "burst": 2000}},
 	})
 }
+
+// Drill copies the store now. It returns what takes the store away and what lets it come
+// back from that copy, with what the operator and the instances write again.
+func (p *Platform) Drill() (away func(), back func() error) {
+	content := p.store.Copy()
+	return func() { p.store.SetDown(true) }, func() error {
+		p.store.Restore(content)
+		p.store.SetDown(false)
+		if err := p.report(); err != nil {
+			return err
+		}
+		return p.Configure()
+	}
+}
--- a/review/rattanrig/service.go
+++ b/review/rattanrig/service.go
@@ -46,7 +46,9 @@
 	// Arrived is when the instance read the statement, At when its work was done.
 	Arrived, At time.Time
 	Instance    string
-	ID, Text    string
+	// IsOld is true when the instance's term had been ended by a promote.
+	IsOld    bool
+	ID, Text string
 	// Values are the session values of the instance's connection.
 	Values map[string]string
 }
@@ -71,6 +73,7 @@
 type Promotion struct {
 	At       time.Time
 	Instance string
+	IsOld    bool
 	IDs      map[string]bool
 }
 
@@ -97,6 +100,8 @@
 	lag time.Duration
 	// grey is the share of its requests that the instance fails.
 	grey float64
+	// isCut is true while the instance is partitioned from everything.
+	isCut bool
 }
 
 // NewService returns a service with one instance in each zone, the first one its primary.
@@ -166,11 +171,11 @@
 	}
 }
 
-// IsDark reports whether the instance has crashed.
+// IsDark reports whether the instance sends nothing.
 func (i *Instance) IsDark() bool {
 	i.service.mu.Lock()
 	defer i.service.mu.Unlock()
-	return i.isDark
+	return i.isDark || i.isCut
 }
 
 // Crash ends the instance: its connections break, and it sends nothing more.
@@ -275,11 +280,36 @@
 	s.changed.Broadcast()
 }
 
+// SetCut partitions the instance from everything, or ends that.
+func (i *Instance) SetCut(isCut bool) error {
+	i.service.mu.Lock()
+	defer i.service.mu.Unlock()
+	i.isCut = isCut
+	if isCut {
+		_ = i.listener.Close()
+		for conn := range i.conns {
+			_ = conn.Close()
+		}
+		return nil
+	}
+	listener, err := net.Listen("tcp", i.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	i.listener = listener
+	go i.serve()
+	if i.isPrimary && i.term < i.service.term {
+		time.AfterFunc(time.Second, i.follow)
+	}
+	return nil
+}
+
 // follow makes an old primary a replica.
 func (i *Instance) follow() {
 	i.service.mu.Lock()
 	defer i.service.mu.Unlock()
-	if i.term < i.service.term {
+	if !i.isCut && i.term < i.service.term {
+		i.service.record.Line("instance %s follows the new primary", i.id)
 		i.isPrimary = false
 	}
 }
@@ -295,7 +325,7 @@
 		}
 		if primary := s.primary(); primary != nil {
 			for _, instance := range s.instances {
-				if instance != primary && !instance.isPrimary && !instance.isDark && !instance.isDeaf {
+				if instance != primary && !instance.isPrimary && !instance.isDark && !instance.isDeaf && !instance.isCut && !primary.isCut {
 					instance.receive(primary)
 				}
 			}
--- a/review/rattanrig/session.go
+++ b/review/rattanrig/session.go
@@ -225,7 +225,7 @@
 		return
 	}
 	service := s.instance.service
-	service.runs[id] = Run{Arrived: s.arrived, At: time.Now(), Instance: s.instance.id, ID: id, Text: text, Values: maps.Clone(s.values)}
+	service.runs[id] = Run{Arrived: s.arrived, At: time.Now(), Instance: s.instance.id, IsOld: s.instance.term < service.term, ID: id, Text: text, Values: maps.Clone(s.values)}
 	service.record.Line("instance %s runs %s: %s", s.instance.id, id, text)
 }
 
