--- a/review/rattanreview/stop.go
+++ b/review/rattanreview/stop.go
@@ -24,7 +24,7 @@
 	// lookupWork is the mean run time of a statement of the lookups.
 	lookupWork = 40 * time.Millisecond
 	// warmUp is how long the clients run before the SIGTERM.
-	warmUp = 1500 * time.Millisecond
+	warmUp = 1200 * time.Millisecond
 	// stopTimeout is how long a client waits for an answer, its deadline.
 	stopTimeout = 2 * time.Second
 )
@@ -53,7 +53,7 @@
 		clients.Go(func() {
 			database := s.services[i%len(s.services)].Name() + "-bounded_staleness"
 			// The clients are at different times between two statements.
-			time.Sleep(time.Duration(i) * pauseInTransaction / stopClients)
+			time.Sleep(time.Duration(i) * (pauseInTransaction + lookupWork) / stopClients)
 			for time.Now().Before(end) {
 				seen := runTransactions(daemon, database, record, end)
 				mu.Lock()
--- a/review/rattanrig/platform.go
+++ b/review/rattanrig/platform.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/standin/rattankvserver"
+	"github.com/rattanstream/rattanstream/platform/platformtest"
 )
 
 const (
@@ -217,36 +218,56 @@
 	Tenant = "review-tenant"
 )
 
+// routeKinds are the routes of each service, with the figures of a small deployment.
+var routeKinds = []struct {
+	kind                          string
+	timeout, objective, staleness time.Duration
+	priority                      int
+}{
+	{"primary", time.Second, 200 * time.Millisecond, 0, 1},
+	{"bounded_staleness", 2 * time.Second, 600 * time.Millisecond, 1500 * time.Millisecond, 2},
+	{"read_your_writes", time.Second, 400 * time.Millisecond, 2500 * time.Millisecond, 2},
+}
+
 // Configure writes the next version of the configuration: for each service, a database of
-// each route type, named after the service and the type, with the figures of a small
-// deployment.
+// each kind of route, named after the service and the kind.
 func (p *Platform) Configure() error {
 	p.mu.Lock()
 	p.version++
-	version := p.version
+	config := platformtest.Config{Version: p.version, Account: Tenant, Keys: []string{Key}, Rate: 2000}
 	p.mu.Unlock()
+	entry := config.Entry()
 	var routes, services []any
 	for _, s := range p.services {
-		services = append(services, map[string]any{"name": s.Name(), "max_conns": s.options.Connections, "sync_replicas": s.options.SyncReplicas})
-		for _, r := range []struct {
-			kind                                 string
-			timeout, target, staleness, priority int
-		}{
-			{"primary", 1000, 200, 0, 1},
-			{"bounded_staleness", 2000, 600, 1500, 2},
-			{"read_your_writes", 1000, 400, 2500, 2},
-		} {
-			name := s.Name() + "-" + r.kind
-			routes = append(routes, map[string]any{
-				"name": name, "database_name": name, "service": s.Name(), "route_type": r.kind, "priority": r.priority,
-				"timeout_ms": r.timeout, "target_latency_ms": r.target, "max_staleness_ms": r.staleness,
-			})
+		service := maps.Clone(entry["services"].([]any)[0].(map[string]any))
+		service["name"], service["max_conns"], service["sync_replicas"] = s.Name(), s.options.Connections, s.options.SyncReplicas
+		services = append(services, service)
+		for _, r := range routeKinds {
+			config.Timeout, config.Objective, config.Staleness = r.timeout, r.objective, r.staleness
+			routes = append(routes, routeOf(config, r.kind, s.Name(), r.priority))
 		}
 	}
-	return p.store.Put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 5000},
-		"tenants": []any{map[string]any{"name": Tenant, "api_keys": []string{Key}, "rate_per_s": 2000, "burst": 2000}},
-	})
+	entry["routes"], entry["services"] = routes, services
+	return p.store.Put(platformtest.ConfigKey, entry)
+}
+
+// routeOf returns the route of a kind in a configuration as one of another service.
+func routeOf(config platformtest.Config, kind, service string, priority int) map[string]any {
+	for _, r := range config.Entry()["routes"].([]any) {
+		route := maps.Clone(r.(map[string]any))
+		if route["route_type"] != kind {
+			continue
+		}
+		// The route and its database have the same name.
+		for key, value := range route {
+			if value == r.(map[string]any)["name"] {
+				route[key] = service + "-" + kind
+			}
+		}
+		route["service"], route["priority"] = service, priority
+		return route
+	}
+	return nil
 }
 
 // Drill copies the store now. It returns what takes the store away and what lets it come
