--- a/review/rattanreview/drill.go
+++ b/review/rattanreview/drill.go
@@ -20,7 +20,7 @@
 	// awayTime is how long the store is away, and the daemons are down a little longer.
 	awayTime = time.Second
 	// cutAfterRestart is how long the cut lasts after the start of the daemons.
-	cutAfterRestart = 300 * time.Millisecond
+	cutAfterRestart = 700 * time.Millisecond
 	// watched is how long the clients go on after the cut.
 	watched = 6 * time.Second
 	// thaw is thaw_ms of the deployment.
