--- a/review/rattanreview/main.go
+++ b/review/rattanreview/main.go
@@ -33,6 +33,7 @@
 type scenario func(record *rattanrig.Record, isTroubled bool) (isBroken bool, err error)
 
 var scenarios = map[string]scenario{
+	"oldprimary": runOldPrimary,
 	"drill":      runDrill,
 	"leadership": runLeadership,
 	"sync":       runSync,
--- a/review/rattanrig/service.go
+++ b/review/rattanrig/service.go
@@ -248,7 +248,7 @@
 		if instance.isDark {
 			return false
 		}
-		if !instance.isPrimary {
+		if !instance.isPrimary || instance.term < s.term {
 			time.AfterFunc(s.options.PromoteTime, instance.lead)
 		}
 		return true
@@ -261,7 +261,7 @@
 	s := i.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i.isDark || i.isPrimary {
+	if i.isDark || i.isPrimary && i.term == s.term {
 		return
 	}
 	s.term++
@@ -308,7 +308,7 @@
 func (i *Instance) follow() {
 	i.service.mu.Lock()
 	defer i.service.mu.Unlock()
-	if !i.isCut && i.term < i.service.term {
+	if !i.isCut && i.term < i.service.term && i.service.primary() != nil {
 		i.service.record.Line("instance %s follows the new primary", i.id)
 		i.isPrimary = false
 	}
