rattansuccessor: a promoted endpoint leads once its term is newer

Cause: awaitPrimary took the role "primary" for the end of a promote. A deposed primary has that role before its promote takes effect. The record of a group held no term, so the log of a deposed primary, with entries that the next term had left out, counted as the best because it was the longest.

Change: package rattansuccessor decides on roles, terms and positions. The record holds the term of the primary and the starts of the newest terms. A promoted endpoint is published once it leads a term above all known ones; a log that a later term has left out is promoted last, and not while an endpoint that may hold a better one does not answer. The first record of a group is that of the newest term. The stand-in of TestLostConfirmation has terms now, as the protocol says; its checks are the same.

--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -209,7 +209,7 @@
 // handleGroupRecord logs a group's record. While a switchover is in progress, it
 // confirms that this daemon has stopped sending requests to the primary.
 func (p *Proxy) handleGroupRecord(ctx context.Context, group string, record rattangrant.PrimaryRecord) {
-	p.logger.Info("group_record", "group", group, "primary", record.Primary, "switching", record.IsSwitching,
+	p.logger.Info("group_record", "group", group, "primary", record.Primary, "term", record.Term, "switching", record.IsSwitching,
 		"number", record.Version, "generation", record.FencingToken)
 	if record.IsSwitching {
 		go p.registration.confirmStopped(ctx, group, record.Version)
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -11,6 +11,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattansuccessor"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanswitchover"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 )
@@ -190,7 +191,7 @@
 	fields := []any{
 		"group", request.Group, "reason", string(request.Reason), "from", report.From, "to", report.To, "missing", report.Unconfirmed,
 		"stopped_ms", report.StoppedAfter.Milliseconds(), "chosen_ms", report.ChosenAfter.Milliseconds(),
-		"promoted_ms", report.PromotedAfter.Milliseconds(), "position", report.Position.String(),
+		"promoted_ms", report.PromotedAfter.Milliseconds(), "position", report.Position.String(), "term", report.Term,
 	}
 	if err != nil {
 		r.proxy.logger.Warn("switch_failed", append(fields, "error", err)...)
@@ -209,9 +210,9 @@
 }
 
 // Status implements rattanswitchover.EndpointControl.
-func (c *endpointControl) Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (rattanswitchover.Status, error) {
+func (c *endpointControl) Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (rattansuccessor.Status, error) {
 	status, err := c.upstream(endpoint).Status(timeout)
-	return rattanswitchover.Status{Endpoint: endpoint, Received: status.Received, Term: status.Term, IsPrimary: status.IsPrimary}, err
+	return rattansuccessor.Status{Endpoint: endpoint, Received: status.Received, Term: status.Term, IsPrimary: status.IsPrimary}, err
 }
 
 // StepDown implements rattanswitchover.EndpointControl.
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 )
 
@@ -22,6 +23,10 @@
 type PrimaryRecord struct {
 	// Primary is the id of the primary endpoint, empty before the first one is chosen.
 	Primary string `json:"primary"`
+	// Term is the one that the primary leads, 0 if the writer did not know it.
+	Term uint64 `json:"term,omitempty"`
+	// TermHistory holds the newest terms whose start is known.
+	TermHistory rattanmodel.TermHistory `json:"terms,omitempty"`
 	// Version rises with each change of the record.
 	Version int64 `json:"number"`
 	// IsSwitching is true from the beginning of a switchover until its end.
--- /dev/null
+++ b/internal/endpoint/rattansuccessor/candidates.go
@@ -0,0 +1,75 @@
+package rattansuccessor
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+)
+
+// ErrLogsMissing says that endpoints which have not answered may hold a log that is better
+// than all others.
+var ErrLogsMissing = errors.New("endpoints that may hold a better log do not answer")
+
+// Candidates returns the endpoints in the order in which to try their promotion. First come
+// those whose log belongs to the history of the group, of these the ones that stay in
+// service, and of these the ones with the longest log, since commits that the new primary
+// lacks are lost. It returns ErrLogsMissing while none of the logs that are known belongs to
+// the history and another endpoint may hold one that does.
+func (v View) Candidates() ([]Status, error) {
+	ordered := slices.Clone(v.statuses)
+	slices.SortStableFunc(ordered, func(a, b Status) int {
+		return cmp.Or(
+			compareBool(v.hasDiverged(a), v.hasDiverged(b)),
+			compareBool(v.isLeaving(a), v.isLeaving(b)),
+			b.Received.Compare(a.Received),
+		)
+	})
+	if len(ordered) > 0 && v.hasDiverged(ordered[0]) && !v.IsComplete() {
+		return nil, ErrLogsMissing
+	}
+	return ordered, nil
+}
+
+// maxTerms limits the terms in a history.
+const maxTerms = 8
+
+// ExtendHistory returns a history with the term of an endpoint that has just been promoted
+// and has not run a write in it, unless that term is there already.
+func ExtendHistory(history rattanmodel.TermHistory, promoted Status) rattanmodel.TermHistory {
+	if promoted.Term <= history.Term() {
+		return history
+	}
+	extended := append(slices.Clone(history), rattanmodel.TermStart{Term: promoted.Term, StartIndex: promoted.Received.Index + 1})
+	return extended[max(0, len(extended)-maxTerms):]
+}
+
+// isLeaving reports whether an endpoint goes out of service.
+func (v View) isLeaving(s Status) bool {
+	return s.Endpoint.IsDraining || v.group.Evacuated[s.Endpoint.FailureDomain]
+}
+
+// hasDiverged reports whether a log has entries of an ended term that the next term does not
+// contain. Callers have seen them vanish, and promoting that log would bring them back.
+func (v View) hasDiverged(s Status) bool {
+	return hasDiverged(v.group.TermHistory, s.Received)
+}
+
+func hasDiverged(history rattanmodel.TermHistory, received rattanmodel.Position) bool {
+	index, ok := history.Resolve(received)
+	return ok && index < received.Index
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/internal/endpoint/rattansuccessor/successor.go
@@ -0,0 +1,101 @@
+// Package rattansuccessor decides which endpoint of a group leads it and which ones may
+// lead it next, from the roles, terms and log positions that the endpoints report. It does
+// no input or output.
+package rattansuccessor
+
+import (
+	"slices"
+
+	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
+	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
+)
+
+// A Status is the response of an endpoint to a status query.
+type Status struct {
+	Endpoint rattancatalog.Endpoint
+	// Received is the last position in its log.
+	Received rattanmodel.Position
+	// Term is the newest term that the endpoint knows, for a primary the one that it
+	// leads.
+	Term      uint64
+	IsPrimary bool
+}
+
+// A Group is what is known of a group without asking its endpoints.
+type Group struct {
+	// Endpoints are those that may have a part of the log.
+	Endpoints []rattancatalog.Endpoint
+	// Evacuated are the failure domains out of service.
+	Evacuated map[string]bool
+	// Term is the newest known term, 0 if none is.
+	Term uint64
+	// TermHistory holds the terms whose start is known.
+	TermHistory rattanmodel.TermHistory
+}
+
+// A View is what is known of a group's endpoints at one time. It is immutable.
+type View struct {
+	group    Group
+	statuses []Status
+}
+
+// New returns the view of a group of which some endpoints have answered a status query.
+func New(group Group, statuses []Status) View { return View{group: group, statuses: statuses} }
+
+// IsComplete reports whether all endpoints of the group have answered.
+func (v View) IsComplete() bool {
+	return !slices.ContainsFunc(v.group.Endpoints, func(e rattancatalog.Endpoint) bool {
+		return !slices.ContainsFunc(v.statuses, func(s Status) bool { return s.Endpoint.ID == e.ID })
+	})
+}
+
+// NewestTerm returns the newest known term of the group.
+func (v View) NewestTerm() uint64 {
+	term := v.group.Term
+	for _, status := range v.statuses {
+		term = max(term, status.Term, status.Received.Term)
+	}
+	return term
+}
+
+// Leader returns the primary of the newest known term. An endpoint that calls itself the
+// primary of an older term has been deposed and does not know it yet.
+func (v View) Leader() (Status, bool) {
+	newest := v.NewestTerm()
+	for _, status := range v.statuses {
+		if status.IsPrimary && status.Term == newest {
+			return status, true
+		}
+	}
+	return Status{}, false
+}
+
+// HasTakenOver reports whether a promoted endpoint leads the group, by its present status.
+// A promote takes effect some time after the platform's answer, with a term above all
+// before. Until then a deposed primary still calls itself the primary of its old term. Only
+// the leader of the view keeps its term.
+func (v View) HasTakenOver(status Status) bool {
+	if leader, ok := v.Leader(); ok && leader.Endpoint.ID == status.Endpoint.ID {
+		return status.IsPrimary && status.Term >= leader.Term
+	}
+	return status.IsPrimary && status.Term > v.NewestTerm()
+}
+
+// HasCaughtUp reports whether an endpoint other than the given primary, which is not
+// draining, holds all that the primary holds.
+func (v View) HasCaughtUp(primary Status) bool {
+	return slices.ContainsFunc(v.statuses, func(s Status) bool {
+		return s.Endpoint.ID != primary.Endpoint.ID && !s.Endpoint.IsDraining && s.Received.Compare(primary.Received) >= 0
+	})
+}
+
+// WithoutPrimary returns the view after an endpoint has stepped down.
+func (v View) WithoutPrimary(id string) View {
+	statuses := slices.Clone(v.statuses)
+	for i := range statuses {
+		if statuses[i].Endpoint.ID == id {
+			statuses[i].IsPrimary = false
+		}
+	}
+	return View{group: v.group, statuses: statuses}
+}
--- a/internal/endpoint/rattanswitchover/coordinator.go
+++ b/internal/endpoint/rattanswitchover/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattansuccessor"
 )
 
 const (
@@ -57,7 +58,7 @@
 
 // EndpointControl sends status queries and step-down requests to an endpoint.
 type EndpointControl interface {
-	Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (Status, error)
+	Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (rattansuccessor.Status, error)
 	StepDown(endpoint rattancatalog.Endpoint, term uint64, timeout time.Duration) error
 }
 
@@ -114,6 +115,13 @@
 	Era int64
 }
 
+// group returns what the request knows of the group.
+func (r Request) group() rattansuccessor.Group {
+	return rattansuccessor.Group{
+		Endpoints: r.Endpoints, Evacuated: r.Evacuated, Term: r.Record.Term, TermHistory: r.Record.TermHistory,
+	}
+}
+
 // A Report says what a switchover did, for the log.
 type Report struct {
 	From, To string
@@ -125,6 +133,8 @@
 	// chosen and until it was promoted.
 	StoppedAfter, ChosenAfter, PromotedAfter time.Duration
 	Position                                 rattanmodel.Position
+	// Term is the one that the new primary leads.
+	Term uint64
 }
 
 // A Coordinator runs switchovers.
@@ -160,42 +170,40 @@
 		return report, errors.Wrap(err, "wait until primary operations have stopped")
 	}
 	report.StoppedAfter = c.clock.Now().Sub(start)
-	statuses := c.handOver(request)
+	view := c.handOver(request)
 	report.ChosenAfter = c.clock.Now().Sub(start)
-	successor, err := c.promote(ctx, request, statuses)
+	successor, err := c.promote(ctx, request, view)
 	if err != nil {
 		return report, err
 	}
-	report.To, report.Position = successor.Endpoint.ID, successor.Received
+	report.To, report.Position, report.Term = successor.Endpoint.ID, successor.Received, successor.Term
 	report.PromotedAfter = c.clock.Now().Sub(start)
-	record.Primary, record.IsSwitching = successor.Endpoint.ID, false
+	record.Primary, record.Term, record.IsSwitching = successor.Endpoint.ID, successor.Term, false
+	record.TermHistory = rattansuccessor.ExtendHistory(record.TermHistory, successor)
 	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	_, err = c.write(ctx, request.Key, record, revision)
 	return report, errors.Wrap(err, "record the new primary")
 }
 
-// recordInitialPrimary records the endpoint that is the primary already, or promotes
-// one when all endpoints have answered and none is.
+// recordInitialPrimary records the endpoint that leads the group already, or promotes
+// one when all endpoints have answered and none does.
 func (c *Coordinator) recordInitialPrimary(ctx context.Context, request Request) (Report, error) {
-	statuses := c.status(request.Endpoints, "")
-	record := rattangrant.PrimaryRecord{Version: rattankv.NextNumber(request.Record.Version, request.Era)}
-	for _, status := range statuses {
-		if status.IsPrimary {
-			record.Primary = status.Endpoint.ID
-		}
-	}
-	if record.Primary == "" {
-		if len(statuses) < len(request.Endpoints) || len(statuses) == 0 {
+	view := c.view(request, "")
+	leader, ok := view.Leader()
+	if !ok {
+		if !view.IsComplete() {
 			return Report{}, ErrNoSuccessor
 		}
-		successor, err := c.promote(ctx, request, statuses)
-		if err != nil {
+		var err error
+		if leader, err = c.promote(ctx, request, view); err != nil {
 			return Report{}, err
 		}
-		record.Primary = successor.Endpoint.ID
+	}
+	record := rattangrant.PrimaryRecord{
+		Primary: leader.Endpoint.ID, Term: leader.Term, Version: rattankv.NextNumber(request.Record.Version, request.Era),
 	}
 	_, err := c.write(ctx, request.Key, record, request.Revision)
-	return Report{To: record.Primary}, errors.Wrap(err, "record the initial primary")
+	return Report{To: record.Primary, Term: record.Term}, errors.Wrap(err, "record the initial primary")
 }
 
 // begin writes the switching record. Daemons that have read it hold no grant for the
@@ -266,36 +274,41 @@
 	}
 }
 
-// handOver returns the status of the endpoints after the old primary, if it answers,
-// has stepped down. Before that it waits a limited time until another endpoint holds
-// all that the old primary holds.
-func (c *Coordinator) handOver(request Request) []Status {
+// handOver returns the view of the endpoints after the old primary, if it answers, has
+// stepped down. Before that it waits a limited time until another endpoint holds all that
+// the old primary holds.
+func (c *Coordinator) handOver(request Request) rattansuccessor.View {
 	unreachable := ""
 	if request.Reason == ReasonUnreachable {
 		unreachable = request.Record.Primary
 	}
-	statuses := c.status(request.Endpoints, unreachable)
-	oldPrimary, ok := find(statuses, request.Record.Primary)
-	if !ok || !oldPrimary.IsPrimary {
-		return statuses
+	view := c.view(request, unreachable)
+	oldPrimary, ok := view.Leader()
+	if !ok || oldPrimary.Endpoint.ID != request.Record.Primary {
+		return view
 	}
 	until := c.clock.Now().Add(catchUpTimeout)
-	for !hasCaughtUp(statuses, oldPrimary) && c.clock.Now().Before(until) {
+	for !view.HasCaughtUp(oldPrimary) && c.clock.Now().Before(until) {
 		<-c.clock.After(pollInterval)
-		statuses = c.status(request.Endpoints, "")
+		view = c.view(request, "")
 	}
-	if err := c.control.StepDown(oldPrimary.Endpoint, newestTerm(statuses)+1, statusTimeout); err != nil {
+	if err := c.control.StepDown(oldPrimary.Endpoint, view.NewestTerm()+1, statusTimeout); err != nil {
 		// The grants have ended, so no daemon uses it as the primary any more.
-		return statuses
+		return view
 	}
-	return statuses
+	return view.WithoutPrimary(oldPrimary.Endpoint.ID)
+}
+
+// view returns the view of the endpoints that answer a status query.
+func (c *Coordinator) view(request Request, unreachable string) rattansuccessor.View {
+	return rattansuccessor.New(request.group(), c.status(request.Endpoints, unreachable))
 }
 
 // status sends a status query to all endpoints at once and returns the responses. For
 // the endpoint that counts as unreachable it waits only unreachableGracePeriod after
 // the others have answered.
-func (c *Coordinator) status(endpoints []rattancatalog.Endpoint, unreachable string) []Status {
-	responses := make(chan *Status, len(endpoints))
+func (c *Coordinator) status(endpoints []rattancatalog.Endpoint, unreachable string) []rattansuccessor.Status {
+	responses := make(chan *rattansuccessor.Status, len(endpoints))
 	awaited := 0
 	for _, endpoint := range endpoints {
 		if endpoint.ID != unreachable {
@@ -310,7 +323,7 @@
 			responses <- &status
 		}()
 	}
-	var statuses []Status
+	var statuses []rattansuccessor.Status
 	var grace <-chan time.Time
 	for received := range endpoints {
 		if received >= awaited && grace == nil {
@@ -329,25 +342,29 @@
 }
 
 // promote promotes the best candidate that the platform does not refuse and waits
-// until it is the primary.
-func (c *Coordinator) promote(ctx context.Context, request Request, statuses []Status) (Status, error) {
+// until it leads the group.
+func (c *Coordinator) promote(ctx context.Context, request Request, view rattansuccessor.View) (rattansuccessor.Status, error) {
+	candidates, err := view.Candidates()
+	if err != nil {
+		return rattansuccessor.Status{}, err
+	}
 	lastErr := error(ErrNoSuccessor)
-	for _, candidate := range RankCandidates(statuses, request.Evacuated) {
+	for _, candidate := range candidates {
 		token, ok := c.leadership.Token()
 		if !ok {
-			return Status{}, ErrLeadershipLost
+			return rattansuccessor.Status{}, ErrLeadershipLost
 		}
 		err := c.callPromote(ctx, request.Group, candidate.Endpoint.ID, token)
 		if err == nil {
-			return c.awaitPrimary(ctx, candidate)
+			return c.awaitPrimary(ctx, view, candidate.Endpoint)
 		}
 		lastErr = errors.Wrapf(err, "promote %s", candidate.Endpoint.ID)
 		if !errors.Is(err, ErrPromotionRefused) {
 			// The call may still take effect, so no other endpoint is promoted now.
-			return Status{}, lastErr
+			return rattansuccessor.Status{}, lastErr
 		}
 	}
-	return Status{}, lastErr
+	return rattansuccessor.Status{}, lastErr
 }
 
 // callPromote calls the platform and repeats a call that failed without a refusal.
@@ -370,19 +387,26 @@
 	return err
 }
 
-// awaitPrimary waits until the promoted endpoint says that it is the primary.
-func (c *Coordinator) awaitPrimary(ctx context.Context, candidate Status) (Status, error) {
+// awaitPrimary waits until an endpoint, for which the platform has accepted a promote, leads
+// the group by its status. An endpoint that calls itself the primary at the end of
+// promotionTimeout leads it as well: no promote takes that long, so the platform had
+// nothing to change, for example because the endpoint was started again with an empty log.
+func (c *Coordinator) awaitPrimary(ctx context.Context, view rattansuccessor.View, endpoint rattancatalog.Endpoint) (rattansuccessor.Status, error) {
+	var status rattansuccessor.Status
+	var err error
 	until := c.clock.Now().Add(promotionTimeout)
 	for c.clock.Now().Before(until) {
-		status, err := c.control.Status(candidate.Endpoint, statusTimeout)
-		if err == nil && status.IsPrimary {
+		if status, err = c.control.Status(endpoint, statusTimeout); err == nil && view.HasTakenOver(status) {
 			return status, nil
 		}
 		select {
 		case <-ctx.Done():
-			return Status{}, ctx.Err()
+			return rattansuccessor.Status{}, ctx.Err()
 		case <-c.clock.After(pollInterval):
 		}
 	}
-	return Status{}, errors.Errorf("endpoint %s was promoted and did not become the primary in time", candidate.Endpoint.ID)
+	if err == nil && status.IsPrimary {
+		return status, nil
+	}
+	return rattansuccessor.Status{}, errors.Errorf("endpoint %s was promoted and did not become the primary in time", endpoint.ID)
 }
--- a/internal/endpoint/rattanswitchover/coordinator_test.go
+++ b/internal/endpoint/rattanswitchover/coordinator_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattansuccessor"
 )
 
 // testStore accepts every commit and keeps the records written; the other calls are not
@@ -50,6 +54,9 @@
 	return nil
 }
 
+// errSilent is the error of a query to an endpoint that does not answer.
+var errSilent = errors.New("the endpoint does not answer")
+
 type testLeadership struct{}
 
 func (testLeadership) Token() (int64, bool) { return 3, true }
@@ -57,20 +64,72 @@
 
 // testGroup stands for the endpoints of a group and the platform.
 type testGroup struct {
-	primary string
+	mu sync.Mutex
+	// term is the newest term; leads maps each endpoint that calls itself the primary to
+	// its term.
+	term  uint64
+	leads map[string]uint64
+	// logs holds the last positions of the endpoints' logs, 1/4 unless it is here.
+	logs map[string]rattanmodel.Position
+	// silent are the endpoints that do not answer.
+	silent map[string]bool
+	// promoted is the endpoint whose promote has not taken effect, which it does after
+	// effectAfter status queries.
+	promoted    string
+	effectAfter int
+	steppedDown []string
+}
+
+func newTestGroup(primary string) *testGroup {
+	return &testGroup{term: 1, leads: map[string]uint64{primary: 1}, logs: make(map[string]rattanmodel.Position), silent: make(map[string]bool)}
+}
+
+func (g *testGroup) Status(endpoint rattancatalog.Endpoint, _ time.Duration) (rattansuccessor.Status, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.silent[endpoint.ID] {
+		return rattansuccessor.Status{}, errSilent
+	}
+	if g.promoted != "" && g.effectAfter == 0 {
+		g.lead(g.promoted)
+	}
+	g.effectAfter--
+	status := rattansuccessor.Status{Endpoint: endpoint, Received: rattanmodel.Position{Term: 1, Index: 4}, Term: 1}
+	if position, ok := g.logs[endpoint.ID]; ok {
+		status.Received, status.Term = position, position.Term
+	}
+	if term, ok := g.leads[endpoint.ID]; ok {
+		status.IsPrimary, status.Term = true, term
+	}
+	return status, nil
 }
 
-func (g *testGroup) Status(endpoint rattancatalog.Endpoint, _ time.Duration) (Status, error) {
-	return Status{Endpoint: endpoint, Received: rattanmodel.Position{Term: 1, Index: 4}, IsPrimary: endpoint.ID == g.primary}, nil
+// lead makes an endpoint lead the next term. The caller holds g.mu.
+func (g *testGroup) lead(endpoint string) {
+	g.term++
+	g.leads[endpoint], g.promoted = g.term, ""
 }
 
-func (g *testGroup) StepDown(rattancatalog.Endpoint, uint64, time.Duration) error {
-	g.primary = ""
+func (g *testGroup) StepDown(endpoint rattancatalog.Endpoint, term uint64, _ time.Duration) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if own, ok := g.leads[endpoint.ID]; ok && own < term {
+		delete(g.leads, endpoint.ID)
+		g.steppedDown = append(g.steppedDown, endpoint.ID)
+	}
 	return nil
 }
 
 func (g *testGroup) Promote(_ context.Context, _, endpoint, _ string, _ int64) error {
-	g.primary = endpoint
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.leads[endpoint] == g.term:
+	case g.effectAfter > 0:
+		g.promoted = endpoint
+	default:
+		g.lead(endpoint)
+	}
 	return nil
 }
 
@@ -78,7 +137,7 @@
 // direct confirmation was lost. The daemon's lease was revoked every 0.4 s for 11 s,
 // and the group had no primary (scale-1 of Palapeli, 16 to 28 s).
 func TestLostConfirmation(t *testing.T) {
-	group := &testGroup{primary: "e1"}
+	group := newTestGroup("e1")
 	daemons := &testDaemons{lostResponses: 2}
 	coordinator := New(rattanclock.System(), &testStore{}, group, group, daemons, testLeadership{}, time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -98,7 +157,7 @@
 // TestVersionAboveLostRecords guards against a switchover in a restored store whose
 // record other daemons ignore, because they know a later one that the store has lost.
 func TestVersionAboveLostRecords(t *testing.T) {
-	group, store := &testGroup{primary: "e1"}, &testStore{}
+	group, store := newTestGroup("e1"), &testStore{}
 	coordinator := New(rattanclock.System(), store, group, group, &testDaemons{lostResponses: -1}, testLeadership{}, time.Second)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -117,3 +176,66 @@
 		last = record.Version
 	}
 }
+
+// runSwitchover runs a switchover of a group whose daemons stop at once, and returns the
+// records that it wrote.
+func runSwitchover(t *testing.T, group *testGroup, request Request) ([]rattangrant.PrimaryRecord, error) {
+	t.Helper()
+	store := &testStore{}
+	coordinator := New(rattanclock.System(), store, group, group, &testDaemons{lostResponses: -1}, testLeadership{}, time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	request.Group = "orders"
+	_, err := coordinator.Run(ctx, request)
+	return store.records, err
+}
+
+// assertRecorded checks the primary and its term in the last of the records.
+func assertRecorded(t *testing.T, records []rattangrant.PrimaryRecord, primary string, term uint64) {
+	t.Helper()
+	if len(records) == 0 {
+		t.Fatal("no record was written")
+	}
+	if last := records[len(records)-1]; last.Primary != primary || last.Term != term || last.IsSwitching {
+		t.Errorf("the last record is %+v, want the primary %s of term %d", last, primary, term)
+	}
+}
+
+// TestPromoteOfDeposedPrimary guards against writes that are acknowledged at an old primary
+// of a term that has ended: it was published as the new primary while its promote had not
+// taken effect, because it still called itself one (review/1, ONE).
+func TestPromoteOfDeposedPrimary(t *testing.T) {
+	group := newTestGroup("e1")
+	group.term, group.effectAfter = 2, 6
+	group.silent["e2"] = true
+	records, err := runSwitchover(t, group, Request{
+		Reason: ReasonUnreachable, Record: rattangrant.PrimaryRecord{Primary: "e2", Term: 2, Version: 3},
+		Endpoints: []rattancatalog.Endpoint{{ID: "e1"}, {ID: "e2"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertRecorded(t, records, "e1", 3)
+}
+
+// TestInitialPrimary guards against an old primary that is recorded for a group in which
+// another endpoint leads a newer term.
+func TestInitialPrimary(t *testing.T) {
+	endpoints := []rattancatalog.Endpoint{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}}
+	t.Run("two primaries", func(t *testing.T) {
+		group := newTestGroup("e1")
+		group.term, group.leads["e3"] = 2, 2
+		records, err := runSwitchover(t, group, Request{Reason: ReasonInitial, Endpoints: endpoints})
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertRecorded(t, records, "e3", 2)
+	})
+	t.Run("the new primary does not answer", func(t *testing.T) {
+		group := newTestGroup("e1")
+		group.term, group.logs["e2"], group.silent["e3"] = 2, rattanmodel.Position{Term: 2, Index: 1}, true
+		if _, err := runSwitchover(t, group, Request{Reason: ReasonInitial, Endpoints: endpoints}); !errors.Is(err, ErrNoSuccessor) {
+			t.Errorf("error %v, want %v", err, ErrNoSuccessor)
+		}
+	})
+}
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -5,7 +5,6 @@
 import (
 	"slices"
 
-	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 )
@@ -125,32 +124,3 @@
 		return e.ID != primary && !e.IsDraining && !s.Evacuated[e.FailureDomain]
 	})
 }
-
-// A Status is the response of an endpoint to a status query.
-type Status struct {
-	Endpoint rattancatalog.Endpoint
-	// Received is the last position in its log.
-	Received  rattanmodel.Position
-	Term      uint64
-	IsPrimary bool
-}
-
-// RankCandidates returns the endpoints in the order in which to try their promotion:
-// those that are draining or evacuated come last, and among equals the one with the
-// longest log comes first, since commits that the new primary lacks are lost.
-func RankCandidates(statuses []Status, evacuated map[string]bool) []Status {
-	ordered := slices.Clone(statuses)
-	leaving := func(s Status) int {
-		if s.Endpoint.IsDraining || evacuated[s.Endpoint.FailureDomain] {
-			return 1
-		}
-		return 0
-	}
-	slices.SortStableFunc(ordered, func(a, b Status) int {
-		if order := leaving(a) - leaving(b); order != 0 {
-			return order
-		}
-		return b.Received.Compare(a.Received)
-	})
-	return ordered
-}
--- a/internal/endpoint/rattanswitchover/decide_test.go
+++ b/internal/endpoint/rattanswitchover/decide_test.go
@@ -4,7 +4,6 @@
 	"slices"
 	"testing"
 
-	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 )
@@ -93,20 +92,3 @@
 		})
 	}
 }
-
-// TestRankCandidates guards against the promotion of an endpoint that lacks commits
-// which another one holds, or of an endpoint that is draining.
-func TestRankCandidates(t *testing.T) {
-	at := func(index uint64) rattanmodel.Position { return rattanmodel.Position{Term: 1, Index: index} }
-	endpoints := leaving()
-	ordered := RankCandidates([]Status{
-		{Endpoint: endpoints[0], Received: at(30)},
-		{Endpoint: endpoints[1], Received: at(10)},
-		{Endpoint: endpoints[2], Received: at(20)},
-	}, nil)
-	for i, want := range []string{"e3", "e2", "e1"} {
-		if ordered[i].Endpoint.ID != want {
-			t.Errorf("candidate %d is %s, want %s", i, ordered[i].Endpoint.ID, want)
-		}
-	}
-}
