rattangrant: no grant for a group with a newer term than its record

Cause: nobody compared the recorded primary with the terms and roles that the endpoints report, neither a daemon that starts nor anybody later. A recorded primary that is a replica answers, so no switchover began.

Change: a daemon that has seen an endpoint of a group in a newer term than that of the record holds no grant for the group. Answers, status queries and other daemons tell it. A daemon that starts asks the endpoints for their terms before its first grants while a restored store may lack records. The failover leader replaces the record of a deposed primary (reason deposed), and asks the endpoints when entries that were written after the record contradict it. Of equal logs the leader's comes first, so a leader is adopted without a promote.

The stand-in of the endpoints can be cut off and go on as a deposed primary. Two tests of rattanupstream pass real grants where they passed nil; their checks are the same.

--- a/internal/config/rattancache/cache.go
+++ b/internal/config/rattancache/cache.go
@@ -44,6 +44,8 @@
 	Catalog *rattancatalog.Catalog
 	// Endpoints are the registered endpoints by id.
 	Endpoints map[string]rattancatalog.Endpoint
+	// EndpointRevisions are the revisions at which their entries were written.
+	EndpointRevisions map[string]rattankv.Revision
 	// Evacuated holds the failure domains that are taken out of service.
 	Evacuated map[string]bool
 	VMs       map[string]VMRecord
@@ -280,6 +282,8 @@
 		Members:   make(map[string]MemberRecord),
 		Groups:    make(map[string]GroupEntry),
 
+		EndpointRevisions: make(map[string]rattankv.Revision),
+
 		catalogRevision: c.snapshot.catalogRevision,
 	}
 	var invalid []InvalidEntry
@@ -312,6 +316,7 @@
 		}
 		if newest, isThere := c.newestEndpoint(endpoint, item.Revision); isThere {
 			snapshot.Endpoints[id] = newest
+			snapshot.EndpointRevisions[id] = c.knownEndpoints[id].revision
 		}
 		return nil
 	}
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -98,12 +98,14 @@
 	held := p.leadership
 	daemons := newMembers(p)
 	runner := &switchoverRunner{
-		proxy:    p,
-		members:  daemons,
-		running:  make(map[string]bool),
-		lastEnd:  make(map[string]time.Time),
-		blocked:  make(map[string]rattanswitchover.Reason),
-		watchdog: rattanswitchover.NewWatchdog(),
+		proxy:   p,
+		members: daemons,
+		running: make(map[string]bool),
+		lastEnd: make(map[string]time.Time),
+		blocked: make(map[string]rattanswitchover.Reason),
+
+		termChecks: make(map[string]termCheck),
+		watchdog:   rattanswitchover.NewWatchdog(),
 		coordinator: rattanswitchover.New(p.boot, p.platform.Store, &endpointControl{proxy: p}, p.platform.Promoter,
 			daemons, held, p.grants.Lifetime()),
 	}
--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -149,6 +149,7 @@
 	}
 	f.proxy.applyChanges(ctx, changes)
 	f.proxy.applyLostRecords(ctx, changes)
+	f.proxy.observeNewerTerms(response.GetNewerTerms())
 }
 
 // acceptGrants accepts the grants that a response delegates, after its records have
@@ -198,6 +199,7 @@
 	for _, item := range f.proxy.lostGroupItems() {
 		response.Events = append(response.Events, &rattanv1.StoreEvent{Item: item})
 	}
+	response.NewerTerms = f.proxy.grants.OutdatedTerms()
 }
 
 // syncAge returns the time since the store last confirmed to this daemon itself that
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -106,6 +106,7 @@
 	// usage is nil unless the settings ask for usage reports.
 	usage        *usage
 	extension    *extension
+	terms        *termObserver
 	isolation    isolation
 	dispatch     *rattandispatch.Dispatcher
 	registration *registration
@@ -145,6 +146,7 @@
 	p.follower = newFollower(p)
 	p.juries = &juries{proxy: p}
 	p.extension = newExtension(p)
+	p.terms = &termObserver{proxy: p}
 	p.dispatch = rattandispatch.New(clock, p.endpoints, p.owners, p.grants, p.switchovers,
 		rattanplacement.New(p.egress, rand.Float64), p.logOutlier)
 	p.registration = newRegistration(p)
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -157,6 +157,7 @@
 		r.proxy.logger.Info("knowledge_relayed", "peer", address, "from_revision", known.String(), "revision", page.AsOf.String())
 	}
 	r.proxy.applyItems(ctx, page.Items)
+	r.proxy.observeNewerTerms(response.GetNewerTerms())
 	if delegated := delegatedTime(response); delegated > 0 {
 		r.proxy.grants.AcceptDelegation(sentAt.Add(delegated))
 	}
@@ -274,6 +275,7 @@
 		}
 	}
 	response.Items = append(response.Items, r.proxy.groupItems()...)
+	response.NewerTerms = r.proxy.grants.OutdatedTerms()
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_KnowledgeResponse{KnowledgeResponse: response}}, nil
 }
 
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -159,9 +159,14 @@
 // restored store lacks a group's newest record.
 var errRecordsUnknown = errors.New("no daemon has answered that knows the groups' records")
 
+// errTermsUnknown says that endpoints which have not answered may be in a newer term than
+// that of their group's record.
+var errTermsUnknown = errors.New("endpoints that may be in a newer term do not answer")
+
 // runInitialSyncs reads the groups' records each time the VM has been registered:
 // its grants need this initial sync. A daemon that has just started also asks others for
-// the records while a restored store may lack the newest ones.
+// the records, and the endpoints for their terms, while a restored store may lack the newest
+// records.
 func (p *Proxy) runInitialSyncs(ctx context.Context) error {
 	for ctx.Err() == nil {
 		select {
@@ -174,7 +179,7 @@
 			if err == nil {
 				break
 			}
-			if !errors.Is(err, errRecordsUnknown) {
+			if !errors.Is(err, errRecordsUnknown) && !errors.Is(err, errTermsUnknown) {
 				p.markStoreLost(ctx, "baseline", err)
 			}
 			p.pauseStore(ctx)
@@ -199,6 +204,9 @@
 	if !isSettled && !p.knowsRecords.Load() && !p.askForRecords(callCtx) {
 		return errRecordsUnknown
 	}
+	if !isSettled && !p.knowsRecords.Load() && !p.terms.observe() {
+		return errTermsUnknown
+	}
 	if !sentAt.IsZero() {
 		p.grants.MarkInitialSync(sentAt)
 		p.knowsRecords.Store(true)
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -33,6 +33,8 @@
 	// blocked holds why a group's primary should be replaced and cannot be. Only
 	// checkGroups uses it.
 	blocked map[string]rattanswitchover.Reason
+	// termChecks holds the last status queries of groups whose record is in doubt.
+	termChecks map[string]termCheck
 	// settledEra is the last era that this daemon has recorded as settled. Only
 	// checkGroups uses it.
 	settledEra int64
@@ -47,7 +49,7 @@
 	isSettled := true
 	for _, group := range snapshot.Catalog.Groups() {
 		state := r.groupState(snapshot, group, era)
-		isSettled = isSettled && !state.IsLost
+		isSettled = isSettled && !state.IsLost && !state.IsDeposed
 		if len(state.Endpoints) == 0 && !state.IsLost {
 			continue
 		}
@@ -57,12 +59,15 @@
 		}
 		r.logBlocked(group, state)
 		reason := rattanswitchover.Decide(state)
+		request := rattanswitchover.Request{
+			Group: group, Key: rattancache.GroupPrefix + group, Reason: reason,
+			Record: state.Record, Revision: snapshot.Groups[group].Revision, Term: r.proxy.grants.NewestTerm(group),
+			Endpoints: state.Candidates(), Evacuated: snapshot.Evacuated, Era: era,
+		}
+		if reason == rattanswitchover.ReasonNone && isDoubted(snapshot, group, state) {
+			r.startTermCheck(request)
+		}
 		if reason != rattanswitchover.ReasonNone && r.tryStart(group) {
-			request := rattanswitchover.Request{
-				Group: group, Key: rattancache.GroupPrefix + group, Reason: reason,
-				Record: state.Record, Revision: snapshot.Groups[group].Revision,
-				Endpoints: state.Candidates(), Evacuated: snapshot.Evacuated, Era: era,
-			}
 			r.proxy.logger.Info("switch_begin", "group", group, "reason", string(reason), "primary", request.Record.Primary,
 				"reporters", state.Reporters, "daemons", state.Daemons, "revision", request.Revision.String())
 			go r.run(ctx, request)
@@ -157,6 +162,8 @@
 		}
 		return 1
 	})
+	newestTerm := r.proxy.grants.NewestTerm(group)
+	state.IsDeposed = r.isFoundDeposed(group, state.Record) || state.Record.Term != 0 && newestTerm > state.Record.Term
 	state.IsPrimaryGone = r.proxy.endpoints.isRemoved(state.Record.Primary)
 	jury := r.proxy.juries.of(snapshot, state.Record.Primary)
 	state.Daemons = len(jury)
@@ -212,6 +219,9 @@
 // Status implements rattanswitchover.EndpointControl.
 func (c *endpointControl) Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (rattansuccessor.Status, error) {
 	status, err := c.upstream(endpoint).Status(timeout)
+	if term := max(status.Term, status.Received.Term); err == nil && c.proxy.grants.ObserveTerm(endpoint.Group, term) {
+		c.proxy.logger.Warn("newer_term", "group", endpoint.Group, "endpoint", endpoint.ID, "term", term)
+	}
 	return rattansuccessor.Status{Endpoint: endpoint, Received: status.Received, Term: status.Term, IsPrimary: status.IsPrimary}, err
 }
 
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -43,9 +43,16 @@
 type entry struct {
 	record   PrimaryRecord
 	revision rattankv.Revision
-	inFlight map[*operation]struct{}
+	// newestTerm is the newest term in which an endpoint of the group was seen since the
+	// record is known.
+	newestTerm uint64
+	inFlight   map[*operation]struct{}
 }
 
+// isOutdated reports whether the group has a newer term than that of the recorded primary:
+// another endpoint was promoted, and the record of that is lost or was never written.
+func (e *entry) isOutdated() bool { return e.record.Term != 0 && e.newestTerm > e.record.Term }
+
 // Grants holds the grants of one daemon. It is safe for concurrent use.
 type Grants struct {
 	clock    rattanclock.Clock
@@ -92,6 +99,9 @@
 	if isKnown && (record.Version < e.record.Version || record.Version == e.record.Version && revision <= e.revision) {
 		return false
 	}
+	if record.Version > e.record.Version {
+		e.newestTerm = 0
+	}
 	e.record, e.revision = record, revision
 	g.broadcastChange()
 	return true
@@ -287,7 +297,7 @@
 // isValid reports whether the daemon may send operations to the primary of the entry
 // now.
 func (g *Grants) isValid(e *entry) bool {
-	return !e.record.IsSwitching && e.record.Primary != "" && g.isHeld()
+	return !e.record.IsSwitching && e.record.Primary != "" && !e.isOutdated() && g.isHeld()
 }
 
 func (g *Grants) entry(group string) *entry {
--- a/internal/endpoint/rattansuccessor/candidates.go
+++ b/internal/endpoint/rattansuccessor/candidates.go
@@ -16,15 +16,17 @@
 // Candidates returns the endpoints in the order in which to try their promotion. First come
 // those whose log belongs to the history of the group, of these the ones that stay in
 // service, and of these the ones with the longest log, since commits that the new primary
-// lacks are lost. It returns ErrLogsMissing while none of the logs that are known belongs to
+// lacks are lost. Of equal logs the one of the leader comes first: nothing changes then. It
+// returns ErrLogsMissing while none of the logs that are known belongs to
 // the history and another endpoint may hold one that does.
 func (v View) Candidates() ([]Status, error) {
 	ordered := slices.Clone(v.statuses)
 	slices.SortStableFunc(ordered, func(a, b Status) int {
 		return cmp.Or(
 			compareBool(v.hasDiverged(a), v.hasDiverged(b)),
-			compareBool(v.isLeaving(a), v.isLeaving(b)),
+			compareBool(v.IsLeaving(a), v.IsLeaving(b)),
 			b.Received.Compare(a.Received),
+			compareBool(!v.IsLeader(a), !v.IsLeader(b)),
 		)
 	})
 	if len(ordered) > 0 && v.hasDiverged(ordered[0]) && !v.IsComplete() {
@@ -46,8 +48,8 @@
 	return extended[max(0, len(extended)-maxTerms):]
 }
 
-// isLeaving reports whether an endpoint goes out of service.
-func (v View) isLeaving(s Status) bool {
+// IsLeaving reports whether an endpoint goes out of service.
+func (v View) IsLeaving(s Status) bool {
 	return s.Endpoint.IsDraining || v.group.Evacuated[s.Endpoint.FailureDomain]
 }
 
--- a/internal/endpoint/rattansuccessor/candidates_test.go
+++ b/internal/endpoint/rattansuccessor/candidates_test.go
@@ -38,6 +38,9 @@
 func TestCandidates(t *testing.T) {
 	view := New(Group{}, []Status{draining(replica("e1", 1, 30)), replica("e2", 1, 10), replica("e3", 1, 20)})
 	assertCandidates(t, view, "e3", "e2", "e1")
+	t.Run("the leader before a replica with an equal log", func(t *testing.T) {
+		assertCandidates(t, New(Group{}, []Status{replica("e2", 2, 9), primary("e1", 2, 9)}), "e1", "e2")
+	})
 }
 
 // TestDivergedLog guards against a write that callers saw, did not see during the next term,
--- a/internal/endpoint/rattansuccessor/successor.go
+++ b/internal/endpoint/rattansuccessor/successor.go
@@ -70,13 +70,32 @@
 	return Status{}, false
 }
 
+// IsLeader reports whether an endpoint is the leader.
+func (v View) IsLeader(status Status) bool {
+	leader, ok := v.Leader()
+	return ok && leader.Endpoint.ID == status.Endpoint.ID
+}
+
+// IsDeposed reports whether the recorded primary does not lead the group: an endpoint is in
+// a newer term than that of the record, the recorded primary is a replica by its own answer,
+// or another one leads.
+func (v View) IsDeposed(recorded string) bool {
+	if v.group.Term != 0 && v.NewestTerm() > v.group.Term {
+		return true
+	}
+	if leader, ok := v.Leader(); ok {
+		return leader.Endpoint.ID != recorded
+	}
+	return slices.ContainsFunc(v.statuses, func(s Status) bool { return s.Endpoint.ID == recorded && !s.IsPrimary })
+}
+
 // HasTakenOver reports whether a promoted endpoint leads the group, by its present status.
 // A promote takes effect some time after the platform's answer, with a term above all
 // before. Until then a deposed primary still calls itself the primary of its old term. Only
 // the leader of the view keeps its term.
 func (v View) HasTakenOver(status Status) bool {
-	if leader, ok := v.Leader(); ok && leader.Endpoint.ID == status.Endpoint.ID {
-		return status.IsPrimary && status.Term >= leader.Term
+	if v.IsLeader(status) {
+		return status.IsPrimary && status.Term >= v.NewestTerm()
 	}
 	return status.IsPrimary && status.Term > v.NewestTerm()
 }
--- a/internal/endpoint/rattansuccessor/successor_test.go
+++ b/internal/endpoint/rattansuccessor/successor_test.go
@@ -76,3 +76,29 @@
 		})
 	}
 }
+
+// TestIsDeposed guards against an old primary that stays recorded although the endpoints tell
+// of a newer term, and against a switchover without need.
+func TestIsDeposed(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		statuses  []Status
+		knownTerm uint64
+		want      bool
+	}{
+		{"the recorded primary leads", []Status{primary("e1", 2, 9), replica("e2", 2, 9)}, 2, false},
+		{"an old primary has come back", []Status{primary("e1", 2, 9), primary("e2", 1, 12)}, 2, false},
+		{"another endpoint leads", []Status{primary("e1", 2, 9), primary("e2", 3, 9)}, 2, true},
+		{"a replica follows a newer term", []Status{primary("e1", 2, 9), replica("e2", 3, 9)}, 2, true},
+		{"it is a replica", []Status{replica("e1", 2, 9)}, 2, true},
+		{"it is a replica, and no term is known", []Status{replica("e1", 2, 9), primary("e2", 2, 9)}, 0, true},
+		{"it does not answer", []Status{replica("e2", 2, 9)}, 2, false},
+		{"nobody answers", nil, 2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := New(Group{Term: test.knownTerm}, test.statuses).IsDeposed("e1"); got != test.want {
+				t.Errorf("deposed: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/endpoint/rattanswitchover/coordinator.go
+++ b/internal/endpoint/rattanswitchover/coordinator.go
@@ -16,11 +16,6 @@
 )
 
 const (
-	// statusTimeout limits one status query or step-down request to an endpoint.
-	statusTimeout = 400 * time.Millisecond
-	// unreachableGracePeriod is how long a status query of all endpoints waits for a
-	// primary that counts as unreachable after the others have answered.
-	unreachableGracePeriod = 60 * time.Millisecond
 	// catchUpTimeout limits the wait in a planned switchover until a successor holds
 	// all that the old primary holds.
 	catchUpTimeout = 800 * time.Millisecond
@@ -56,12 +51,6 @@
 	ErrNoSuccessor = errors.New("no endpoint of the group can be promoted")
 )
 
-// EndpointControl sends status queries and step-down requests to an endpoint.
-type EndpointControl interface {
-	Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (rattansuccessor.Status, error)
-	StepDown(endpoint rattancatalog.Endpoint, term uint64, timeout time.Duration) error
-}
-
 // A Promoter makes an endpoint the primary of its group at the platform.
 type Promoter interface {
 	Promote(ctx context.Context, group, endpoint, leader string, token int64) error
@@ -111,6 +100,8 @@
 	Revision  rattankv.Revision
 	Endpoints []rattancatalog.Endpoint
 	Evacuated map[string]bool
+	// Term is the newest known term of the group, 0 if none is.
+	Term uint64
 	// Era is the store's era, above whose numbers those of earlier eras never are.
 	Era int64
 }
@@ -118,7 +109,7 @@
 // group returns what the request knows of the group.
 func (r Request) group() rattansuccessor.Group {
 	return rattansuccessor.Group{
-		Endpoints: r.Endpoints, Evacuated: r.Evacuated, Term: r.Record.Term, TermHistory: r.Record.TermHistory,
+		Endpoints: r.Endpoints, Evacuated: r.Evacuated, Term: max(r.Term, r.Record.Term), TermHistory: r.Record.TermHistory,
 	}
 }
 
@@ -179,7 +170,9 @@
 	report.To, report.Position, report.Term = successor.Endpoint.ID, successor.Received, successor.Term
 	report.PromotedAfter = c.clock.Now().Sub(start)
 	record.Primary, record.Term, record.IsSwitching = successor.Endpoint.ID, successor.Term, false
-	record.TermHistory = rattansuccessor.ExtendHistory(record.TermHistory, successor)
+	if isNewTerm := request.Reason == ReasonResume || !view.IsLeader(successor); isNewTerm {
+		record.TermHistory = rattansuccessor.ExtendHistory(record.TermHistory, successor)
+	}
 	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	_, err = c.write(ctx, request.Key, record, revision)
 	return report, errors.Wrap(err, "record the new primary")
@@ -276,7 +269,8 @@
 
 // handOver returns the view of the endpoints after the old primary, if it answers, has
 // stepped down. Before that it waits a limited time until another endpoint holds all that
-// the old primary holds.
+// the old primary holds. A leader that is not the recorded primary stays, unless it goes out
+// of service.
 func (c *Coordinator) handOver(request Request) rattansuccessor.View {
 	unreachable := ""
 	if request.Reason == ReasonUnreachable {
@@ -284,7 +278,7 @@
 	}
 	view := c.view(request, unreachable)
 	oldPrimary, ok := view.Leader()
-	if !ok || oldPrimary.Endpoint.ID != request.Record.Primary {
+	if !ok || oldPrimary.Endpoint.ID != request.Record.Primary && !view.IsLeaving(oldPrimary) {
 		return view
 	}
 	until := c.clock.Now().Add(catchUpTimeout)
@@ -299,46 +293,12 @@
 	return view.WithoutPrimary(oldPrimary.Endpoint.ID)
 }
 
+// View returns what the endpoints of a request say of themselves.
+func (c *Coordinator) View(request Request) rattansuccessor.View { return c.view(request, "") }
+
 // view returns the view of the endpoints that answer a status query.
 func (c *Coordinator) view(request Request, unreachable string) rattansuccessor.View {
-	return rattansuccessor.New(request.group(), c.status(request.Endpoints, unreachable))
-}
-
-// status sends a status query to all endpoints at once and returns the responses. For
-// the endpoint that counts as unreachable it waits only unreachableGracePeriod after
-// the others have answered.
-func (c *Coordinator) status(endpoints []rattancatalog.Endpoint, unreachable string) []rattansuccessor.Status {
-	responses := make(chan *rattansuccessor.Status, len(endpoints))
-	awaited := 0
-	for _, endpoint := range endpoints {
-		if endpoint.ID != unreachable {
-			awaited++
-		}
-		go func() {
-			status, err := c.control.Status(endpoint, statusTimeout)
-			if err != nil {
-				responses <- nil
-				return
-			}
-			responses <- &status
-		}()
-	}
-	var statuses []rattansuccessor.Status
-	var grace <-chan time.Time
-	for received := range endpoints {
-		if received >= awaited && grace == nil {
-			grace = c.clock.After(unreachableGracePeriod)
-		}
-		select {
-		case response := <-responses:
-			if response != nil {
-				statuses = append(statuses, *response)
-			}
-		case <-grace:
-			return statuses
-		}
-	}
-	return statuses
+	return rattansuccessor.New(request.group(), Query(c.clock, c.control, request.Endpoints, unreachable))
 }
 
 // promote promotes the best candidate that the platform does not refuse and waits
--- a/internal/endpoint/rattanswitchover/coordinator_test.go
+++ b/internal/endpoint/rattanswitchover/coordinator_test.go
@@ -239,3 +239,21 @@
 		}
 	})
 }
+
+// TestDeposedPrimary guards against a needless promote, with a moment without a primary, when
+// the recorded primary has been deposed and another endpoint leads the group.
+func TestDeposedPrimary(t *testing.T) {
+	group := newTestGroup("e1")
+	group.term, group.leads["e3"], group.logs["e3"] = 2, 2, rattanmodel.Position{Term: 2, Index: 9}
+	records, err := runSwitchover(t, group, Request{
+		Reason: ReasonDeposed, Record: rattangrant.PrimaryRecord{Primary: "e1", Term: 1, Version: 3},
+		Endpoints: []rattancatalog.Endpoint{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertRecorded(t, records, "e3", 2)
+	if len(group.steppedDown) > 0 || group.term != 2 {
+		t.Errorf("%q stepped down and the term is %d, want nobody and 2", group.steppedDown, group.term)
+	}
+}
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -25,6 +25,9 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonLeaving means that the primary is draining or has left.
 	ReasonLeaving Reason = "leaving"
+	// ReasonDeposed means that another endpoint was promoted, or that the primary became a
+	// replica, without a record of it.
+	ReasonDeposed Reason = "deposed"
 	// ReasonEvacuated means that the primary's failure domain is out of service.
 	ReasonEvacuated Reason = "evacuated"
 )
@@ -46,6 +49,9 @@
 	// IsPrimaryGone is true when the primary's entry has been missing from the store
 	// for so long that the primary counts as gone.
 	IsPrimaryGone bool
+	// IsDeposed is true when the endpoints report a newer term than that of the record, or
+	// that the recorded primary does not lead the group.
+	IsDeposed bool
 	// Reporters is the number of jurors that cannot reach the primary, Daemons the
 	// number of all jurors.
 	Reporters, Daemons int
@@ -60,6 +66,8 @@
 		return ReasonInitial
 	case s.Record.IsSwitching:
 		return ReasonResume
+	case s.IsDeposed:
+		return ReasonDeposed
 	case s.Reporters > 0 && 2*s.Reporters >= s.Daemons && s.hasOtherCandidate():
 		return ReasonUnreachable
 	}
--- a/internal/endpoint/rattanupstream/counters.go
+++ b/internal/endpoint/rattanupstream/counters.go
@@ -17,6 +17,8 @@
 	// CountProbed counts connections that were opened to find out whether the endpoint
 	// answers.
 	CountProbed = "connections_probed"
+	// CountNewerTerm counts answers that showed a newer term than that of the group's record.
+	CountNewerTerm = "newer_terms"
 	// CountControl counts connections for control requests.
 	CountControl = "connections_control"
 	// CountOverCap counts connections that the endpoint refused because it had too many.
--- a/internal/endpoint/rattanupstream/runs_test.go
+++ b/internal/endpoint/rattanupstream/runs_test.go
@@ -10,6 +10,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 )
 
 // A scriptedConn answers each request with the next result; after them, answers are lost.
@@ -63,7 +64,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			counts := make(runCounts)
-			upstream := New(rattanclock.System(), nil, nil, rattancatalog.Endpoint{}, rattanadmission.Limits{}, func(string) {}, func() {})
+			upstream := New(rattanclock.System(), nil, rattangrant.New(rattanclock.System(), time.Second), rattancatalog.Endpoint{}, rattanadmission.Limits{}, func(string) {}, func() {})
 			upstream.SetRunCounter(counts)
 			conn := &PooledConn{upstream: upstream, conn: &scriptedConn{results: test.results}, account: "miny"}
 			for _, request := range test.requests {
--- a/internal/endpoint/rattanupstream/scarce_test.go
+++ b/internal/endpoint/rattanupstream/scarce_test.go
@@ -12,6 +12,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 )
 
 // A fakeEndpoint accepts a limited number of connections and counts them.
@@ -83,7 +84,7 @@
 func newScarce(connections int) (*Upstream, *fakeEndpoint) {
 	endpoint := &fakeEndpoint{limit: connections, counts: make(map[string]int)}
 	limits := rattanadmission.Limits{Connections: connections, InFlight: connections, ByDemand: true}
-	return New(rattanclock.System(), endpoint.dial, nil, rattancatalog.Endpoint{ID: "e"}, limits, endpoint.count, func() {}), endpoint
+	return New(rattanclock.System(), endpoint.dial, rattangrant.New(rattanclock.System(), time.Second), rattancatalog.Endpoint{ID: "e"}, limits, endpoint.count, func() {}), endpoint
 }
 
 func useOnce(t *testing.T, u *Upstream, account string) {
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -33,6 +33,8 @@
 	// It returns false when the daemon holds no grant for it. Interrupt ends the
 	// request early.
 	Track(group, primary string, interrupt func()) (done func(), ok bool)
+	// ObserveTerm records that an endpoint of a group was seen in a term.
+	ObserveTerm(group string, term uint64) bool
 }
 
 // A StatementRequest is one statement for an endpoint.
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -115,6 +115,7 @@
 
 // observeAnswer records the position in an answer and that the endpoint is reachable.
 func (u *Upstream) observeAnswer(result rattanstatement.Result) {
+	u.observeTerm(result)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.observePosition(result.Position)
@@ -146,11 +147,19 @@
 // ObserveForwarded records the position in an answer of the endpoint that came through
 // another daemon, the endpoint's connection owner.
 func (u *Upstream) ObserveForwarded(result rattanstatement.Result) {
+	u.observeTerm(result)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.observePosition(result.Position)
 }
 
+// observeTerm records the term of the position in an answer.
+func (u *Upstream) observeTerm(result rattanstatement.Result) {
+	if u.grants.ObserveTerm(u.Endpoint().Group, result.Position.Term) {
+		u.count(CountNewerTerm)
+	}
+}
+
 // observePosition records the position in an answer. The caller holds u.mu.
 func (u *Upstream) observePosition(position rattanmodel.Position) {
 	if position != (rattanmodel.Position{}) && position.Compare(u.knownPosition) >= 0 {
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -29,6 +29,8 @@
 	primary     string
 	endpoints   map[string]*Endpoint
 	writeCounts map[string]int
+	// deposedWrites counts the writes that ran at deposed primaries.
+	deposedWrites int
 }
 
 // NewGroup returns a group whose replicas apply each commit after lag.
@@ -44,11 +46,16 @@
 	listener net.Listener
 
 	// The fields below are guarded by the group's mutex.
-	log     []commit
-	conns   map[net.Conn]struct{}
-	isDown  bool
-	tenants map[string]int
-	opened  int
+	log    []commit
+	conns  map[net.Conn]struct{}
+	isDown bool
+	// isCut is true while the endpoint is partitioned from everything.
+	isCut bool
+	// deposedTerm is the ended term that a deposed primary goes on to lead, 0 for all other
+	// endpoints.
+	deposedTerm uint64
+	tenants     map[string]int
+	opened      int
 	// started counts the requests that began to run: single statements and transactions.
 	started       int
 	lostResponses int
@@ -76,7 +83,7 @@
 	if g.primary == "" {
 		g.primary = id
 	}
-	go e.serve()
+	go e.serve(listener)
 	return e, nil
 }
 
@@ -88,7 +95,7 @@
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
 	role := "replica"
-	if e.group.primary == e.id {
+	if e.isPrimary() {
 		role = "primary"
 	}
 	e.reports++
@@ -183,10 +190,15 @@
 	if g.primary == id {
 		return true
 	}
+	if old := g.endpoints[g.primary]; old.isCut {
+		old.deposedTerm = g.term
+	}
 	g.term++
-	g.primary = id
+	g.primary, e.deposedTerm = id, 0
 	for _, other := range g.endpoints {
-		other.log = append([]commit(nil), e.log...)
+		if !other.isCut {
+			other.follow()
+		}
 	}
 	return true
 }
@@ -205,18 +217,22 @@
 	return g.writeCounts[data]
 }
 
-// write commits at the primary and sends the commit to the replicas. The caller
-// holds mu.
-func (g *Group) write(item, data string) {
-	primary := g.endpoints[g.primary]
-	next := commit{term: g.term, number: 1, item: item, data: data, at: time.Now()}
-	if n := len(primary.log); n > 0 {
-		next.number = primary.log[n-1].number + 1
+// write commits at a primary and sends the commit to the replicas. The caller holds the
+// group's mutex.
+func (e *Endpoint) write(item, data string) {
+	next := commit{term: e.term(), number: 1, item: item, data: data, at: time.Now()}
+	if n := len(e.log); n > 0 {
+		next.number = e.log[n-1].number + 1
 	}
-	g.writeCounts[data]++
-	for _, e := range g.endpoints {
-		if !e.isDown {
-			e.log = append(e.log, next)
+	e.group.writeCounts[data]++
+	if e.deposedTerm != 0 {
+		e.group.deposedWrites++
+		e.log = append(e.log, next)
+		return
+	}
+	for _, other := range e.group.endpoints {
+		if !other.isDown && !other.isCut && other.deposedTerm == 0 {
+			other.log = append(other.log, next)
 		}
 	}
 }
@@ -224,7 +240,7 @@
 // applied returns the commits that the endpoint has applied: all on the primary, on
 // a replica those older than the lag. The caller holds the group's mutex.
 func (e *Endpoint) applied() []commit {
-	if e.group.primary == e.id {
+	if e.isPrimary() {
 		return e.log
 	}
 	cutoff := time.Now().Add(-e.group.lag)
@@ -243,8 +259,8 @@
 	if n := len(applied); n > 0 {
 		number = applied[n-1].number
 	}
-	if e.group.primary == e.id {
-		return e.group.term, number
+	if e.isPrimary() {
+		return e.term(), number
 	}
 	if n := len(applied); n > 0 {
 		return applied[n-1].term, number
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -24,9 +25,9 @@
 	prepared map[string]string
 }
 
-func (e *Endpoint) serve() {
+func (e *Endpoint) serve(listener net.Listener) {
 	for {
-		conn, err := e.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -123,7 +124,7 @@
 
 func (s *session) execute(verb, rest string) (string, bool) {
 	e := s.endpoint
-	isPrimary := e.group.primary == e.id
+	isPrimary := e.isPrimary()
 	if isNew := verb == "BEGIN" || verb == "READ" || verb == "WRITE"; isNew && s.state == "I" {
 		e.recordNew()
 	}
@@ -164,11 +165,14 @@
 	case "WRITE":
 		return s.write(rest, isPrimary)
 	case "STATUS", "STEPDOWN":
+		if term, err := strconv.ParseUint(rest, 10, 64); err == nil {
+			e.stepDown(term)
+		}
 		role := "replica"
-		if isPrimary {
+		if e.isPrimary() {
 			role = "primary"
 		}
-		return s.respond(fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\n", role, e.group.term, e.positionText(), len(e.conns)))
+		return s.respond(fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\n", role, e.term(), e.positionText(), len(e.conns)))
 	default:
 		return s.fail("MALFORMED " + verb)
 	}
@@ -183,7 +187,7 @@
 		s.writes = append(s.writes, [2]string{item, data})
 		return s.respond("")
 	}
-	s.endpoint.group.write(item, data)
+	s.endpoint.write(item, data)
 	return s.respond("")
 }
 
@@ -193,7 +197,7 @@
 		return s.fail("READONLY " + s.endpoint.id)
 	}
 	for _, w := range s.writes {
-		s.endpoint.group.write(w[0], w[1])
+		s.endpoint.write(w[0], w[1])
 	}
 	s.state, s.writes = "I", nil
 	return s.respond("")
