rattansuccessor: promote only endpoints with all acknowledged commits

Cause: candidates that leave came last before their logs were compared, and no decision read sync_replicas. A replica that was silent for 400 ms was passed over, although it could be the only holder.

Change: the position up to which commits may have been acknowledged is computed from the answers; only endpoints that hold it are candidates. With too many silent replicas the switchover is tried again. The only holder does not step down before another one has caught up.

Failed before (with the computation left out): TestSyncReplicas of rattansuccessor and of rattanswitchover.

--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -404,6 +404,21 @@
 	return !ok
 }
 
+// unlisted returns the endpoints of a group that have no entry in a snapshot and are still
+// used.
+func (s *endpointSet) unlisted(snapshot *rattancache.Snapshot, group string) []rattancatalog.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var endpoints []rattancatalog.Endpoint
+	for id, upstream := range s.upstreams {
+		endpoint := upstream.Endpoint()
+		if _, isListed := snapshot.Endpoints[id]; !isListed && endpoint.Group == group {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	return endpoints
+}
+
 // acceptsNewStatements reports whether an endpoint may get new statements. One that is
 // not yet known may.
 func (s *endpointSet) acceptsNewStatements(id string) bool {
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -62,7 +62,8 @@
 		request := rattanswitchover.Request{
 			Group: group, Key: rattancache.GroupPrefix + group, Reason: reason,
 			Record: state.Record, Revision: snapshot.Groups[group].Revision, Term: r.proxy.grants.NewestTerm(group),
-			Endpoints: state.Candidates(), Evacuated: snapshot.Evacuated, Era: era,
+			Endpoints: state.Candidates(), Unlisted: state.Unlisted, SyncReplicas: state.SyncReplicas,
+			Evacuated: snapshot.Evacuated, Era: era,
 		}
 		if reason == rattanswitchover.ReasonNone && isDoubted(snapshot, group, state) {
 			r.startTermCheck(request)
@@ -156,6 +157,10 @@
 			state.Unusable[endpoint.ID] = !r.proxy.endpoints.acceptsNewStatements(endpoint.ID)
 		}
 	}
+	state.Unlisted = r.proxy.endpoints.unlisted(snapshot, group)
+	if settings, ok := snapshot.Catalog.Group(group); ok {
+		state.SyncReplicas = settings.SyncReplicas
+	}
 	slices.SortFunc(state.Endpoints, func(a, b rattancatalog.Endpoint) int {
 		if a.ID < b.ID {
 			return -1
--- a/internal/daemon/rattanproxy/terms.go
+++ b/internal/daemon/rattanproxy/terms.go
@@ -44,7 +44,7 @@
 	for group, known := range o.proxy.grants.Records() {
 		endpoints := othersOf(snapshot, group, known.Primary)
 		pending.Go(func() {
-			statuses := rattanswitchover.Query(o.proxy.clock, &endpointControl{proxy: o.proxy}, endpoints, "")
+			statuses := rattanswitchover.Query(o.proxy.clock, &endpointControl{proxy: o.proxy}, endpoints, nil)
 			mu.Lock()
 			defer mu.Unlock()
 			isComplete = isComplete && len(statuses) == len(endpoints)
--- a/internal/endpoint/rattansuccessor/candidates.go
+++ b/internal/endpoint/rattansuccessor/candidates.go
@@ -18,9 +18,14 @@
 // service, and of these the ones with the longest log, since commits that the new primary
 // lacks are lost. Of equal logs the one of the leader comes first: nothing changes then. It
 // returns ErrLogsMissing while none of the logs that are known belongs to
-// the history and another endpoint may hold one that does.
+// the history and another endpoint may hold one that does. Where replicas hold each commit
+// before it is acknowledged, only endpoints that hold all acknowledged commits are candidates.
 func (v View) Candidates() ([]Status, error) {
-	ordered := slices.Clone(v.statuses)
+	acknowledged, err := v.acknowledged()
+	if err != nil {
+		return nil, err
+	}
+	ordered := slices.DeleteFunc(slices.Clone(v.statuses), func(s Status) bool { return s.Received.Compare(acknowledged) < 0 })
 	slices.SortStableFunc(ordered, func(a, b Status) int {
 		return cmp.Or(
 			compareBool(v.hasDiverged(a), v.hasDiverged(b)),
@@ -35,6 +40,45 @@
 	return ordered, nil
 }
 
+// acknowledged returns a position up to which a log holds all acknowledged commits. Each is
+// held by SyncReplicas endpoints besides the primary, of which as many may be silent as do not
+// answer.
+func (v View) acknowledged() (rattanmodel.Position, error) {
+	if v.group.SyncReplicas == 0 {
+		return rattanmodel.Position{}, nil
+	}
+	holders := v.group.SyncReplicas
+	var received []rattanmodel.Position
+	for _, endpoint := range v.group.Endpoints {
+		switch status, ok := v.status(endpoint.ID); {
+		case endpoint.ID == v.group.Primary:
+		case ok:
+			received = append(received, status.Received)
+		default:
+			holders--
+		}
+	}
+	switch primary, ok := v.status(v.group.Primary); {
+	case holders < 1 && ok && primary.Term == v.NewestTerm():
+		return primary.Received, nil
+	case holders < 1:
+		return rattanmodel.Position{}, ErrLogsMissing
+	case len(received) == 0:
+		return rattanmodel.Position{}, nil
+	}
+	slices.SortFunc(received, func(a, b rattanmodel.Position) int { return b.Compare(a) })
+	return received[min(holders, len(received))-1], nil
+}
+
+// status returns the status of an endpoint, or false if it has not answered.
+func (v View) status(id string) (Status, bool) {
+	at := slices.IndexFunc(v.statuses, func(s Status) bool { return s.Endpoint.ID == id })
+	if at < 0 {
+		return Status{}, false
+	}
+	return v.statuses[at], true
+}
+
 // maxTerms limits the terms in a history.
 const maxTerms = 8
 
--- a/internal/endpoint/rattansuccessor/candidates_test.go
+++ b/internal/endpoint/rattansuccessor/candidates_test.go
@@ -98,3 +98,45 @@
 		}
 	})
 }
+
+func assertLogsMissing(t *testing.T, view View) {
+	t.Helper()
+	if got, err := view.Candidates(); !errors.Is(err, ErrLogsMissing) {
+		t.Errorf("candidates %v and error %v, want %v", got, err, ErrLogsMissing)
+	}
+}
+
+// TestSyncReplicas guards against the loss of acknowledged commits: with synchronous replicas,
+// a replica that lacked them was promoted although another one, which drained, held them
+// (review/4, LOST).
+func TestSyncReplicas(t *testing.T) {
+	group := Group{Endpoints: endpoints("e1", "e2", "e3", "e4"), Primary: "e1", SyncReplicas: 1, Term: 1}
+	two := group
+	two.SyncReplicas = 2
+	t.Run("only a draining replica holds all", func(t *testing.T) {
+		assertCandidates(t, New(group, []Status{draining(replica("e2", 1, 46)), replica("e3", 1, 43), replica("e4", 1, 20)}), "e2")
+	})
+	t.Run("a replica that stays holds all as well", func(t *testing.T) {
+		assertCandidates(t, New(group, []Status{draining(replica("e2", 1, 46)), replica("e3", 1, 46), replica("e4", 1, 20)}), "e3", "e2")
+	})
+	t.Run("a replica that may be the only holder is silent", func(t *testing.T) {
+		assertLogsMissing(t, New(group, []Status{replica("e3", 1, 43), replica("e4", 1, 20)}))
+	})
+	t.Run("the primary answers", func(t *testing.T) {
+		assertCandidates(t, New(group, []Status{draining(primary("e1", 1, 46)), replica("e3", 1, 43)}), "e1")
+	})
+	t.Run("a deposed primary answers", func(t *testing.T) {
+		assertLogsMissing(t, New(group, []Status{primary("e1", 1, 46), replica("e3", 2, 43)}))
+	})
+	t.Run("two hold each commit, and the second one stays", func(t *testing.T) {
+		assertCandidates(t, New(two, []Status{draining(replica("e2", 1, 46)), replica("e3", 1, 43), replica("e4", 1, 20)}), "e3", "e2")
+	})
+	t.Run("two hold each commit, and one is silent", func(t *testing.T) {
+		assertCandidates(t, New(two, []Status{replica("e3", 1, 43), replica("e4", 1, 20)}), "e3")
+	})
+	t.Run("the other replicas have left", func(t *testing.T) {
+		left := two
+		left.Endpoints = endpoints("e1", "e3")
+		assertCandidates(t, New(left, []Status{replica("e3", 1, 43)}), "e3")
+	})
+}
--- a/internal/endpoint/rattansuccessor/successor.go
+++ b/internal/endpoint/rattansuccessor/successor.go
@@ -25,6 +25,10 @@
 type Group struct {
 	// Endpoints are those that may have a part of the log.
 	Endpoints []rattancatalog.Endpoint
+	// Primary is the recorded primary.
+	Primary string
+	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
+	SyncReplicas int
 	// Evacuated are the failure domains out of service.
 	Evacuated map[string]bool
 	// Term is the newest known term, 0 if none is.
@@ -45,7 +49,8 @@
 // IsComplete reports whether all endpoints of the group have answered.
 func (v View) IsComplete() bool {
 	return !slices.ContainsFunc(v.group.Endpoints, func(e rattancatalog.Endpoint) bool {
-		return !slices.ContainsFunc(v.statuses, func(s Status) bool { return s.Endpoint.ID == e.ID })
+		_, ok := v.status(e.ID)
+		return !ok
 	})
 }
 
@@ -86,7 +91,8 @@
 	if leader, ok := v.Leader(); ok {
 		return leader.Endpoint.ID != recorded
 	}
-	return slices.ContainsFunc(v.statuses, func(s Status) bool { return s.Endpoint.ID == recorded && !s.IsPrimary })
+	status, ok := v.status(recorded)
+	return ok && !status.IsPrimary
 }
 
 // HasTakenOver reports whether a promoted endpoint leads the group, by its present status.
@@ -100,11 +106,11 @@
 	return status.IsPrimary && status.Term > v.NewestTerm()
 }
 
-// HasCaughtUp reports whether an endpoint other than the given primary, which is not
-// draining, holds all that the primary holds.
+// HasCaughtUp reports whether an endpoint other than the given primary, which stays in
+// service, holds all that the primary holds.
 func (v View) HasCaughtUp(primary Status) bool {
 	return slices.ContainsFunc(v.statuses, func(s Status) bool {
-		return s.Endpoint.ID != primary.Endpoint.ID && !s.Endpoint.IsDraining && s.Received.Compare(primary.Received) >= 0
+		return s.Endpoint.ID != primary.Endpoint.ID && !v.IsLeaving(s) && s.Received.Compare(primary.Received) >= 0
 	})
 }
 
--- a/internal/endpoint/rattanswitchover/coordinator.go
+++ b/internal/endpoint/rattanswitchover/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -99,7 +100,11 @@
 	Record    rattangrant.PrimaryRecord
 	Revision  rattankv.Revision
 	Endpoints []rattancatalog.Endpoint
+	// Unlisted are endpoints whose entry has disappeared from the store a short while ago.
+	Unlisted  []rattancatalog.Endpoint
 	Evacuated map[string]bool
+	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
+	SyncReplicas int
 	// Term is the newest known term of the group, 0 if none is.
 	Term uint64
 	// Era is the store's era, above whose numbers those of earlier eras never are.
@@ -109,10 +114,29 @@
 // group returns what the request knows of the group.
 func (r Request) group() rattansuccessor.Group {
 	return rattansuccessor.Group{
-		Endpoints: r.Endpoints, Evacuated: r.Evacuated, Term: max(r.Term, r.Record.Term), TermHistory: r.Record.TermHistory,
+		Endpoints: r.endpoints(), Primary: r.Record.Primary, SyncReplicas: r.SyncReplicas,
+		Evacuated: r.Evacuated, Term: max(r.Term, r.Record.Term), TermHistory: r.Record.TermHistory,
 	}
 }
 
+// endpoints returns all endpoints that may have a part of the group's log.
+func (r Request) endpoints() []rattancatalog.Endpoint {
+	return append(slices.Clone(r.Endpoints), r.Unlisted...)
+}
+
+// doubtful returns the endpoints that probably do not answer. The primary is one if
+// isUnreachable is true.
+func (r Request) doubtful(isUnreachable bool) map[string]bool {
+	ids := make(map[string]bool)
+	for _, endpoint := range r.Unlisted {
+		ids[endpoint.ID] = true
+	}
+	if isUnreachable {
+		ids[r.Record.Primary] = true
+	}
+	return ids
+}
+
 // A Report says what a switchover did, for the log.
 type Report struct {
 	From, To string
@@ -181,7 +205,7 @@
 // recordInitialPrimary records the endpoint that leads the group already, or promotes
 // one when all endpoints have answered and none does.
 func (c *Coordinator) recordInitialPrimary(ctx context.Context, request Request) (Report, error) {
-	view := c.view(request, "")
+	view := c.view(request, false)
 	leader, ok := view.Leader()
 	if !ok {
 		if !view.IsComplete() {
@@ -272,11 +296,7 @@
 // the old primary holds. A leader that is not the recorded primary stays, unless it goes out
 // of service.
 func (c *Coordinator) handOver(request Request) rattansuccessor.View {
-	unreachable := ""
-	if request.Reason == ReasonUnreachable {
-		unreachable = request.Record.Primary
-	}
-	view := c.view(request, unreachable)
+	view := c.view(request, request.Reason == ReasonUnreachable)
 	oldPrimary, ok := view.Leader()
 	if !ok || oldPrimary.Endpoint.ID != request.Record.Primary && !view.IsLeaving(oldPrimary) {
 		return view
@@ -284,7 +304,11 @@
 	until := c.clock.Now().Add(catchUpTimeout)
 	for !view.HasCaughtUp(oldPrimary) && c.clock.Now().Before(until) {
 		<-c.clock.After(pollInterval)
-		view = c.view(request, "")
+		view = c.view(request, false)
+	}
+	if request.SyncReplicas > 0 && !view.HasCaughtUp(oldPrimary) {
+		// It may be the only one that holds all acknowledged commits.
+		return view
 	}
 	if err := c.control.StepDown(oldPrimary.Endpoint, view.NewestTerm()+1, statusTimeout); err != nil {
 		// The grants have ended, so no daemon uses it as the primary any more.
@@ -294,11 +318,12 @@
 }
 
 // View returns what the endpoints of a request say of themselves.
-func (c *Coordinator) View(request Request) rattansuccessor.View { return c.view(request, "") }
+func (c *Coordinator) View(request Request) rattansuccessor.View { return c.view(request, false) }
 
 // view returns the view of the endpoints that answer a status query.
-func (c *Coordinator) view(request Request, unreachable string) rattansuccessor.View {
-	return rattansuccessor.New(request.group(), Query(c.clock, c.control, request.Endpoints, unreachable))
+func (c *Coordinator) view(request Request, isPrimaryUnreachable bool) rattansuccessor.View {
+	statuses := Query(c.clock, c.control, request.endpoints(), request.doubtful(isPrimaryUnreachable))
+	return rattansuccessor.New(request.group(), statuses)
 }
 
 // promote promotes the best candidate that the platform does not refuse and waits
--- a/internal/endpoint/rattanswitchover/coordinator_test.go
+++ b/internal/endpoint/rattanswitchover/coordinator_test.go
@@ -257,3 +257,59 @@
 		t.Errorf("%q stepped down and the term is %d, want nobody and 2", group.steppedDown, group.term)
 	}
 }
+
+// TestSyncReplicas guards against the loss of commits that only a draining replica holds, and
+// against a step-down of the only endpoint that holds them (review/4, LOST).
+func TestSyncReplicas(t *testing.T) {
+	at := func(index uint64) rattanmodel.Position { return rattanmodel.Position{Term: 1, Index: index} }
+	endpoints := []rattancatalog.Endpoint{{ID: "e1"}, {ID: "e2", IsDraining: true}, {ID: "e3"}}
+	t.Run("the primary has crashed", func(t *testing.T) {
+		group := newTestGroup("e1")
+		group.silent["e1"], group.logs["e2"], group.logs["e3"] = true, at(46), at(43)
+		records, err := runSwitchover(t, group, Request{
+			Reason: ReasonUnreachable, Record: rattangrant.PrimaryRecord{Primary: "e1", Term: 1, Version: 3},
+			Endpoints: endpoints, SyncReplicas: 1,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertRecorded(t, records, "e2", 2)
+	})
+	t.Run("a replica is silent", func(t *testing.T) {
+		group := newTestGroup("e1")
+		group.silent["e1"], group.silent["e2"] = true, true
+		if _, err := runSwitchover(t, group, Request{
+			Reason: ReasonUnreachable, Record: rattangrant.PrimaryRecord{Primary: "e1", Term: 1, Version: 3},
+			Endpoints: endpoints, SyncReplicas: 1,
+		}); !errors.Is(err, rattansuccessor.ErrLogsMissing) {
+			t.Errorf("error %v, want %v", err, rattansuccessor.ErrLogsMissing)
+		}
+	})
+	t.Run("a replica without an entry holds them", func(t *testing.T) {
+		group := newTestGroup("e1")
+		group.silent["e1"], group.logs["e2"], group.logs["e3"] = true, at(46), at(43)
+		records, err := runSwitchover(t, group, Request{
+			Reason: ReasonUnreachable, Record: rattangrant.PrimaryRecord{Primary: "e1", Term: 1, Version: 3},
+			Endpoints: []rattancatalog.Endpoint{{ID: "e1"}, {ID: "e3"}}, Unlisted: []rattancatalog.Endpoint{{ID: "e2"}}, SyncReplicas: 1,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertRecorded(t, records, "e2", 2)
+	})
+	t.Run("nobody has caught up with a draining primary", func(t *testing.T) {
+		group := newTestGroup("e2")
+		group.silent["e1"], group.logs["e2"], group.logs["e3"] = true, at(46), at(43)
+		records, err := runSwitchover(t, group, Request{
+			Reason: ReasonLeaving, Record: rattangrant.PrimaryRecord{Primary: "e2", Term: 1, Version: 3},
+			Endpoints: endpoints, SyncReplicas: 1,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertRecorded(t, records, "e2", 1)
+		if len(group.steppedDown) > 0 {
+			t.Errorf("%q stepped down", group.steppedDown)
+		}
+	})
+}
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -41,6 +41,11 @@
 	IsLost bool
 	// Endpoints are the registered endpoints of the group.
 	Endpoints []rattancatalog.Endpoint
+	// Unlisted are the endpoints of the group whose entry has disappeared from the store a
+	// short while ago.
+	Unlisted []rattancatalog.Endpoint
+	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
+	SyncReplicas int
 	// Evacuated are the failure domains out of service.
 	Evacuated map[string]bool
 	// Unusable are the endpoints that get no new statements any more, since their
@@ -85,8 +90,13 @@
 }
 
 // Candidates returns the endpoints that may be the primary: those that may get new
-// statements, and the present primary.
+// statements, and the present primary. Where replicas hold each commit before it is
+// acknowledged, any of them may be the only one that does, and leads until another one has
+// caught up.
 func (s GroupState) Candidates() []rattancatalog.Endpoint {
+	if s.SyncReplicas > 0 {
+		return s.Endpoints
+	}
 	return slices.DeleteFunc(slices.Clone(s.Endpoints), func(e rattancatalog.Endpoint) bool {
 		return s.Unusable[e.ID] && e.ID != s.Record.Primary
 	})
@@ -95,7 +105,7 @@
 // hasOtherCandidate reports whether an endpoint other than the primary may be promoted.
 // Without one, the primary keeps its role until it answers again.
 func (s GroupState) hasOtherCandidate() bool {
-	return slices.ContainsFunc(s.Candidates(), func(e rattancatalog.Endpoint) bool { return e.ID != s.Record.Primary })
+	return slices.ContainsFunc(s.Endpoints, func(e rattancatalog.Endpoint) bool { return e.ID != s.Record.Primary && !s.Unusable[e.ID] })
 }
 
 // Blocked returns why the primary should be replaced although no other endpoint can
--- a/internal/endpoint/rattanswitchover/decide_test.go
+++ b/internal/endpoint/rattanswitchover/decide_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// TestSyncCandidates guards against a switchover that does not ask an endpoint past its limit,
+// which may be the only one that holds acknowledged commits.
+func TestSyncCandidates(t *testing.T) {
+	state := GroupState{
+		Record: rattangrant.PrimaryRecord{Primary: "e1"}, HasRecord: true, Endpoints: group(),
+		Unusable: map[string]bool{"e2": true}, SyncReplicas: 1,
+	}
+	if candidates := state.Candidates(); len(candidates) != 3 {
+		t.Errorf("candidates %v, want all three endpoints", candidates)
+	}
+}
+
 // TestBlocked guards against a primary that cannot be replaced without any log line
 // that says so.
 func TestBlocked(t *testing.T) {
--- a/internal/endpoint/rattanswitchover/query.go
+++ b/internal/endpoint/rattanswitchover/query.go
@@ -11,9 +11,9 @@
 const (
 	// statusTimeout limits one status query or step-down request to an endpoint.
 	statusTimeout = 400 * time.Millisecond
-	// unreachableGracePeriod is how long a status query of all endpoints waits for a
-	// primary that counts as unreachable after the others have answered.
-	unreachableGracePeriod = 60 * time.Millisecond
+	// doubtfulGracePeriod is how long a status query of all endpoints waits for those that
+	// probably do not answer after the others have answered.
+	doubtfulGracePeriod = 60 * time.Millisecond
 )
 
 // EndpointControl sends status queries and step-down requests to an endpoint.
@@ -23,13 +23,12 @@
 }
 
 // Query sends a status query to all endpoints at once and returns the responses. For
-// the endpoint that counts as unreachable, if there is one, it waits only
-// unreachableGracePeriod after the others have answered.
-func Query(clock rattanclock.Clock, control EndpointControl, endpoints []rattancatalog.Endpoint, unreachable string) []rattansuccessor.Status {
+// those that are doubtful it waits only doubtfulGracePeriod after the others have answered.
+func Query(clock rattanclock.Clock, control EndpointControl, endpoints []rattancatalog.Endpoint, doubtful map[string]bool) []rattansuccessor.Status {
 	responses := make(chan *rattansuccessor.Status, len(endpoints))
 	awaited := 0
 	for _, endpoint := range endpoints {
-		if endpoint.ID != unreachable {
+		if !doubtful[endpoint.ID] {
 			awaited++
 		}
 		go func() {
@@ -45,7 +44,7 @@
 	var grace <-chan time.Time
 	for received := range endpoints {
 		if received >= awaited && grace == nil {
-			grace = clock.After(unreachableGracePeriod)
+			grace = clock.After(doubtfulGracePeriod)
 		}
 		select {
 		case response := <-responses:
