rattanstop: a stopping daemon answers every statement that it takes

Cause: nothing ended open transactions, and after the last 5.5 s the process exited without a look at the statements in flight.

Change: rattanstop decides what a stopping daemon takes. Transactions have the first half of stop_timeout; then a statement is answered with ABORTED and the transaction is rolled back. Transactions of other daemons on this daemon's connections have the same limits.

TestEgressIsCounted failed once in a run beside load. In the log the daemon forwards its first write to the only daemon that it knows of, in the other failure domain, before it has seen its own registration. The test now waits until the daemons know each other, as the other tests do; what it checks is the same.

--- a/internal/daemon/rattanproxy/egress_fleet_test.go
+++ b/internal/daemon/rattanproxy/egress_fleet_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // metric returns a metric of a daemon, 0 while it has none of that name.
@@ -39,6 +40,8 @@
 	f.hasMetrics = true
 	f.startAll(2)
 	inside, outside := f.daemons[0], f.daemons[1]
+	// A daemon that knows only the other one forwards its first work there.
+	time.Sleep(settleTime)
 	f.dial(inside, "checkout", testKey).retryUntilOK("WRITE i1 first", waitBound)
 	if f.group.Primary() != "e1" {
 		inside, outside = outside, inside
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -196,7 +196,7 @@
 }
 
 func (p *Proxy) isLeadershipFree(snapshot *rattancache.Snapshot) bool {
-	return snapshot.Catalog != nil && !snapshot.HasLeader && !p.stopping.Load()
+	return snapshot.Catalog != nil && !snapshot.HasLeader && !p.isStopping()
 }
 
 // staggerDelay returns how long this daemon waits before it does what only one
--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanstop"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
@@ -95,7 +96,12 @@
 }
 
 func (f *forwardedWork) run(request *rattanv1.WorkRequest) *rattanv1.WorkResponse {
-	statement := decodeWorkRequest(request, f.proxy.clock.Now())
+	now, schedule := f.proxy.clock.Now(), f.proxy.stopSchedule.Load()
+	statement := decodeWorkRequest(request, now)
+	statement.Deadline = schedule.LimitDeadline(statement.Deadline)
+	if !takes(schedule, request.GetKind(), now) {
+		return f.refuse(request)
+	}
 	switch request.GetKind() {
 	case rattanv1.WorkKind_WORK_KIND_READ, rattanv1.WorkKind_WORK_KIND_WRITE, rattanv1.WorkKind_WORK_KIND_BEGIN:
 		upstream, ok := f.proxy.endpoints.Upstream(request.GetEndpoint())
@@ -116,6 +122,33 @@
 	}
 }
 
+// takes reports whether a request of a kind is still run during a stop.
+func takes(schedule *rattanstop.Schedule, kind rattanv1.WorkKind, now time.Time) bool {
+	switch kind {
+	case rattanv1.WorkKind_WORK_KIND_RUN, rattanv1.WorkKind_WORK_KIND_BEGIN:
+		return schedule.TakesStatements(now)
+	case rattanv1.WorkKind_WORK_KIND_READ, rattanv1.WorkKind_WORK_KIND_WRITE, rattanv1.WorkKind_WORK_KIND_COMMIT:
+		return schedule.TakesCommits(now)
+	default:
+		return true
+	}
+}
+
+// refuse answers a request as not run, and rolls back the transaction that it belongs to.
+func (f *forwardedWork) refuse(request *rattanv1.WorkRequest) *rattanv1.WorkResponse {
+	if request.GetTransaction() == "" {
+		return unknownWorkResponse()
+	}
+	if forwarded, ok := f.take(request.GetTransaction(), true); ok {
+		forwarded.mu.Lock()
+		defer forwarded.mu.Unlock()
+		if forwarded.transaction != nil {
+			f.drop(request.GetTransaction(), forwarded)
+		}
+	}
+	return unknownWorkResponse()
+}
+
 // observePosition records the position in the answer of an endpoint, if there was one.
 func (f *forwardedWork) observePosition(upstream *rattanupstream.Upstream, response *rattanv1.WorkResponse) {
 	endpoint := upstream.Endpoint()
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -21,6 +21,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanstop"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattandispatch"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanplacement"
@@ -116,7 +117,8 @@
 	// knowsRecords is true while the daemon has held grants without a gap: it then knows
 	// of every switchover that has ended.
 	knowsRecords atomic.Bool
-	stopping     atomic.Bool
+	// stopSchedule is nil until the daemon is told to stop.
+	stopSchedule atomic.Pointer[rattanstop.Schedule]
 }
 
 // New returns a daemon that Run starts. Reload reads its settings again. The boot
@@ -223,7 +225,7 @@
 // isReady reports whether the daemon accepts new sessions.
 func (p *Proxy) isReady() bool {
 	snapshot := p.cache.Snapshot()
-	return !p.stopping.Load() && !p.isolation.isIsolated.Load() && snapshot.Catalog != nil && len(snapshot.Endpoints) > 0
+	return !p.isStopping() && !p.isolation.isIsolated.Load() && snapshot.Catalog != nil && len(snapshot.Endpoints) > 0
 }
 
 func (p *Proxy) serveReadiness(ctx context.Context) error {
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -104,8 +104,11 @@
 	// isBusy is true from the receipt of a statement until its response, and while
 	// a transaction is open.
 	isBusy bool
-	// isClosing is true when the session is to close once it is not busy.
-	isClosing bool
+	// isAnswering is true from the receipt of a statement until its response.
+	isAnswering bool
+	// isClosing is true when the session is to close once it is not busy, isEnded when it
+	// is to close once it is not answering.
+	isClosing, isEnded bool
 }
 
 func (s *session) serve() {
@@ -195,8 +198,9 @@
 		limit = s.proxy.clock.Now().Add(s.idleTransaction())
 	}
 	s.mu.Lock()
+	s.isAnswering = false
 	s.isBusy = s.transaction != nil || s.conn.HasBuffered()
-	isClosing := s.isClosing && !s.isBusy
+	isClosing := s.isEnded || s.isClosing && !s.isBusy
 	s.mu.Unlock()
 	return !isClosing && s.conn.SetReadDeadline(limit) == nil
 }
@@ -212,10 +216,10 @@
 func (s *session) setBusy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isClosing && !s.isBusy {
+	if s.isEnded || s.isClosing && !s.isBusy {
 		return false
 	}
-	s.isBusy = true
+	s.isBusy, s.isAnswering = true, true
 	return true
 }
 
@@ -230,6 +234,18 @@
 	}
 }
 
+// end closes the session, also with an open transaction; if a statement is in progress, the
+// session closes after the response. It returns false in that case.
+func (s *session) end() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isEnded = true
+	if !s.isAnswering {
+		_ = s.conn.Close()
+	}
+	return !s.isAnswering
+}
+
 // handleReadError handles a message that could not be read. It returns false when
 // the session is over.
 func (s *session) handleReadError(err error) bool {
@@ -283,6 +299,9 @@
 }
 
 func (s *session) run(decision rattanstatemachine.Decision, arrived time.Time) rattandispatch.Outcome {
+	if refused, ok := s.refuseWhileStopping(decision.Action, arrived); ok {
+		return refused
+	}
 	switch decision.Action {
 	case rattanstatemachine.RunAutocommit:
 		return s.runAutocommit(decision, arrived)
@@ -336,7 +355,38 @@
 		SessionVars:     s.stateMachine.Values(),
 		SessionPosition: s.position,
 		Arrived:         arrived,
+		AnswerBy:        s.proxy.stopSchedule.Load().AnswerBy(),
+	}
+}
+
+// refuseWhileStopping refuses a statement that arrived so late during a stop that it is not
+// passed on any more. An open transaction is rolled back.
+func (s *session) refuseWhileStopping(action rattanstatemachine.Action, arrived time.Time) (rattandispatch.Outcome, bool) {
+	schedule := s.proxy.stopSchedule.Load()
+	isTaken := schedule.TakesStatements(arrived)
+	if action == rattanstatemachine.CommitTransaction {
+		isTaken = schedule.TakesCommits(arrived)
+	}
+	if isTaken {
+		return rattandispatch.Outcome{}, false
+	}
+	switch action {
+	case rattanstatemachine.RunAutocommit, rattanstatemachine.BeginTransaction:
+		return refusal(rattanstatement.Busy, "the daemon stops; open a new session"), true
+	case rattanstatemachine.RunInTransaction:
+		s.stateMachine.TransactionFailed()
+	case rattanstatemachine.CommitTransaction:
+		s.stateMachine.TransactionEnded()
+	default:
+		return rattandispatch.Outcome{}, false
 	}
+	s.transaction.Abort()
+	s.transaction = nil
+	return refusal(rattanstatement.Aborted, "the daemon stops; the transaction is rolled back"), true
+}
+
+func refusal(code rattanstatement.Code, detail string) rattandispatch.Outcome {
+	return rattandispatch.Outcome{Result: rattanstatement.Refuse(code, detail)}
 }
 
 func (s *session) runAutocommit(decision rattanstatemachine.Decision, arrived time.Time) rattandispatch.Outcome {
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -3,27 +3,27 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanstop"
 )
 
 const (
-	// readinessNoticeTime is how long the load balancer takes to notice that a
-	// daemon is not ready: two failed checks, one a second.
-	readinessNoticeTime = 2200 * time.Millisecond
-	// stopReserve is the part of the stop timeout that is kept for the
-	// unregistration.
-	stopReserve = 500 * time.Millisecond
+	// stopInterval separates two looks at the sessions during a stop.
+	stopInterval = 50 * time.Millisecond
+	// lastAnswersTimeout limits the wait at the end for answers that are being written.
+	lastAnswersTimeout = 200 * time.Millisecond
 )
 
 // stop ends the sessions. New sessions are still accepted until the load balancer
-// has noticed; then idle sessions are closed, and the others finish first.
+// has noticed; then idle sessions are closed, and the others finish first. Open transactions
+// have half of the time to end.
 func (p *Proxy) stop() {
 	p.logger.Info("stop_begin", "sessions", p.sessions.count())
-	p.stopping.Store(true)
+	schedule := rattanstop.New(p.clock.Now(), p.settings.StopTimeout())
+	p.stopSchedule.Store(schedule)
 	p.registration.setStopping()
-	start := p.clock.Now()
-	until := start.Add(p.settings.StopTimeout() - stopReserve)
-	for p.clock.Now().Before(until) {
-		if p.clock.Now().Sub(start) > readinessNoticeTime {
+	for p.clock.Now().Before(schedule.End()) {
+		if schedule.ClosesIdleSessions(p.clock.Now()) {
 			for _, s := range p.sessions.list() {
 				s.closeIdle()
 			}
@@ -31,8 +31,9 @@
 				break
 			}
 		}
-		<-p.clock.After(50 * time.Millisecond)
+		<-p.clock.After(stopInterval)
 	}
+	p.endSessions()
 	if p.usage != nil {
 		p.usage.flush()
 	}
@@ -43,3 +44,23 @@
 	}
 	p.logger.Info("stop_sessions_ended", "sessions", p.sessions.count())
 }
+
+// endSessions closes all sessions, those whose statement is being answered after the answer.
+func (p *Proxy) endSessions() {
+	until := p.clock.Now().Add(lastAnswersTimeout)
+	for {
+		answering := 0
+		for _, s := range p.sessions.list() {
+			if !s.end() {
+				answering++
+			}
+		}
+		if answering == 0 || !p.clock.Now().Before(until) {
+			return
+		}
+		<-p.clock.After(stopInterval / 5)
+	}
+}
+
+// isStopping reports whether the daemon has been told to stop.
+func (p *Proxy) isStopping() bool { return p.stopSchedule.Load() != nil }
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -85,9 +85,20 @@
 	SessionPosition rattanmodel.Position
 	// Arrived is when the statement was received.
 	Arrived time.Time
+	// AnswerBy is when the statement must have its answer although the route's timeout is
+	// later; the zero time sets no limit.
+	AnswerBy time.Time
 }
 
-func (r Request) deadline() time.Time { return r.Arrived.Add(r.Route.Timeout) }
+func (r Request) deadline() time.Time { return r.limit(r.Arrived.Add(r.Route.Timeout)) }
+
+// limit returns a time, or AnswerBy if that is earlier.
+func (r Request) limit(t time.Time) time.Time {
+	if !r.AnswerBy.IsZero() && t.After(r.AnswerBy) {
+		return r.AnswerBy
+	}
+	return t
+}
 
 // acquireRequest returns the request, made now, for a connection to run the statement on.
 func (r Request) acquireRequest(operation rattanwork.Operation, now time.Time) rattanupstream.AcquireRequest {
@@ -100,7 +111,7 @@
 // endpointWaitDeadline returns until when the request may wait while no endpoint
 // can run it.
 func (r Request) endpointWaitDeadline() time.Time {
-	return r.Arrived.Add(min(r.Route.LatencyObjective/endpointWaitDivisor, r.Route.Timeout))
+	return r.limit(r.Arrived.Add(min(r.Route.LatencyObjective/endpointWaitDivisor, r.Route.Timeout)))
 }
 
 // An Outcome is the result of a statement, with the attempts that led to it for the
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -49,6 +49,8 @@
 	log    []commit
 	conns  map[net.Conn]struct{}
 	isDown bool
+	// delay is how long a statement takes.
+	delay time.Duration
 	// isCut is true while the endpoint is partitioned from everything.
 	isCut bool
 	// deposedTerm is the ended term that a deposed primary goes on to lead, 0 for all other
@@ -116,6 +118,21 @@
 	}
 }
 
+// SetDelay makes each later statement take a time.
+func (e *Endpoint) SetDelay(delay time.Duration) {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	e.delay = delay
+}
+
+// pause waits as long as a statement takes.
+func (e *Endpoint) pause() {
+	e.group.mu.Lock()
+	delay := e.delay
+	e.group.mu.Unlock()
+	time.Sleep(delay)
+}
+
 // LoseAnswers makes the endpoint run the next n statements that occupy a slot, such
 // as reads and writes, without sending a response.
 func (e *Endpoint) LoseAnswers(n int) {
