rattancache: one odd entry stops nobody from following a list

Reported by operators of similar systems: one odd entry among those of the instances, very deeply nested, with a number too large or with a port out of range, and the machines that read the list ended or stopped following it. Shown here for proxy and serve: no process ended, several stopped following.

Change: entries are checked where they are decoded, once for each revision; an entry that nobody can have written names nothing to use. Single records are replaced by the failover leader, which ends its leadership when its own record was replaced. Entries of a configuration are decoded one by one. A roster is replaced from the last known one.

The silent VM of TestDeputyStandsIn has a lease now, as each registered daemon has.

--- a/internal/config/rattancache/cache.go
+++ b/internal/config/rattancache/cache.go
@@ -66,6 +66,8 @@
 type GroupEntry struct {
 	Record   rattangrant.PrimaryRecord
 	Revision rattankv.Revision
+	// IsUnreadable is true when the entry cannot be decoded; Record is then empty.
+	IsUnreadable bool
 }
 
 // Cache is safe for concurrent use.
@@ -83,6 +85,8 @@
 	// log holds the latest changes up to revision.
 	log      changeLog
 	snapshot *Snapshot
+	// invalid holds the entries in items that cannot be decoded, by key.
+	invalid map[string]InvalidEntry
 	// removedAt holds, for each VM without an entry, when this daemon saw the
 	// entry removed.
 	removedAt map[string]time.Time
@@ -104,6 +108,7 @@
 		items:          make(map[string]rattankv.Item),
 		deleted:        make(map[string]rattankv.Revision),
 		snapshot:       &Snapshot{},
+		invalid:        make(map[string]InvalidEntry),
 		removedAt:      make(map[string]time.Time),
 		knownEndpoints: make(map[string]knownEndpoint), heldEvacuations: make(map[string]time.Time),
 		changed: make(chan struct{}),
@@ -272,7 +277,7 @@
 }
 
 // rebuild decodes all items into a new snapshot. It returns the entries that
-// cannot be decoded.
+// cannot be decoded and were not known as such. They are not decoded again.
 func (c *Cache) rebuild() []InvalidEntry {
 	snapshot := &Snapshot{
 		Catalog:   c.snapshot.Catalog,
@@ -286,18 +291,30 @@
 
 		catalogRevision: c.snapshot.catalogRevision,
 	}
-	var invalid []InvalidEntry
+	var found []InvalidEntry
+	invalid := make(map[string]InvalidEntry)
 	for key, item := range c.items {
-		if err := c.decode(snapshot, key, item); err != nil {
-			invalid = append(invalid, InvalidEntry{Key: key, Revision: item.Revision, Err: err})
+		known, isInvalid := c.invalid[key]
+		if !isInvalid || known.Revision != item.Revision {
+			err := c.decode(snapshot, key, item)
+			if err == nil {
+				continue
+			}
+			known = InvalidEntry{Key: key, Revision: item.Revision, Err: err}
+			found = append(found, known)
+		}
+		invalid[key] = known
+		if name, ok := groupName(key); ok {
+			snapshot.Groups[name] = GroupEntry{Revision: item.Revision, IsUnreadable: true}
 		}
 	}
+	c.invalid = invalid
 	c.holdEvacuations(snapshot)
 	c.forgetGone()
 	c.snapshot = snapshot
 	close(c.changed)
 	c.changed = make(chan struct{})
-	return invalid
+	return found
 }
 
 // decode decodes one item into the snapshot. Keys of no known kind are ignored.
@@ -321,37 +338,38 @@
 		return nil
 	}
 	if name, ok := vmName(key); ok {
-		var record VMRecord
-		if err := json.Unmarshal(item.Value, &record); err != nil {
+		record, err := decodeVM(item)
+		if err != nil {
 			return err
 		}
-		record.Lease = item.Lease
 		snapshot.VMs[name] = record
 		return nil
 	}
 	if name, ok := memberName(key); ok {
-		var record MemberRecord
-		if err := json.Unmarshal(item.Value, &record); err != nil {
+		record, err := decodeMember(item)
+		if err != nil {
 			return err
 		}
-		record.CreateRevision, record.Revision = item.CreateRevision, item.Revision
 		snapshot.Members[name] = record
 		return nil
 	}
 	if name, ok := groupName(key); ok {
-		entry := GroupEntry{Revision: item.Revision}
-		if err := json.Unmarshal(item.Value, &entry.Record); err != nil {
+		record, err := DecodeGroup(item.Value)
+		if err != nil {
 			return err
 		}
-		snapshot.Groups[name] = entry
+		snapshot.Groups[name] = GroupEntry{Record: record, Revision: item.Revision}
 		return nil
 	}
 	if key == SettledKey {
 		return json.Unmarshal(item.Value, &snapshot.SettledEra)
 	}
 	if key == LeaderKey {
-		snapshot.HasLeader = true
-		return json.Unmarshal(item.Value, &snapshot.Leader)
+		leader, err := DecodeLeader(item)
+		if err != nil {
+			return err
+		}
+		snapshot.Leader, snapshot.HasLeader = leader, true
 	}
 	return nil
 }
--- a/internal/config/rattancache/cache_test.go
+++ b/internal/config/rattancache/cache_test.go
@@ -86,6 +86,72 @@
 	}
 }
 
+// TestInvalidEntryIsReportedOnce guards against a log line and a decoding for an odd entry at
+// each change of the store.
+func TestInvalidEntryIsReportedOnce(t *testing.T) {
+	c := newTestCache()
+	odd := rattankv.Item{Key: "endpoints/e2", Revision: 3}
+	c.Replace("", rattankv.Page{Items: []rattankv.Item{item("config", 1, 1), odd}, AsOf: 3})
+	apply := func(item rattankv.Item) []InvalidEntry {
+		return c.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: item}}, AsOf: item.Revision})
+	}
+	if invalid := apply(item("endpoints/e1", 1, 4)); len(invalid) != 0 {
+		t.Errorf("reported again: %v", invalid)
+	}
+	odd.Revision = 5
+	if invalid := apply(odd); len(invalid) != 1 {
+		t.Errorf("%d invalid entries after its change, want 1", len(invalid))
+	}
+	apply(item("endpoints/e2", 1, 6))
+	if len(c.Snapshot().Endpoints) != 2 {
+		t.Errorf("endpoints %v, want both after the entry was mended", c.Snapshot().Endpoints)
+	}
+}
+
+// TestOddRecords guards against records of daemons that no daemon can have written: a VM that
+// nobody can expel, a leader that never ends, a record whose next version overflows.
+func TestOddRecords(t *testing.T) {
+	lease := rattankv.Lease{ID: 7}
+	const vm = `{"incarnation":"i","address":"127.0.0.1:1","failure_domain":"a"}`
+	for _, test := range []struct {
+		name, key, value string
+		lease            rattankv.Lease
+	}{
+		{"a VM without a lease", VMPrefix + "odd", vm, rattankv.Lease{}},
+		{"a VM without an incarnation", VMPrefix + "odd", `{"address":"127.0.0.1:1"}`, lease},
+		{"a VM with a port out of range", VMPrefix + "odd", `{"incarnation":"i","address":"127.0.0.1:70000"}`, lease},
+		{"a VM with a number too large", VMPrefix + "odd", `{"incarnation":"i","address":"127.0.0.1:1","processor_cores":1e400}`, lease},
+		{"a VM nested too deeply", VMPrefix + "odd", strings.Repeat("[", 200_000), lease},
+		{"a member with a port out of range", MemberPrefix + "odd", `{"incarnation":"i","address":"127.0.0.1:0"}`, rattankv.Lease{}},
+		{"a member without an incarnation", MemberPrefix + "odd", `{"address":"127.0.0.1:1"}`, rattankv.Lease{}},
+		{"a leader without a lease", LeaderKey, `{"vm":"odd","incarnation":"i","token":1}`, rattankv.Lease{}},
+		{"a leader with a number too large", LeaderKey, `{"vm":"odd","token":1e400}`, lease},
+		{"a leader with an overflowing token", LeaderKey, `{"vm":"odd","token":9223372036854775807}`, lease},
+		{"a group with an overflowing version", GroupPrefix + "odd", `{"primary":"e","number":9223372036854775807}`, rattankv.Lease{}},
+		{"a group with a number too large", GroupPrefix + "odd", `{"primary":"e","number":1e400}`, rattankv.Lease{}},
+		{"a group nested too deeply", GroupPrefix + "odd", strings.Repeat(`{"a":`, 200_000), rattankv.Lease{}},
+		{"an era too large", SettledKey, `1e400`, rattankv.Lease{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newTestCache()
+			invalid := c.Replace("", rattankv.Page{Items: []rattankv.Item{
+				{Key: test.key, Value: []byte(test.value), Revision: 2, Lease: test.lease},
+				{Key: VMPrefix + "good", Value: []byte(vm), Revision: 3, Lease: lease},
+			}, AsOf: 3})
+			if len(invalid) != 1 || invalid[0].Key != test.key {
+				t.Errorf("invalid entries %v, want %s", invalid, test.key)
+			}
+			s := c.Snapshot()
+			if len(s.VMs) != 1 || len(s.Members) > 0 || s.HasLeader || s.SettledEra != 0 {
+				t.Errorf("the snapshot is %+v, want the good VM only", s)
+			}
+			if group, ok := s.Groups["odd"]; ok && !group.IsUnreadable {
+				t.Errorf("the group has the record %+v", group)
+			}
+		})
+	}
+}
+
 // TestDeletedKeyStaysDeleted guards against a full read from before a deletion
 // that brings the deleted entry of a daemon or endpoint back.
 func TestDeletedKeyStaysDeleted(t *testing.T) {
--- a/internal/config/rattancatalog/catalog.go
+++ b/internal/config/rattancatalog/catalog.go
@@ -90,6 +90,8 @@
 	keys   map[string]string
 	groups map[string]Group
 	limits Limits
+	// leftOut are the entries of the configuration that cannot be used.
+	leftOut []LeftOutEntry
 }
 
 // New returns the catalog of one version.
@@ -121,6 +123,9 @@
 // Version returns the version, which rises with each change.
 func (c *Catalog) Version() int64 { return c.version }
 
+// LeftOut returns the entries of the configuration that cannot be used.
+func (c *Catalog) LeftOut() []LeftOutEntry { return c.leftOut }
+
 // Limits returns the limits for callers.
 func (c *Catalog) Limits() Limits { return c.limits }
 
--- a/internal/config/rattancheck/check.go
+++ b/internal/config/rattancheck/check.go
@@ -58,6 +58,9 @@
 	if document.Version <= 0 {
 		f.errorf("configuration", "the version is %d and must be above 0", document.Version)
 	}
+	for _, leftOut := range document.LeftOut {
+		f.errorf(leftOut.Entry, "it cannot be used: %v", leftOut.Err)
+	}
 	checkLimits(f, document.Limits)
 	checkGroups(f, document)
 	checkRoutes(f, document)
--- a/internal/config/rattanstore/store_test.go
+++ b/internal/config/rattanstore/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -143,13 +144,57 @@
 		if stored := mustLoad(t, s); len(stored.Changes) != 1 {
 			t.Errorf("changes: %+v", stored.Changes)
 		}
-		roster, err := s.ChangeRoster(t.Context(), "a", func(members []Member) []Member { return append(members, Member{"vm-a", 1}) })
+		roster, err := s.ChangeRoster(t.Context(), "a", nil, func(members []Member) []Member { return append(members, Member{"vm-a", 1}) })
 		if err != nil || len(roster.Members) != 1 {
 			t.Errorf("roster: %+v, %v", roster, err)
 		}
 	})
 }
 
+// TestOddRoster guards against an odd entry in a roster, after which no daemon of the failure
+// domain joins it any more or is removed from it.
+func TestOddRoster(t *testing.T) {
+	for _, test := range []struct{ name, odd string }{
+		{"a number too large", `{"members":[{"vm":"odd","incarnation":1e400},{"vm":"vm-b","incarnation":2}]}`},
+		{"an integer too large", `{"members":[{"vm":"odd","incarnation":18446744073709551616},{"vm":"vm-b","incarnation":2}]}`},
+		{"another type", `{"members":["odd",{"vm":"vm-b","incarnation":2}]}`},
+		{"no name", `{"members":[{"incarnation":1},{"vm":"vm-b","incarnation":2}]}`},
+		{"a name twice", `{"members":[{"vm":"vm-b","incarnation":2},{"vm":"vm-b","incarnation":3}]}`},
+		{"a deeply nested member", `{"members":[` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `,{"vm":"vm-b","incarnation":2}]}`},
+		{"nested too deeply", `{"members":` + strings.Repeat("[", 80_000)},
+		{"no JSON", "\xff"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStore(newFake())
+			odd := &rattanv1.PutRequest{Key: RosterPath("a"), Value: []byte(test.odd)}
+			if _, err := s.put(t.Context(), odd); err != nil {
+				t.Fatal(err)
+			}
+			known := []Member{{"vm-b", 2}, {"vm-c", 3}}
+			unchanged := func(members []Member) []Member { return members }
+			roster, err := s.ChangeRoster(t.Context(), "a", known, unchanged)
+			if err != nil || !slices.Equal(roster.Members, known) {
+				t.Fatalf("roster %+v, error %v, want the known members", roster, err)
+			}
+			stored, err := s.LoadRoster(t.Context(), "a")
+			if err != nil || !slices.Equal(stored.Members, known) {
+				t.Errorf("stored roster %+v, error %v, want the known members", stored, err)
+			}
+		})
+	}
+	t.Run("without known members the readable ones stay", func(t *testing.T) {
+		s := newStore(newFake())
+		odd := &rattanv1.PutRequest{Key: RosterPath("a"), Value: []byte(`{"members":[{"vm":7},{"vm":"vm-b","incarnation":2}]}`)}
+		if _, err := s.put(t.Context(), odd); err != nil {
+			t.Fatal(err)
+		}
+		roster, err := s.ChangeRoster(t.Context(), "a", nil, func(members []Member) []Member { return append(members, Member{"vm-a", 1}) })
+		if err != nil || !slices.Equal(roster.Members, []Member{{"vm-b", 2}, {"vm-a", 1}}) {
+			t.Errorf("roster %+v, error %v", roster, err)
+		}
+	})
+}
+
 // TestChangeOutage guards against a change that is reported as not applied although
 // it may have been, and against one reported as unknown although it was not sent.
 func TestChangeOutage(t *testing.T) {
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -40,6 +40,8 @@
 	mu    sync.Mutex
 	lease rattankv.Lease
 	token int64
+	// revision is that of the store's record of the leadership.
+	revision rattankv.Revision
 	// takenAt is when this daemon took the leadership.
 	takenAt time.Time
 	// toleranceLoweredAt is when this daemon took the leadership, or last removed
@@ -63,14 +65,27 @@
 	return l.proxy.settings.VM() + "/" + l.proxy.registration.incarnation
 }
 
-func (l *leadership) set(lease rattankv.Lease, token int64) {
+func (l *leadership) set(lease rattankv.Lease, token int64, revision rattankv.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lease, l.token = lease, token
+	l.lease, l.token, l.revision = lease, token, revision
 	l.takenAt = l.proxy.boot.Now()
 	l.toleranceLoweredAt = l.takenAt
 }
 
+// releaseIfReplaced ends the leadership when the store, as known up to a revision, has
+// another record than that of this daemon: another daemon may take it.
+func (l *leadership) releaseIfReplaced(snapshot *rattancache.Snapshot, known rattankv.Revision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isOwn := snapshot.HasLeader && snapshot.Leader.Token == l.token
+	if l.token == 0 || isOwn || known < l.revision {
+		return
+	}
+	l.proxy.logger.Warn("duty_replaced", "token", l.token)
+	l.token = 0
+}
+
 // sinceTaken returns the time since this daemon took the leadership.
 func (l *leadership) sinceTaken() time.Duration {
 	l.mu.Lock()
@@ -112,8 +127,10 @@
 	var freeSince time.Time
 	for ctx.Err() == nil {
 		// Read before the snapshot, which then has all that the store held in that era.
-		era := p.cache.Revision().Era()
+		known := p.cache.Revision()
+		era := known.Era()
 		snapshot, changed := p.cache.Changed()
+		held.releaseIfReplaced(snapshot, known)
 		_, wasHeld := held.Token()
 		if wasHeld {
 			runner.checkGroups(ctx, snapshot, era)
@@ -216,7 +233,7 @@
 	if lease.IsZero() {
 		return
 	}
-	token, err := p.commitLeadership(ctx, lease)
+	token, revision, err := p.commitLeadership(ctx, lease)
 	if err != nil {
 		var conflict *rattankv.ConflictError
 		if !errors.As(err, &conflict) {
@@ -224,45 +241,67 @@
 		}
 		return
 	}
-	held.set(lease, token)
+	held.set(lease, token, revision)
 	p.logger.Info("duty_taken", "token", token)
 }
 
-func (p *Proxy) commitLeadership(ctx context.Context, lease rattankv.Lease) (int64, error) {
+// unknownTokens is above the number of fencing tokens that were given out since the newest
+// one that a daemon knows.
+const unknownTokens = 1000
+
+// commitLeadership writes the record of the failover leader with the next fencing token. It
+// replaces entries that cannot be decoded.
+func (p *Proxy) commitLeadership(ctx context.Context, lease rattankv.Lease) (int64, rattankv.Revision, error) {
 	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	page, err := p.platform.Store.Range(callCtx, rattancache.FencingTokenKey)
+	// The key of the fencing token begins with that of the leader.
+	page, err := p.platform.Store.Range(callCtx, rattancache.LeaderKey)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	var last int64
-	var revision rattankv.Revision
+	last := int64(0)
+	revisions := make(map[string]rattankv.Revision)
 	for _, item := range page.Items {
-		if item.Key == rattancache.FencingTokenKey {
-			revision = item.Revision
-			if err := json.Unmarshal(item.Value, &last); err != nil {
-				return 0, errors.Wrap(err, "decode the last fencing token")
+		revisions[item.Key] = item.Revision
+		switch item.Key {
+		case rattancache.LeaderKey:
+			if _, err := rattancache.DecodeLeader(item); err == nil {
+				return 0, 0, &rattankv.ConflictError{Items: []rattankv.Item{item}}
+			}
+		case rattancache.FencingTokenKey:
+			if last, err = rattancache.DecodeToken(item.Value); err != nil {
+				p.logInvalidEntries([]rattancache.InvalidEntry{{Key: item.Key, Revision: item.Revision, Err: err}})
+				last = p.newestToken() + unknownTokens
 			}
 		}
 	}
 	token := rattankv.NextNumber(last, page.AsOf.Era())
 	record, err := json.Marshal(rattancache.LeaderRecord{VM: p.settings.VM(), Incarnation: p.registration.incarnation, Token: token})
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	next, err := json.Marshal(token)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	_, err = p.platform.Store.Commit(callCtx, rattankv.Txn{
+	revision, err := p.platform.Store.Commit(callCtx, rattankv.Txn{
 		Expect: []rattankv.Expectation{
-			{Key: rattancache.LeaderKey, Revision: 0},
-			{Key: rattancache.FencingTokenKey, Revision: revision},
+			{Key: rattancache.LeaderKey, Revision: revisions[rattancache.LeaderKey]},
+			{Key: rattancache.FencingTokenKey, Revision: revisions[rattancache.FencingTokenKey]},
 		},
 		Writes: []rattankv.Item{
 			{Key: rattancache.LeaderKey, Value: record, Lease: lease},
 			{Key: rattancache.FencingTokenKey, Value: next},
 		},
 	})
-	return token, err
+	return token, revision, err
+}
+
+// newestToken returns the newest fencing token in a record that this daemon knows.
+func (p *Proxy) newestToken() int64 {
+	newest := p.cache.Snapshot().Leader.Token
+	for _, known := range p.grants.Records() {
+		newest = max(newest, known.FencingToken)
+	}
+	return newest
 }
--- a/internal/daemon/rattanproxy/handover_test.go
+++ b/internal/daemon/rattanproxy/handover_test.go
@@ -135,7 +135,7 @@
 	}
 	f.t.Cleanup(func() { _ = listener.Close() })
 	record := rattancache.VMRecord{Incarnation: "silent", Address: listener.Addr().String(), FailureDomain: domain, ProcessorCores: 1e9}
-	if err := f.store.Put(rattancache.VMPrefix+"silent", record); err != nil {
+	if err := f.store.PutLeased(rattancache.VMPrefix+"silent", record, time.Minute); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -195,8 +195,8 @@
 	if !ok {
 		return
 	}
-	var record rattangrant.PrimaryRecord
-	if err := json.Unmarshal(item.Value, &record); err != nil {
+	record, err := rattancache.DecodeGroup(item.Value)
+	if err != nil {
 		p.logInvalidEntries([]rattancache.InvalidEntry{{Key: item.Key, Revision: item.Revision, Err: err}})
 		return
 	}
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -135,6 +135,9 @@
 	for _, event := range changes.Events {
 		if p.platform.Decoder.IsConfig(event.Key) && snapshot.Catalog != nil {
 			p.logger.Info("configuration_in_force", "version", snapshot.Catalog.Version(), "revision", event.Revision.String())
+			for _, leftOut := range snapshot.Catalog.LeftOut() {
+				p.logger.Warn("configuration_entry_left_out", "entry", leftOut.Entry, "error", leftOut.Err)
+			}
 		}
 	}
 }
@@ -143,6 +146,9 @@
 // known to the grants.
 func (p *Proxy) applyGroupRecords(ctx context.Context) {
 	for name, entry := range p.cache.Snapshot().Groups {
+		if entry.IsUnreadable {
+			continue
+		}
 		p.applyGroupRecord(ctx, name, entry.Record, entry.Revision)
 	}
 }
@@ -200,7 +206,7 @@
 	}
 	p.logInvalidEntries(p.cache.Replace(rattancache.GroupPrefix, page))
 	p.applyGroupRecords(ctx)
-	isSettled := settledEra == page.AsOf.Era() || len(page.Items) == 0
+	isSettled := (settledEra == page.AsOf.Era() || len(page.Items) == 0) && !p.hasUnreadableGroup()
 	if !isSettled && !p.knowsRecords.Load() && !p.askForRecords(callCtx) {
 		return errRecordsUnknown
 	}
@@ -214,6 +220,16 @@
 	return nil
 }
 
+// hasUnreadableGroup reports whether the store holds a group's record that cannot be decoded.
+func (p *Proxy) hasUnreadableGroup() bool {
+	for _, entry := range p.cache.Snapshot().Groups {
+		if entry.IsUnreadable {
+			return true
+		}
+	}
+	return false
+}
+
 // handleGroupRecord logs a group's record. While a switchover is in progress, it
 // confirms that this daemon has stopped sending requests to the primary.
 func (p *Proxy) handleGroupRecord(ctx context.Context, group string, record rattangrant.PrimaryRecord) {
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -146,7 +146,7 @@
 func (r *switchoverRunner) groupState(snapshot *rattancache.Snapshot, group string, era int64) rattanswitchover.GroupState {
 	entry, ok := snapshot.Groups[group]
 	state := rattanswitchover.GroupState{
-		Record: entry.Record, HasRecord: ok, Evacuated: snapshot.Evacuated, Unusable: make(map[string]bool),
+		Record: entry.Record, HasRecord: ok && !entry.IsUnreadable, Evacuated: snapshot.Evacuated, Unusable: make(map[string]bool),
 	}
 	if known, isLost := r.lostRecord(group, entry, era); isLost {
 		state.Record, state.HasRecord, state.IsLost = known, true, true
@@ -181,10 +181,10 @@
 }
 
 // lostRecord returns a group's newest known record if the store, restored since it was
-// read, has an older entry or none.
+// read, has an older entry or none, or if its entry cannot be decoded.
 func (r *switchoverRunner) lostRecord(group string, entry rattancache.GroupEntry, era int64) (rattangrant.PrimaryRecord, bool) {
 	known, revision, ok := r.proxy.grants.Record(group)
-	return known, ok && revision.Era() < era && known.Version > entry.Record.Version
+	return known, ok && known.Version > entry.Record.Version && (entry.IsUnreadable || revision.Era() < era)
 }
 
 func (r *switchoverRunner) tryStart(group string) bool {
@@ -225,7 +225,7 @@
 func (c *endpointControl) Status(endpoint rattancatalog.Endpoint, timeout time.Duration) (rattansuccessor.Status, error) {
 	status, err := c.upstream(endpoint).Status(timeout)
 	if term := max(status.Term, status.Received.Term); err == nil && c.proxy.grants.ObserveTerm(endpoint.Group, term) {
-		c.proxy.logger.Warn("newer_term", "group", endpoint.Group, "endpoint", endpoint.ID, "term", term)
+		c.proxy.logger.Info("newer_term", "group", endpoint.Group, "endpoint", endpoint.ID, "term", term)
 	}
 	return rattansuccessor.Status{Endpoint: endpoint, Received: status.Received, Term: status.Term, IsPrimary: status.IsPrimary}, err
 }
--- a/internal/daemon/rattanproxy/terms.go
+++ b/internal/daemon/rattanproxy/terms.go
@@ -34,6 +34,10 @@
 // have answered but the recorded primaries, which know no newer term than that of their
 // record, or have been asked for silentEndpointTimeout.
 func (o *termObserver) observe() bool {
+	if o.proxy.cache.SyncedAt().IsZero() {
+		// The endpoints are not known yet.
+		return false
+	}
 	now := o.proxy.boot.Now()
 	if o.firstAsked.IsZero() {
 		o.firstAsked = now
--- a/internal/daemon/rattanproxy/usagereports.go
+++ b/internal/daemon/rattanproxy/usagereports.go
@@ -93,14 +93,16 @@
 	}
 	var record rattanusage.Record
 	var revision rattankv.Revision
+	var isReadable bool
 	for _, item := range page.Items {
 		if item.Key != rattancache.UsageKey {
 			continue
 		}
+		revision, isReadable = item.Revision, true
 		if err := json.Unmarshal(item.Value, &record); err != nil {
-			return errors.Wrap(err, "decode the record of usage")
+			u.proxy.logInvalidEntries([]rattancache.InvalidEntry{{Key: item.Key, Revision: revision, Err: errors.Wrap(err, "decode the record of usage")}})
+			record, isReadable = rattanusage.Record{}, false
 		}
-		revision = item.Revision
 	}
 	u.mu.Lock()
 	current := rattanusage.WindowAt(u.now(), u.length)
@@ -108,7 +110,7 @@
 	u.reports.mu.Lock()
 	defer u.reports.mu.Unlock()
 	before := u.reports.book.Through()
-	u.reports.book.Load(record, revision != 0, page.AsOf.Era(), current)
+	u.reports.book.Load(record, isReadable, page.AsOf.Era(), current)
 	u.reports.revision = revision
 	u.proxy.logger.Info("usage_record_read", "through", u.reports.book.Through(), "through_before", before,
 		"through_in_store", record.Through, "unsent", u.reports.book.Unsent(), "era", page.AsOf.Era())
--- a/internal/daemon/rattanroster/controller.go
+++ b/internal/daemon/rattanroster/controller.go
@@ -61,6 +61,9 @@
 
 	mutex   sync.Mutex
 	rosters map[string]rattanshare.Roster
+	// isCorrupt is true when the newest roster of this daemon's failure domain cannot be
+	// used.
+	isCorrupt bool
 	// lastExchange is the time of the last exchange with each VM's daemon.
 	lastExchange map[string]time.Time
 
--- a/internal/daemon/rattanroster/reconcile.go
+++ b/internal/daemon/rattanroster/reconcile.go
@@ -34,10 +34,14 @@
 	roster, err := rattanshare.ParseRoster(record.Value, record.Version)
 	if err != nil {
 		c.logger.Error("roster cannot be used", "failure_domain", record.Name, "error", err)
+		c.mutex.Lock()
+		c.isCorrupt = c.isCorrupt || record.Name == c.self.FailureDomain
+		c.mutex.Unlock()
 		return
 	}
 	c.mutex.Lock()
 	c.rosters[record.Name] = roster
+	c.isCorrupt = c.isCorrupt && record.Name != c.self.FailureDomain
 	c.mutex.Unlock()
 	c.manager.SetRoster(record.Name, roster)
 }
@@ -60,8 +64,8 @@
 func (c *Controller) reconcileOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
-	roster := c.roster()
-	if !roster.Has(c.member()) {
+	roster, isCorrupt := c.roster()
+	if isCorrupt || !roster.Has(c.member()) {
 		return c.changeRoster(ctx, func(roster rattanshare.Roster) (rattanshare.Roster, bool) { return roster.Join(c.member()) })
 	}
 	if !c.readsVMList() {
@@ -74,10 +78,12 @@
 	return rattanshare.Member{VM: c.self.VM, Incarnation: c.self.Incarnation}
 }
 
-func (c *Controller) roster() rattanshare.Roster {
+// roster returns the newest roster of this daemon's failure domain that can be used, and
+// whether the platform has a newer one that cannot.
+func (c *Controller) roster() (roster rattanshare.Roster, isCorrupt bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.rosters[c.self.FailureDomain]
+	return c.rosters[c.self.FailureDomain], c.isCorrupt
 }
 
 // readsVMList reports whether this daemon is the one of its failure domain that
@@ -124,7 +130,12 @@
 // compare-and-swap and publishes the result by gossip. change may run several
 // times; it returns false when nothing is to change.
 func (c *Controller) changeRoster(ctx context.Context, change func(rattanshare.Roster) (rattanshare.Roster, bool)) error {
-	changed, err := c.store.ChangeRoster(ctx, c.self.FailureDomain, func(members []rattanstore.Member) []rattanstore.Member {
+	last, _ := c.roster()
+	known := make([]rattanstore.Member, 0, len(last.Members))
+	for _, member := range last.Members {
+		known = append(known, rattanstore.Member(member))
+	}
+	changed, err := c.store.ChangeRoster(ctx, c.self.FailureDomain, known, func(members []rattanstore.Member) []rattanstore.Member {
 		roster := rattanshare.Roster{}
 		for _, member := range members {
 			roster.Members = append(roster.Members, rattanshare.Member(member))
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -92,6 +92,31 @@
 	return nil
 }
 
+// PutRaw writes bytes to a key without a lease or a condition, as a faulty writer may.
+func (s *Server) PutRaw(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(key, value, 0)
+	s.notifyWatches()
+}
+
+// PutLeased writes a key that is bound to a new lease, as a daemon does.
+func (s *Server) PutLeased(key string, value any, ttl time.Duration) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	s.leases[s.lastLease] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	s.revision++
+	s.write(key, encoded, s.lastLease)
+	s.notifyWatches()
+	return nil
+}
+
 // Delete removes a key.
 func (s *Server) Delete(key string) {
 	s.mu.Lock()
