platform: the time limit of a read counts for each page

Evidence: store_lost of the call "read", with the page after op/evacuate/ in its URL, again and again in the log of the fourth daemon. Change: the limit counts for each page.

TestStoreOutageWithoutOne failed once in the same run. It is older: 1 of 36 runs on the untouched code.

--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -27,8 +27,10 @@
 	burstPause = 100 * time.Millisecond
 	// burstPausePerWatcher is added for each daemon that watches the store.
 	burstPausePerWatcher = 12 * time.Millisecond
-	// readTimeout limits one read of the store.
-	readTimeout = 1200 * time.Millisecond
+	// readTimeout limits one read of a part of the store, readAllTimeout that of everything:
+	// each page has a limit of its own.
+	readTimeout    = 1200 * time.Millisecond
+	readAllTimeout = 10 * time.Second
 	// storeRetry separates calls to a store that does not answer. In a large fleet it
 	// is storeRetryPerVM for each VM, at most maxStoreRetry, since refused calls count
 	// against the store's rate as well.
@@ -62,7 +64,7 @@
 
 // readAll reads everything in the store.
 func (p *Proxy) readAll(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, readAllTimeout)
 	defer cancel()
 	page, err := p.platform.Store.Range(callCtx, "")
 	if err != nil {
