--- a/internal/cmd/rattancmd/oddentries_test.go
+++ b/internal/cmd/rattancmd/oddentries_test.go
@@ -38,17 +38,28 @@
 	client := rattanv1connect.NewPlatformServiceClient(http.DefaultClient, "http://"+ts.Getenv("PLATFORM"))
 	for _, value := range oddValues {
 		for _, key := range oddKeys {
-			found, err := client.Get(ctx, connect.NewRequest(&rattanv1.GetRequest{Key: key}))
-			ts.Check(err)
-			_, err = client.Put(ctx, connect.NewRequest(&rattanv1.PutRequest{
-				Key: key, Value: []byte(value), ExpectedRevision: found.Msg.GetEntry().GetRevision(),
-			}))
-			ts.Check(err)
+			ts.Check(putOddEntry(ctx, client, key, value))
 		}
 		time.Sleep(oddEntryPause)
 	}
 }
 
+// putOddEntry writes a value to a key, again when a daemon has replaced the last one meanwhile.
+func putOddEntry(ctx context.Context, client rattanv1connect.PlatformServiceClient, key, value string) error {
+	for {
+		found, err := client.Get(ctx, connect.NewRequest(&rattanv1.GetRequest{Key: key}))
+		if err != nil {
+			return err
+		}
+		_, err = client.Put(ctx, connect.NewRequest(&rattanv1.PutRequest{
+			Key: key, Value: []byte(value), ExpectedRevision: found.Msg.GetEntry().GetRevision(),
+		}))
+		if connect.CodeOf(err) != connect.CodeAborted {
+			return err
+		}
+	}
+}
+
 // oddEntryPause lets daemons read each of the odd entries.
 const oddEntryPause = 300 * time.Millisecond
 
