rattanproxy: TestOddEntries nests its deepest entry just beyond the decoder

What the case is about is the depth: it is 12,000 now, above the 10,000 that the decoder takes, in 12 kB. That large entries stop nobody is TestLargeChanges, unchanged. The script oddentries of rattancmd has the same entry.

--- a/internal/cmd/rattancmd/oddentries_test.go
+++ b/internal/cmd/rattancmd/oddentries_test.go
@@ -17,7 +17,7 @@
 
 // oddValues are entries that other writers have left in lists that processes follow.
 var oddValues = []string{
-	strings.Repeat(`{"members":[`, 50_000),
+	`{"members":` + strings.Repeat("[", 12_000),
 	`{"members":[` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `]}`,
 	`{"members":[{"vm":"odd","incarnation":1e400}],"ini":1e400,"changes":[{"unix_ms":1e400}]}`,
 	`{"members":[{"vm":"odd","incarnation":99999999999999999999}],"ini":"[endpoint.odd]\naddress = 127.0.0.1:70000\nslots = 1e400\n"}`,
--- a/internal/daemon/rattanproxy/oddentries_test.go
+++ b/internal/daemon/rattanproxy/oddentries_test.go
@@ -9,7 +9,7 @@
 
 // oddValues are entries that other writers have left in lists that processes follow.
 var oddValues = map[string]string{
-	"nested too deeply": strings.Repeat(`{"address":[`, 20_000),
+	"nested too deeply": `{"address":` + strings.Repeat("[", 12_000),
 	"deeply nested":     `{"address":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
 	"a number too large": `{"service":"orders","address":"127.0.0.1:9","zone":"a","slots":1e400,"state":"ready","db_role":"primary",` +
 		`"born":1e400,"seq":1,"number":1e400,"token":1e400,"incarnation":1e400}`,
