--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -91,6 +91,13 @@
 	return f.running == 0 && len(f.transactions) == 0
 }
 
+// runningCount returns the number of requests in progress.
+func (f *forwardedWork) runningCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running
+}
+
 func unknownWorkResponse() *rattanv1.WorkResponse {
 	return &rattanv1.WorkResponse{Failure: rattanv1.WorkFailure_WORK_FAILURE_UNKNOWN}
 }
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -198,6 +198,7 @@
 	if err := p.peers.Close(); err != nil {
 		p.logger.Warn("peers_close_failed", "error", err)
 	}
+	p.logCutWork()
 	p.logger.Info("daemon_stop")
 	return nil
 }
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -75,7 +75,7 @@
 			}
 			continue
 		}
-		s := &session{proxy: p, conn: p.platform.Caller(conn), stateMachine: rattanstatemachine.New()}
+		s := &session{proxy: p, conn: p.platform.Caller(conn), acceptedAt: p.clock.Now(), stateMachine: rattanstatemachine.New()}
 		p.sessions.add(s)
 		go func() {
 			defer p.sessions.remove(s)
@@ -89,6 +89,7 @@
 type session struct {
 	proxy        *Proxy
 	conn         CallerConn
+	acceptedAt   time.Time
 	stateMachine *rattanstatemachine.Session
 	database     string
 	// route is the route of the newest operation, for the log.
@@ -104,8 +105,10 @@
 	// isBusy is true from the receipt of a statement until its response, and while
 	// a transaction is open.
 	isBusy bool
-	// isAnswering is true from the receipt of a statement until its response.
+	// isAnswering is true from the receipt of a statement until its response, answering is
+	// the statement's id.
 	isAnswering bool
+	answering   string
 	// isClosing is true when the session is to close once it is not busy, isEnded when it
 	// is to close once it is not answering.
 	isClosing, isEnded bool
@@ -119,7 +122,7 @@
 	}
 	for s.awaitNext() {
 		statement, err := s.conn.ReadStatement()
-		if !s.setBusy() {
+		if !s.setBusy(statement.ID) {
 			break
 		}
 		if err != nil {
@@ -213,13 +216,15 @@
 	return fallback
 }
 
-func (s *session) setBusy() bool {
+// setBusy records that a statement has been read. It returns false when the session is to
+// end without an answer to it.
+func (s *session) setBusy(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isEnded || s.isClosing && !s.isBusy {
 		return false
 	}
-	s.isBusy, s.isAnswering = true, true
+	s.isBusy, s.isAnswering, s.answering = true, true, id
 	return true
 }
 
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -19,7 +19,8 @@
 // have half of the time to end.
 func (p *Proxy) stop() {
 	p.logger.Info("stop_begin", "sessions", p.sessions.count())
-	schedule := rattanstop.New(p.clock.Now(), p.settings.StopTimeout())
+	begun := p.clock.Now()
+	schedule := rattanstop.New(begun, p.settings.StopTimeout())
 	p.stopSchedule.Store(schedule)
 	p.registration.setStopping()
 	for p.clock.Now().Before(schedule.End()) {
@@ -33,6 +34,8 @@
 		}
 		<-p.clock.After(stopInterval)
 	}
+	p.logger.Info("stop_last_look", "sessions", p.sessions.count(), "forwarded_idle", p.forwarded.isIdle(),
+		"waited_ms", p.clock.Now().Sub(begun).Milliseconds())
 	p.endSessions()
 	if p.usage != nil {
 		p.usage.flush()
@@ -62,5 +65,20 @@
 	}
 }
 
+// logCutWork logs the statements that the end of the process cuts off.
+func (p *Proxy) logCutWork() {
+	for _, s := range p.sessions.list() {
+		s.mu.Lock()
+		if s.isAnswering {
+			p.logger.Warn("statement_cut", "id", s.answering, "database", s.database, "account", s.account,
+				"session_ms", p.clock.Now().Sub(s.acceptedAt).Milliseconds())
+		}
+		s.mu.Unlock()
+	}
+	if running := p.forwarded.runningCount(); running > 0 {
+		p.logger.Warn("forwarded_statements_cut", "statements", running)
+	}
+}
+
 // isStopping reports whether the daemon has been told to stop.
 func (p *Proxy) isStopping() bool { return p.stopSchedule.Load() != nil }
--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -29,6 +29,8 @@
 	replicationLag = 30 * time.Millisecond
 	// maxStaleness is the staleness limit of the route for stale reads.
 	maxStaleness = 1500 * time.Millisecond
+	// stopTimeout is the stop_timeout of the daemons, that of the deployments.
+	stopTimeout = 6 * time.Second
 )
 
 // A Fleet is a set of daemon processes in front of one group of endpoints. Each
@@ -168,9 +170,9 @@
 	}
 	d := &Daemon{name: name, callers: addresses[0], store: store, fleet: f, config: filepath.Join(f.directory, name+".ini")}
 	text := fmt.Sprintf("[proxy]\nvm = %s\nfailure_domain = %s\ncaller_address = %s\nreadiness_address = %s\npeer_address = %s\n"+
-		"store_address = %s\nduty_address = %s\nstop_timeout = 4s\ndrain_limit = %s\nevacuation_limit = %s\n"+
+		"store_address = %s\nduty_address = %s\nstop_timeout = %s\ndrain_limit = %s\nevacuation_limit = %s\n"+
 		"usage_window = 1s\nusage_delay = 5s\nusage_handover = 2s\n",
-		name, domain, addresses[0], addresses[1], addresses[2], store.Address(), store.Address(), leavingLimit, leavingLimit)
+		name, domain, addresses[0], addresses[1], addresses[2], store.Address(), store.Address(), stopTimeout, leavingLimit, leavingLimit)
 	if err := os.WriteFile(d.config, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -29,13 +29,15 @@
 	primary     string
 	endpoints   map[string]*Endpoint
 	writeCounts map[string]int
+	// received has the ids of the statements that have reached an endpoint.
+	received map[string]struct{}
 	// deposedWrites counts the writes that ran at deposed primaries.
 	deposedWrites int
 }
 
 // NewGroup returns a group whose replicas apply each commit after lag.
 func NewGroup(name string, lag time.Duration) *Group {
-	return &Group{name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int)}
+	return &Group{name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int), received: make(map[string]struct{})}
 }
 
 // An Endpoint is one instance of a group.
@@ -300,3 +302,17 @@
 	term, number := e.position()
 	return fmt.Sprintf("%d.%d", term, number)
 }
+
+// HasReceived reports whether the statement with an id has reached an endpoint.
+func (g *Group) HasReceived(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.received[id]
+	return ok
+}
+
+func (g *Group) recordReceived(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.received[id] = struct{}{}
+}
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -56,6 +56,7 @@
 		if len(fields) < 3 || fields[0] != "QUERY" {
 			return
 		}
+		e.group.recordReceived(fields[1])
 		e.pause()
 		reply, ok := s.run(fields[2])
 		if !ok {
