rattanproxy: a stopping daemon unregisters after its last session, not beside it

Cause: the stop ended as soon as one look found no session. It then unregistered, a call to the store, with the listener still open; sessions accepted meanwhile were served, on grants of a lease that was being revoked, and cut off at the exit. Class of fault: work is taken on after the check that there is none, because what lets it in is closed last. The tests before had a stop_timeout of 4 s: half of it is shorter than the 2.2 s of the load balancer, so statements were refused by then. Change: after the last look the listener is closed and no session is added any more; the sessions end after their answers, and the daemon waits for them as long as for any statement; then it unregisters, within what is left of stop_timeout.

--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -38,6 +38,10 @@
 	hangingWatchBound = 4 * time.Second
 	// settleTime is long enough for started daemons to know each other.
 	settleTime = 1 * time.Second
+	// shortStopTimeout is the stop_timeout of most tests, deployedStopTimeout that of the
+	// deployments: half of it is longer than the load balancer takes to notice a stop.
+	shortStopTimeout    = 4 * time.Second
+	deployedStopTimeout = 6 * time.Second
 	// waitBound limits the wait for a condition that the test expects soon.
 	waitBound = 10 * time.Second
 )
@@ -52,6 +56,8 @@
 	daemons   []*testDaemon
 	// moreSettings are lines for the settings of the daemons.
 	moreSettings string
+	// stopTimeout is the stop_timeout of the daemons.
+	stopTimeout time.Duration
 	// platform connects a daemon to the platform at an address.
 	platform func(address string) rattanproxy.Platform
 	// hasMetrics is true when the daemons serve metrics and dumps.
@@ -102,7 +108,7 @@
 
 func newFleetWithoutDaemons(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, group: rattanlineserver.NewGroup("orders", 20*time.Millisecond), endpoints: make(map[string]*rattanlineserver.Endpoint)}
+	f := &fleet{t: t, group: rattanlineserver.NewGroup("orders", 20*time.Millisecond), endpoints: make(map[string]*rattanlineserver.Endpoint), stopTimeout: shortStopTimeout}
 	f.platform = func(address string) rattanproxy.Platform { return rattanplatform.New(address, address) }
 	f.store = rattankvserver.New(func(_, id string) bool {
 		ok := f.group.Promote(id)
@@ -210,11 +216,11 @@
 peer_address = %s
 store_address = %s
 duty_address = %s
-stop_timeout = 4s
+stop_timeout = %s
 drain_limit = 3s
 evacuation_limit = 3s
 %s
-%s`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address, metrics, f.moreSettings))
+%s`, name, domain, daemon.callers, freeAddress(f.t), freeAddress(f.t), address, address, f.stopTimeout, metrics, f.moreSettings))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -191,8 +191,7 @@
 	var finished sync.WaitGroup
 	finished.Go(func() { _ = tree.Serve(running) })
 	<-ctx.Done()
-	p.stop()
-	_ = callers.Close()
+	p.stop(callers)
 	cancel()
 	finished.Wait()
 	if err := p.peers.Close(); err != nil {
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -28,15 +28,28 @@
 type sessions struct {
 	mu   sync.Mutex
 	open map[*session]struct{}
+	// refusesNew is true once no session is added any more.
+	refusesNew bool
 }
 
-func (s *sessions) add(added *session) {
+// add lists a session. It returns false when new sessions are refused.
+func (s *sessions) add(added *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.refusesNew {
+		return false
+	}
 	if s.open == nil {
 		s.open = make(map[*session]struct{})
 	}
 	s.open[added] = struct{}{}
+	return true
+}
+
+func (s *sessions) refuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusesNew = true
 }
 
 func (s *sessions) remove(removed *session) {
@@ -76,7 +89,10 @@
 			continue
 		}
 		s := &session{proxy: p, conn: p.platform.Caller(conn), acceptedAt: p.clock.Now(), stateMachine: rattanstatemachine.New()}
-		p.sessions.add(s)
+		if !p.sessions.add(s) {
+			_ = s.conn.Close()
+			continue
+		}
 		go func() {
 			defer p.sessions.remove(s)
 			defer p.recoverPanic("session")
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanstop"
@@ -10,47 +11,56 @@
 const (
 	// stopInterval separates two looks at the sessions during a stop.
 	stopInterval = 50 * time.Millisecond
-	// lastAnswersTimeout limits the wait at the end for answers that are being written.
-	lastAnswersTimeout = 200 * time.Millisecond
+	// lastAnswersTimeout limits the wait at the end for answers that are being written, and
+	// lastAnswersInterval separates two looks at them.
+	lastAnswersTimeout  = 200 * time.Millisecond
+	lastAnswersInterval = 10 * time.Millisecond
+	// unregisterTimeout limits the call that removes the daemon's entry from the store.
+	unregisterTimeout = 500 * time.Millisecond
 )
 
 // stop ends the sessions. New sessions are still accepted until the load balancer
 // has noticed; then idle sessions are closed, and the others finish first. Open transactions
-// have half of the time to end.
-func (p *Proxy) stop() {
+// have half of the time to end. The daemon unregisters only when nothing can reach it any
+// more and every statement has its answer.
+func (p *Proxy) stop(callers net.Listener) {
 	p.logger.Info("stop_begin", "sessions", p.sessions.count())
 	begun := p.clock.Now()
 	schedule := rattanstop.New(begun, p.settings.StopTimeout())
 	p.stopSchedule.Store(schedule)
 	p.registration.setStopping()
+	p.awaitIdle(schedule)
+	p.logger.Info("stop_last_look", "sessions", p.sessions.count(), "forwarded_idle", p.forwarded.isIdle(),
+		"waited_ms", p.clock.Now().Sub(begun).Milliseconds())
+	_ = callers.Close()
+	p.sessions.refuseNew()
+	p.endSessions(schedule.End().Add(lastAnswersTimeout))
+	p.logger.Info("stop_sessions_ended", "sessions", p.sessions.count())
+	if p.usage != nil {
+		p.usage.flush()
+	}
+	p.unregister(begun.Add(p.settings.StopTimeout()))
+}
+
+// awaitIdle waits until there is neither a session nor work of other daemons, at most until
+// the schedule's end.
+func (p *Proxy) awaitIdle(schedule *rattanstop.Schedule) {
 	for p.clock.Now().Before(schedule.End()) {
 		if schedule.ClosesIdleSessions(p.clock.Now()) {
 			for _, s := range p.sessions.list() {
 				s.closeIdle()
 			}
 			if p.sessions.count() == 0 && p.forwarded.isIdle() {
-				break
+				return
 			}
 		}
 		<-p.clock.After(stopInterval)
 	}
-	p.logger.Info("stop_last_look", "sessions", p.sessions.count(), "forwarded_idle", p.forwarded.isIdle(),
-		"waited_ms", p.clock.Now().Sub(begun).Milliseconds())
-	p.endSessions()
-	if p.usage != nil {
-		p.usage.flush()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout/2)
-	defer cancel()
-	if err := p.registration.unregister(ctx); err != nil {
-		p.logger.Warn("withdraw_failed", "error", err)
-	}
-	p.logger.Info("stop_sessions_ended", "sessions", p.sessions.count())
 }
 
-// endSessions closes all sessions, those whose statement is being answered after the answer.
-func (p *Proxy) endSessions() {
-	until := p.clock.Now().Add(lastAnswersTimeout)
+// endSessions closes all sessions, those whose statement is being answered after the answer,
+// and waits for those answers until a time.
+func (p *Proxy) endSessions(until time.Time) {
 	for {
 		answering := 0
 		for _, s := range p.sessions.list() {
@@ -61,7 +71,18 @@
 		if answering == 0 || !p.clock.Now().Before(until) {
 			return
 		}
-		<-p.clock.After(stopInterval / 5)
+		<-p.clock.After(lastAnswersInterval)
+	}
+}
+
+// unregister removes the daemon's entry from the store. It gives up at the end of the stop
+// timeout; the entry then ends with its lease.
+func (p *Proxy) unregister(end time.Time) {
+	timeout := min(unregisterTimeout, end.Sub(p.clock.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := p.registration.unregister(ctx); err != nil {
+		p.logger.Warn("withdraw_failed", "error", err)
 	}
 }
 
--- a/internal/daemon/rattanproxy/stop_test.go
+++ b/internal/daemon/rattanproxy/stop_test.go
@@ -1,10 +1,18 @@
 package rattanproxy_test
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanplatform"
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanproxy"
 )
 
 const (
@@ -14,6 +22,8 @@
 	statementDelay = 40 * time.Millisecond
 	// lateCommit is after the first half of stop_timeout, when statements are refused.
 	lateCommit = 2100 * time.Millisecond
+	// lastStatementDelay is how long a statement takes that arrives shortly before the exit.
+	lastStatementDelay = 200 * time.Millisecond
 	// endTime is longer than stop_timeout of the daemons.
 	endTime = 5 * time.Second
 )
@@ -87,3 +97,80 @@
 	}
 	caller.assertClosed()
 }
+
+// A revokeGate is a store that reports when a daemon revokes its lease, and answers when it
+// is told to.
+type revokeGate struct {
+	rattankv.Store
+	revoked, released chan struct{}
+}
+
+func (g *revokeGate) RevokeLease(ctx context.Context, _ rattankv.Lease) error {
+	close(g.revoked)
+	select {
+	case <-g.released:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestStopTakesNoSessionWhileUnregistering guards against sessions that a stopping daemon
+// accepts after its last look at them, and whose statements its exit cuts off (LOST).
+func TestStopTakesNoSessionWhileUnregistering(t *testing.T) {
+	t.Parallel()
+	f := newFleetWithoutDaemons(t)
+	gate := &revokeGate{revoked: make(chan struct{}), released: make(chan struct{})}
+	f.platform = func(address string) rattanproxy.Platform {
+		platform := rattanplatform.New(address, address)
+		gate.Store = platform.Store
+		platform.Store = gate
+		return platform
+	}
+	f.stopTimeout = deployedStopTimeout
+	f.startAll(1)
+	f.dial(f.daemons[0], "checkout", testKey).retryUntilOK("WRITE i1 before", waitBound)
+	for _, endpoint := range f.endpoints {
+		endpoint.SetDelay(lastStatementDelay)
+	}
+	f.daemons[0].stop()
+	<-gate.revoked
+	answered := make(chan error, 1)
+	go func() { answered <- f.writeLate() }()
+	for !f.group.HasReceived(lateID) && len(answered) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(gate.released)
+	select {
+	case <-f.daemons[0].stopped:
+		if f.group.HasReceived(lateID) && len(answered) == 0 {
+			t.Error("the daemon has ended before it answered a statement")
+		}
+	case err := <-answered:
+		if f.group.HasReceived(lateID) && err != nil {
+			t.Errorf("a statement stayed without an answer: %v", err)
+		}
+	}
+}
+
+// lateID is the id of the statement of writeLate.
+const lateID = "late"
+
+// writeLate opens a session at the first daemon and writes.
+func (f *fleet) writeLate() error {
+	conn, err := net.Dial("tcp", f.daemons[0].callers)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, message := range []string{"START checkout " + testKey, "QUERY " + lateID + " WRITE i1 late"} {
+		if _, err := fmt.Fprintf(conn, "%s\r\n", message); err != nil {
+			return err
+		}
+		if _, err := reader.ReadString('\n'); err != nil {
+			return err
+		}
+	}
+	return nil
+}
