rattanproxy: a session that is to close answers what has arrived

Callers saw: a statement that had reached a stopping daemon was dropped with its session; the connection was reset. Cause: idle sessions were closed by the goroutine of the stop while the session's own goroutine was reading: a statement read in that moment, or waiting in the kernel's buffer behind another one, had no answer, and closing a socket with unread data resets it. Class of fault: two owners of one connection's end. Change: the stop only ends the wait for the next message, by a read deadline; the session closes itself, after what has arrived. A session is busy from the first byte of a message.

--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -38,7 +38,11 @@
 type CallerConn interface {
 	ReadStart() (database, key string, err error)
 	ReadStatement() (rattanstatement.Statement, error)
+	// AwaitMessage waits for a message of the caller and consumes nothing.
+	AwaitMessage() error
 	HasBuffered() bool
+	// HasArrived reports whether a message has arrived that was not read yet.
+	HasArrived() bool
 	WriteGreeting() error
 	WriteRefusal(code rattanstatement.Code, detail string) error
 	WriteResult(result rattanstatement.Result) error
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -1,14 +1,11 @@
 package rattanproxy
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatemachine"
@@ -24,83 +21,6 @@
 	callerWriteTimeout = 5 * time.Second
 )
 
-// sessions counts and lists the open sessions.
-type sessions struct {
-	mu   sync.Mutex
-	open map[*session]struct{}
-	// refusesNew is true once no session is added any more.
-	refusesNew bool
-}
-
-// add lists a session. It returns false when new sessions are refused.
-func (s *sessions) add(added *session) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.refusesNew {
-		return false
-	}
-	if s.open == nil {
-		s.open = make(map[*session]struct{})
-	}
-	s.open[added] = struct{}{}
-	return true
-}
-
-func (s *sessions) refuseNew() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refusesNew = true
-}
-
-func (s *sessions) remove(removed *session) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, removed)
-}
-
-func (s *sessions) list() []*session {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]*session, 0, len(s.open))
-	for open := range s.open {
-		list = append(list, open)
-	}
-	return list
-}
-
-func (s *sessions) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
-}
-
-// accept starts a session for each caller that connects.
-func (p *Proxy) accept(ctx context.Context, listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return suture.ErrDoNotRestart
-			}
-			p.logger.Error("accept_failed", "error", err)
-			if !p.sleep(ctx, storeRetry) {
-				return suture.ErrDoNotRestart
-			}
-			continue
-		}
-		s := &session{proxy: p, conn: p.platform.Caller(conn), acceptedAt: p.clock.Now(), stateMachine: rattanstatemachine.New()}
-		if !p.sessions.add(s) {
-			_ = s.conn.Close()
-			continue
-		}
-		go func() {
-			defer p.sessions.remove(s)
-			defer p.recoverPanic("session")
-			s.serve()
-		}()
-	}
-}
-
 // A session holds the state of one caller connection.
 type session struct {
 	proxy        *Proxy
@@ -118,11 +38,11 @@
 	position rattanmodel.Position
 
 	mu sync.Mutex
-	// isBusy is true from the receipt of a statement until its response, and while
-	// a transaction is open.
+	// isBusy is true from the first byte of a message until the response, and while a
+	// transaction is open.
 	isBusy bool
-	// isAnswering is true from the receipt of a statement until its response, answering is
-	// the statement's id.
+	// isAnswering is true from the first byte of a message until the response, answering is
+	// the id of its statement.
 	isAnswering bool
 	answering   string
 	// isClosing is true when the session is to close once it is not busy, isEnded when it
@@ -136,19 +56,16 @@
 	if err := s.start(); err != nil {
 		return
 	}
-	for s.awaitNext() {
-		statement, err := s.conn.ReadStatement()
-		if !s.setBusy(statement.ID) {
-			break
-		}
+	for {
+		statement, err := s.readStatement()
 		if err != nil {
 			if !s.handleReadError(err) {
-				break
+				return
 			}
 			continue
 		}
 		if err := s.handleStatement(statement); err != nil {
-			break
+			return
 		}
 	}
 }
@@ -209,94 +126,6 @@
 	return route, rattanstatement.None, ""
 }
 
-// awaitNext prepares the wait for the next statement. It returns false when the
-// session is to end.
-func (s *session) awaitNext() bool {
-	limit := time.Time{}
-	if s.transaction != nil {
-		limit = s.proxy.clock.Now().Add(s.idleTransaction())
-	}
-	s.mu.Lock()
-	s.isAnswering = false
-	s.isBusy = s.transaction != nil || s.conn.HasBuffered()
-	isClosing := s.isEnded || s.isClosing && !s.isBusy
-	s.mu.Unlock()
-	return !isClosing && s.conn.SetReadDeadline(limit) == nil
-}
-
-func (s *session) idleTransaction() time.Duration {
-	const fallback = 10 * time.Second
-	if catalog := s.proxy.cache.Snapshot().Catalog; catalog != nil && catalog.Limits().IdleTransaction > 0 {
-		return catalog.Limits().IdleTransaction
-	}
-	return fallback
-}
-
-// setBusy records that a statement has been read. It returns false when the session is to
-// end without an answer to it.
-func (s *session) setBusy(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isEnded || s.isClosing && !s.isBusy {
-		return false
-	}
-	s.isBusy, s.isAnswering, s.answering = true, true, id
-	return true
-}
-
-// closeIdle closes the session; if a statement or transaction is in progress, the
-// session closes after it.
-func (s *session) closeIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isClosing = true
-	if !s.isBusy {
-		_ = s.conn.Close()
-	}
-}
-
-// end closes the session, also with an open transaction; if a statement is in progress, the
-// session closes after the response. It returns false in that case.
-func (s *session) end() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isEnded = true
-	if !s.isAnswering {
-		_ = s.conn.Close()
-	}
-	return !s.isAnswering
-}
-
-// handleReadError handles a message that could not be read. It returns false when
-// the session is over.
-func (s *session) handleReadError(err error) bool {
-	if s.proxy.platform.IsTerminated(err) {
-		return false
-	}
-	if isTimeout(err) && s.transaction != nil {
-		s.proxy.logger.Info("transaction_idle", "database", s.database, "account", s.account)
-		s.transaction.Abort()
-		s.transaction = nil
-		s.stateMachine.TransactionFailed()
-		return true
-	}
-	protocolErr, ok := s.proxy.platform.ParseCallerError(err)
-	if !ok {
-		return false
-	}
-	s.proxy.logger.Info("message_refused", "id", protocolErr.ID, "code", protocolErr.Code.String(), "problem", protocolErr.Problem)
-	result := rattanstatement.Refuse(protocolErr.Code, protocolErr.Problem)
-	if s.write(result) != nil {
-		return false
-	}
-	return !protocolErr.IsFatal
-}
-
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 func (s *session) write(result rattanstatement.Result) error {
 	if err := s.conn.SetWriteDeadline(s.proxy.clock.Now().Add(callerWriteTimeout)); err != nil {
 		return err
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -59,16 +59,13 @@
 }
 
 // endSessions closes all sessions, those whose statement is being answered after the answer,
-// and waits for those answers until a time.
+// and waits for their ends until a time.
 func (p *Proxy) endSessions(until time.Time) {
 	for {
-		answering := 0
 		for _, s := range p.sessions.list() {
-			if !s.end() {
-				answering++
-			}
+			s.end()
 		}
-		if answering == 0 || !p.clock.Now().Before(until) {
+		if p.sessions.count() == 0 || !p.clock.Now().Before(until) {
 			return
 		}
 		<-p.clock.After(lastAnswersInterval)
@@ -90,7 +87,7 @@
 func (p *Proxy) logCutWork() {
 	for _, s := range p.sessions.list() {
 		s.mu.Lock()
-		if s.isAnswering {
+		if s.answering != "" {
 			p.logger.Warn("statement_cut", "id", s.answering, "database", s.database, "account", s.account,
 				"session_ms", p.clock.Now().Sub(s.acceptedAt).Milliseconds())
 		}
--- a/internal/daemon/rattanproxy/stop_test.go
+++ b/internal/daemon/rattanproxy/stop_test.go
@@ -24,6 +24,8 @@
 	lateCommit = 2100 * time.Millisecond
 	// lastStatementDelay is how long a statement takes that arrives shortly before the exit.
 	lastStatementDelay = 200 * time.Millisecond
+	// beforeIdleClose is after the signal, shortly before idle sessions are closed.
+	beforeIdleClose = 2150 * time.Millisecond
 	// endTime is longer than stop_timeout of the daemons.
 	endTime = 5 * time.Second
 )
@@ -174,3 +176,57 @@
 	}
 	return nil
 }
+
+// TestStopAnswersWhatHasArrived guards against a statement that has reached a stopping daemon
+// and is dropped with its session, which closes as idle (LOST).
+func TestStopAnswersWhatHasArrived(t *testing.T) {
+	t.Parallel()
+	const first, second = "QUERY id1 WRITE i1 first\r\n", "QUERY id2 WRITE i1 second\r\n"
+	for _, test := range []struct {
+		name string
+		// parts are sent one after the other, the second when sessions close.
+		parts [2]string
+	}{
+		{"behind another statement", [2]string{first, second}},
+		{"in two parts", [2]string{first + second[:9], second[9:]}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWithoutDaemons(t)
+			f.stopTimeout = deployedStopTimeout
+			f.startAll(1)
+			caller := f.dial(f.daemons[0], "checkout", testKey)
+			caller.retryUntilOK("WRITE i1 before", waitBound)
+			for _, endpoint := range f.endpoints {
+				endpoint.SetDelay(lastStatementDelay)
+			}
+			f.daemons[0].stop()
+			time.Sleep(beforeIdleClose)
+			for _, part := range test.parts {
+				if _, err := fmt.Fprint(caller.conn, part); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(lastStatementDelay / 2)
+			}
+			caller.assertAnswers(2)
+			caller.assertClosed()
+		})
+	}
+}
+
+// assertAnswers reads the whole answers to a number of statements.
+func (c *testCaller) assertAnswers(want int) {
+	c.t.Helper()
+	if err := c.conn.SetReadDeadline(time.Now().Add(waitBound)); err != nil {
+		c.t.Fatal(err)
+	}
+	for got := 0; got < want; {
+		line, err := c.reader.ReadString('\n')
+		if err != nil {
+			c.t.Fatalf("%d answers, want %d: %v", got, want, err)
+		}
+		if strings.HasPrefix(line, "READY ") {
+			got++
+		}
+	}
+}
