rattanlisten: answer every request that a stopping server has read

Callers saw: requests to a stopping daemon of `serve` whose connection ended without a response. None of them had run.

Cause: http.Server.Shutdown. Once it has begun, net/http closes a connection after it has read a request on it, without calling the handler; and it closes idle connections in the middle of a caller's use.

Evidence: TestDrainAnswers, without the callers' load; the script stopload with it. The cut requests all fall into the same few milliseconds at the end of a stop.

Change: the server no longer calls Shutdown. It closes the listener, answers what arrives on the open connections with "Connection: close" (GOAWAY in HTTP/2), and closes a connection once it had no request for 0.5 s.

--- a/internal/cmd/rattancmd/fleet_test.go
+++ b/internal/cmd/rattancmd/fleet_test.go
@@ -174,14 +174,15 @@
 }
 
 // cmdFleet starts platform, endpoints and daemons, applies settings, stores a key
-// for client account dealer-1 in $KEY and creates the table items.
+// for client account dealer-1 in $KEY and creates the table items. The flags are those
+// of the endpoints.
 func cmdFleet(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 0 {
-		ts.Fatalf("usage: fleet")
+	if neg {
+		ts.Fatalf("usage: fleet [FLAG...]")
 	}
 	cmdStart(ts, false, []string{"platform"})
 	for _, endpoint := range fleetEndpoints {
-		cmdStart(ts, false, []string{endpoint.name})
+		cmdStart(ts, false, append([]string{endpoint.name}, args...))
 	}
 	for _, vm := range fleetVMs {
 		cmdStart(ts, false, []string{vm.name})
--- a/internal/daemon/rattanlisten/server.go
+++ b/internal/daemon/rattanlisten/server.go
@@ -24,6 +24,7 @@
 	name            string
 	listener        net.Listener
 	server          *http.Server
+	handler         http.Handler
 	tls             *tls.Config
 	shutdownTimeout time.Duration
 }
@@ -42,8 +43,9 @@
 	return func(s *Server) { s.listener = newLimitListener(s.listener, limit) }
 }
 
-// WithShutdownTimeout bounds how long Serve waits for running requests after its
-// context has ended. Without it, Serve does not wait.
+// WithShutdownTimeout bounds how long Serve waits, after its context has ended, for
+// running requests and until the open connections are quiet. Without it, Serve does
+// not wait.
 func WithShutdownTimeout(d time.Duration) Option {
 	return func(s *Server) { s.shutdownTimeout = d }
 }
@@ -57,8 +59,9 @@
 	s := &Server{
 		name:     name,
 		listener: listener,
+		handler:  handler,
 		server: &http.Server{
-			Handler:           handler,
+			ConnContext:       connContext,
 			ReadHeaderTimeout: headerTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			Protocols:         &protocols,
@@ -76,29 +79,32 @@
 // String returns the server's name for the supervisor's log.
 func (s *Server) String() string { return s.name + " server" }
 
-// Serve serves requests until ctx ends, then waits for the running ones within the
-// shutdown timeout and closes the connections of those that take longer.
+// Serve serves requests until ctx ends. It then accepts no more connections, answers
+// the requests on the open ones within the shutdown timeout, and closes those that
+// take longer.
 func (s *Server) Serve(ctx context.Context) error {
+	tracker := newConnTracker(s.listener)
+	s.server.Handler = tracker.track(s.handler)
 	failed := make(chan error, 1)
-	go func() { failed <- s.serve() }()
+	go func() { failed <- s.serve(tracker) }()
 	select {
 	case err := <-failed:
 		return errors.Wrapf(err, "serve %s", s.name)
 	case <-ctx.Done():
 	}
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.shutdownTimeout)
+	tracker.stopAccepting()
+	<-failed // the last accepted connection is known
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.shutdownTimeout)
 	defer cancel()
-	if err := s.server.Shutdown(shutdownCtx); err != nil {
-		_ = s.server.Close() // aborts the requests that outlast the shutdown timeout
-	}
-	<-failed
+	tracker.drain(drainCtx)
+	_ = s.server.Close() // the requests that outlast the shutdown timeout get no answer
 	return ctx.Err()
 }
 
-func (s *Server) serve() error {
+func (s *Server) serve(listener net.Listener) error {
 	if s.tls == nil {
-		return s.server.Serve(s.listener)
+		return s.server.Serve(listener)
 	}
 	s.server.TLSConfig = s.tls
-	return s.server.ServeTLS(s.listener, "", "")
+	return s.server.ServeTLS(listener, "", "")
 }
