rattantransaction: roll the transactions that a stop ends back at the same time

Callers saw: nothing measured with processes. With endpoints that do not answer, each open transaction delayed the end of a stop by up to 1 s, so that a supervisor may kill the daemon with requests unanswered.

Cause: Registry.Drain rolled the transactions back one after the other.

Evidence: by reading; the new subtest.

Change: Drain rolls all of them back at the same time.

Measured: `go test ./internal/caller/rattantransaction` before: "drain waits for slow rollbacks once and not for each" fails (6 s with 5 transactions, want 2 s); after: passes, with -race.

--- a/internal/caller/rattantransaction/registry.go
+++ b/internal/caller/rattantransaction/registry.go
@@ -253,8 +253,11 @@
 		remaining = append(remaining, t)
 	}
 	r.mutex.Unlock()
+	// An endpoint that does not answer delays each rollback.
+	var rollbacks sync.WaitGroup
 	for _, t := range remaining {
-		r.end(t)
+		rollbacks.Go(func() { r.end(t) })
 	}
+	rollbacks.Wait()
 	return len(remaining)
 }
--- a/internal/caller/rattantransaction/registry_test.go
+++ b/internal/caller/rattantransaction/registry_test.go
@@ -19,6 +19,8 @@
 	running    atomic.Int32
 	overlapped atomic.Bool
 	done       chan struct{}
+	// rollbackTime is how long a rollback takes.
+	rollbackTime time.Duration
 }
 
 func (c *fakeConnection) Execute(context.Context, *rattanv1.Statement) (*rattanv1.Result, error) {
@@ -34,7 +36,11 @@
 	return rattanmodel.Position{Term: 1, Index: 7}, nil
 }
 
-func (c *fakeConnection) Rollback()             { c.rolledBack.Add(1) }
+func (c *fakeConnection) Rollback() {
+	time.Sleep(c.rollbackTime)
+	c.rolledBack.Add(1)
+}
+
 func (c *fakeConnection) Done() <-chan struct{} { return c.done }
 
 var owner = Owner{ClientAccount: "shop/dealer", KeyID: "k1"}
@@ -132,6 +138,18 @@
 			_, err := r.Begin(ctx, owner, "g", nil)
 			assertReason(t, err, rattanv1.Reason_REASON_SHUTTING_DOWN)
 		}},
+		{"drain waits for slow rollbacks once and not for each", func(ctx context.Context, t *testing.T, _ func(), r *Registry) {
+			for range 5 {
+				_, connection := begin(ctx, t, r)
+				connection.rollbackTime = time.Second
+			}
+			drainCtx, cancelDrain := context.WithTimeout(ctx, time.Second)
+			defer cancelDrain()
+			start := time.Now()
+			if remaining := r.Drain(drainCtx); remaining != 5 || time.Since(start) > 3*time.Second {
+				t.Errorf("%d transactions were left and Drain took %s, want 5 and 2s", remaining, time.Since(start))
+			}
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
