rattanservice: answer the requests that run at the end of stop_timeout

Callers saw: a write in flight at the end of `stop_timeout`, passed on to an endpoint that did not answer: the connection ended without a response. The write ran when the endpoint went on.

Cause: nothing ended such requests. The HTTP server waited for them for another stop_timeout and then closed their connections. Calls of transactions were taken and passed on until the exit.

Evidence: script stopend: SIGSTOP of all endpoints, a write, a batch and two commits, SIGTERM, stop_timeout 2 s.

Change: after the wait, Service.End ends the contexts of the requests that still run, with shutting_down as the refusal and the run state that the executor knows, and refuses all new ones, also calls of transactions.

The refusals were checked against the rows.

--- a/internal/caller/rattanservice/call.go
+++ b/internal/caller/rattanservice/call.go
@@ -19,8 +19,8 @@
 	identity Identity
 	route    Route
 	session  Session
-	// ctx is the context of the request. It also ends when the key is withdrawn,
-	// with a *rattanerr.Refusal as its cause.
+	// ctx is the context of the request. It also ends when the key is withdrawn and
+	// when the service ends, with a *rattanerr.Refusal as its cause.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -28,12 +28,12 @@
 // end releases ctx and stops tracking the key. Each call must be ended.
 func (c *call) end() { c.cancel() }
 
-// refuse returns the refusal for a withdrawn key when a withdrawal ended the call,
-// and err otherwise. The refusal keeps the run state and the request identifier of
+// refuse returns the refusal that ended the call, if one did, and err otherwise. The
+// refusal keeps the run state and the request identifier of
 // err, so that it still says whether the request ran.
 func (c *call) refuse(err error) error {
-	cause, withdrawn := rattanerr.AsRefusal(context.Cause(c.ctx))
-	if !withdrawn {
+	cause, isEnded := rattanerr.AsRefusal(context.Cause(c.ctx))
+	if !isEnded {
 		return err
 	}
 	ended := *cause
@@ -93,9 +93,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &call{identity: identity, route: route, session: session, ctx: ctx, cancel: func() {}}
+	c := &call{identity: identity, route: route, session: session}
+	c.ctx, c.cancel = s.withLifetime(ctx)
 	if identity.KeyID != "" {
-		c.ctx, c.cancel = s.keyring.Track(ctx, identity.KeyID)
+		tracked, cancelTrack := s.keyring.Track(c.ctx, identity.KeyID)
+		cancelLifetime := c.cancel
+		c.ctx = tracked
+		c.cancel = func() {
+			cancelTrack()
+			cancelLifetime()
+		}
 	}
 	if _, ok := c.ctx.Deadline(); !ok {
 		timed, cancelTimed := context.WithTimeout(c.ctx, s.limits.StatementTime)
--- a/internal/caller/rattanservice/service.go
+++ b/internal/caller/rattanservice/service.go
@@ -51,11 +51,17 @@
 	stopping     atomic.Bool
 	running      atomic.Int64
 	counters     Counters
+	// lifetime ends with End. Its cause is the refusal of the requests that then run.
+	lifetime    context.Context
+	endLifetime context.CancelCauseFunc
 }
 
 // New returns a Service.
 func New(d Dependencies) *Service {
+	lifetime, endLifetime := context.WithCancelCause(context.Background())
 	return &Service{
+		lifetime:     lifetime,
+		endLifetime:  endLifetime,
 		keyring:      d.Keyring,
 		catalog:      d.Catalog,
 		admitter:     d.Admitter,
@@ -77,6 +83,24 @@
 // completed, and calls of open transactions are still served.
 func (s *Service) StopAccepting() { s.stopping.Store(true) }
 
+// End ends the requests that still run and refuses all new ones, also calls of
+// transactions. The refusal of a request that was ended says whether it may have run.
+func (s *Service) End() {
+	s.StopAccepting()
+	s.endLifetime(errShuttingDown())
+}
+
+// withLifetime returns a context that also ends with End, with the refusal as its
+// cause.
+func (s *Service) withLifetime(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.lifetime, func() { cancel(context.Cause(s.lifetime)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // serve authenticates and admits one request, runs it with run, and counts it as
 // served or refused. The response carries the new session token.
 func serve[Req, Res any](ctx context.Context, s *Service, req *connect.Request[Req], service, route string,
--- a/internal/cmd/rattancmd/script_test.go
+++ b/internal/cmd/rattancmd/script_test.go
@@ -43,6 +43,7 @@
 			"fleet":        cmdFleet,
 			"load":         cmdLoad,
 			"oddentries":   cmdOddEntries,
+			"pending":      cmdPending,
 			"replace":      cmdReplace,
 			"restarts":     cmdRestarts,
 			"save":         cmdSave,
--- a/internal/cmd/rattancmd/stopload_test.go
+++ b/internal/cmd/rattancmd/stopload_test.go
@@ -299,10 +299,7 @@
 	}
 	failed := 0
 	for _, cut := range l.cut {
-		response, err := post(http.DefaultClient, url, "Execute", l.key, "",
-			fmt.Sprintf(`{"service":"orders","statement":{"text":"SELECT id FROM items WHERE id = '%s'"}}`, cut.id))
-		ts.Check(err)
-		ran := strings.Contains(response.body, strconv.Quote(cut.id))
+		ran := isStored(ts, url, l.key, cut.id)
 		if ran || cut.result == resultCut {
 			failed++
 		}
@@ -313,6 +310,14 @@
 	}
 }
 
+// isStored reports whether the daemon at url finds the row with the given id.
+func isStored(ts *testscript.TestScript, url, key, id string) bool {
+	response, err := post(http.DefaultClient, url, "Execute", key, "",
+		fmt.Sprintf(`{"service":"orders","statement":{"text":"SELECT id FROM items WHERE id = '%s'"}}`, id))
+	ts.Check(err)
+	return strings.Contains(response.body, strconv.Quote(id))
+}
+
 // cmdRestarts stops daemons at the same time and starts them again, count times.
 func cmdRestarts(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
--- a/internal/daemon/rattandaemon/run.go
+++ b/internal/daemon/rattandaemon/run.go
@@ -23,6 +23,9 @@
 	// balancerDelay is how long a stopping daemon still accepts new requests after
 	// it reports NOT_SERVING, so that the platform's load balancer notices first.
 	balancerDelay = 500 * time.Millisecond
+	// answerTimeout bounds the wait for the answers to the requests that the end of
+	// stop_timeout has ended.
+	answerTimeout = time.Second
 	// leaveTimeout bounds the change of the roster at the stop.
 	leaveTimeout = 2 * time.Second
 )
@@ -204,7 +207,14 @@
 		d.logger.Warn("transactions were rolled back at the stop", "transactions", ended)
 	}
 	d.waitRunning(ctx)
-	d.endpoints.Close(ctx)
+	if running := d.callers.Running(); running > 0 {
+		d.logger.Warn("requests were ended at the stop", "requests", running)
+	}
+	d.callers.End()
+	answerCtx, cancelAnswer := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancelAnswer()
+	d.waitRunning(answerCtx)
+	d.endpoints.Close(answerCtx)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	if err := d.roster.Leave(leaveCtx); err != nil {
