rattancmd: a repeated SIGTERM does not cut a daemon's stop short

Cause: after the first signal all signals had their default effect again, in proxy and serve. Change: proxy and serve handle SIGTERM and SIGINT until their exit. A repeated one is logged (signal_repeated; "daemon was asked again to stop") and the stop goes on. Only the second SIGINT ends the process at once: a SIGINT after SIGTERMs counts as the first one. Other commands are as they were.

--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -22,35 +22,44 @@
 	operator operatorFlags
 	// isRunning is true once the flags and arguments of the command are accepted.
 	isRunning bool
+	// repeatedSignals gets the signals that ask a daemon again to stop. It is nil for other
+	// commands.
+	repeatedSignals <-chan os.Signal
 }
 
 // Main runs the command line and returns the exit code of the process.
 func Main() int {
-	if len(os.Args) > 1 && os.Args[1] == proxyCommand {
+	args := os.Args[1:]
+	if len(args) > 0 && args[0] == proxyCommand {
 		// SIGHUP asks the proxy to reload its settings, but would end the process
 		// before the proxy handles it. Such an early signal can be dropped, because
 		// the settings are read after this.
 		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	}
+	c := &config{stdout: os.Stdout, stderr: os.Stderr}
+	if isDaemon(args) {
+		var ctx context.Context
+		ctx, c.repeatedSignals = handleDaemonSignals()
+		return run(ctx, c, args)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// After the first signal, signals have their default effect again, so that a
 	// second one ends the process at once.
 	context.AfterFunc(ctx, stop)
-	return run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	return run(ctx, c, args)
 }
 
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	c := &config{stdout: stdout, stderr: stderr}
+func run(ctx context.Context, c *config, args []string) int {
 	cmd := newRootCmd(c)
 	cmd.SetArgs(args)
-	cmd.SetOut(stdout)
-	cmd.SetErr(stderr)
+	cmd.SetOut(c.stdout)
+	cmd.SetErr(c.stderr)
 	if err := cmd.ExecuteContext(ctx); err != nil {
 		if !c.isRunning {
 			err = usageError{err}
 		}
-		fmt.Fprintln(stderr, "rattanstream:", describe(err))
+		fmt.Fprintln(c.stderr, "rattanstream:", describe(err))
 		return exitCode(err)
 	}
 	return exitOK
--- a/internal/cmd/rattancmd/proxycmd.go
+++ b/internal/cmd/rattancmd/proxycmd.go
@@ -56,6 +56,7 @@
 	defer writerDone.Wait()
 	defer stopWriter()
 	logger = logger.With("vm", settings.VM())
+	go c.observeRepeatedSignals(func(name string) { logger.Warn("signal_repeated", "signal", name) })
 	reload := func() (*rattansettings.ProxySettings, error) { return rattansettings.LoadProxySettings(path) }
 	proxy := rattanproxy.New(settings, reload, rattanclock.System(), rattanclock.BootTime(), logger, rattanplatform.New(settings.StoreAddress(), settings.DutyAddress()))
 	return proxy.Run(ctx)
--- a/internal/cmd/rattancmd/servecmd.go
+++ b/internal/cmd/rattancmd/servecmd.go
@@ -13,12 +13,15 @@
 	"github.com/rattanstream/rattanstream/internal/daemon/rattandaemon"
 )
 
+// serveCommand is the name of the command that runs a daemon with its own protocol.
+const serveCommand = "serve"
+
 func newServeCmd(c *config) *cobra.Command {
 	var path string
 	var overrides []string
 	var baselineNames []string
 	cmd := &cobra.Command{
-		Use:     "serve --config FILE",
+		Use:     serveCommand + " --config FILE",
 		Short:   "Run the daemon of an entry VM",
 		Example: "  rattanstream serve --config /etc/rattanstream/vm.ini --set daemon.vm=vm-a2",
 		Args:    exactArgs(0),
@@ -88,6 +91,7 @@
 		return err
 	}
 	logger = logger.With("vm", process.Daemon().VM())
+	go c.observeRepeatedSignals(func(name string) { logger.Warn("daemon was asked again to stop", "signal", name) })
 	daemon, err := rattandaemon.New(process, rattanclock.System(), logger, options...)
 	if err != nil {
 		return invalidError{err}
