rattancmd: SIGHUP never ends a daemon

Callers saw: no whole answer when SIGHUP came to serve at any time, or to a proxy whose command line has global flags before "proxy", before it listens for SIGHUP and at the end of its stop. Cause: serve did not handle SIGHUP; the early handling in the proxy looked at the first argument only, and once the settings service has ended, nothing else handles the signal. Evidence: scripts stop and proxysignals, TestIsDaemon. Change: proxy and serve handle SIGHUP until their exit, found by their command and not by the first argument. serve has nothing to reload.

--- a/internal/cmd/rattancmd/cmd.go
+++ b/internal/cmd/rattancmd/cmd.go
@@ -30,12 +30,6 @@
 // Main runs the command line and returns the exit code of the process.
 func Main() int {
 	args := os.Args[1:]
-	if len(args) > 0 && args[0] == proxyCommand {
-		// SIGHUP asks the proxy to reload its settings, but would end the process
-		// before the proxy handles it. Such an early signal can be dropped, because
-		// the settings are read after this.
-		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
-	}
 	c := &config{stdout: os.Stdout, stderr: os.Stderr}
 	if isDaemon(args) {
 		var ctx context.Context
