--- a/internal/cmd/rattancmd/stopload_test.go
+++ b/internal/cmd/rattancmd/stopload_test.go
@@ -1,16 +1,12 @@
 package rattancmd
 
 import (
-	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptrace"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,18 +40,6 @@
 	resultCut loadResult = "cut"
 )
 
-const (
-	// reconnectPause is the time between two attempts to connect to a daemon that
-	// does not listen.
-	reconnectPause = 5 * time.Millisecond
-	// maxShortPause is the longest time between two requests of a busy caller, and
-	// maxLongPause that of one whose connection is idle most of the time.
-	maxShortPause = 10 * time.Millisecond
-	maxLongPause  = 1500 * time.Millisecond
-	// idleTime is how long a stopping daemon keeps a connection without requests.
-	idleTime = 500 * time.Millisecond
-)
-
 // A cutRequest is a request that was written and has no whole response.
 type cutRequest struct {
 	result     loadResult
@@ -64,19 +48,6 @@
 	err        error
 }
 
-// classifyCut returns the result of a request that was written on conn and failed with
-// err.
-func classifyCut(conn httptrace.GotConnInfo, err error) loadResult {
-	switch {
-	case !conn.Reused && errors.Is(err, syscall.ECONNRESET):
-		return resultReset
-	case conn.Reused && conn.WasIdle && conn.IdleTime > idleTime:
-		return resultIdle
-	default:
-		return resultCut
-	}
-}
-
 // A callerLoad sends requests to daemons until it is stopped, each request once and
 // on a connection that is used until the daemon closes it.
 type callerLoad struct {
@@ -89,8 +60,14 @@
 	mutex   sync.Mutex
 	results map[string]int
 	cut     []cutRequest
+	// stored is the number of rows of the answered requests, and uncertain that of the
+	// requests that may have run.
+	stored, uncertain int
 }
 
+// integerPattern finds the value of a row with one integer.
+var integerPattern = regexp.MustCompile(`"integer":"([0-9]+)"`)
+
 var callerLoads sync.Map // *testscript.TestScript to *callerLoad
 
 // cmdLoad starts callers at daemons, or stops them and checks that none of their
@@ -122,29 +99,6 @@
 	l.running.Wait()
 }
 
-// A loadCaller is one caller of a load. It uses one daemon at a time.
-type loadCaller struct {
-	load     *callerLoad
-	name     string
-	url      string
-	client   *http.Client
-	maxPause time.Duration
-}
-
-func http1Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{}}
-}
-
-func http2Client() *http.Client {
-	protocols := &http.Protocols{}
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{Protocols: protocols}}
-}
-
-func newConnectionClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-}
-
 func (l *callerLoad) start() {
 	for i, url := range l.urls {
 		other := l.urls[(i+1)%len(l.urls)]
@@ -162,6 +116,7 @@
 		l.run(fmt.Sprintf("batch-%d", i), url, http1Client(), maxShortPause, (*loadCaller).batch)
 		l.run(fmt.Sprintf("transaction-%d", i), url, http1Client(), maxShortPause, (*loadCaller).transaction)
 		l.run(fmt.Sprintf("forwarded-%d", i), url, http2Client(), maxShortPause, func(c *loadCaller) { c.transactionAt(other) })
+		l.run(fmt.Sprintf("long-%d", i), url, http1Client(), maxShortPause, (*loadCaller).longTransaction)
 	}
 }
 
@@ -177,96 +132,6 @@
 	})
 }
 
-func (c *loadCaller) newID() string { return fmt.Sprintf("%s-%d", c.name, c.load.lastID.Add(1)) }
-
-func insertStatement(id string) string {
-	return fmt.Sprintf(`{"text":"INSERT INTO items (id, amount) VALUES ('%s', 1)"}`, id)
-}
-
-func (c *loadCaller) write() {
-	id := c.newID()
-	c.send(c.url, "Execute", id, fmt.Sprintf(`{"service":"orders","request_id":%q,"statement":%s}`, id, insertStatement(id)))
-}
-
-func (c *loadCaller) read() {
-	c.send(c.url, "Execute", c.newID(), `{"service":"orders","statement":{"text":"SELECT amount FROM items WHERE id = 'none'"},"read_only":true}`)
-}
-
-func (c *loadCaller) batch() {
-	id := c.newID()
-	c.send(c.url, "ExecuteBatch", id, fmt.Sprintf(`{"service":"orders","request_id":%q,"statements":[%s,%s]}`, id, insertStatement(id), insertStatement(id+"-second")))
-}
-
-func (c *loadCaller) transaction() { c.transactionAt(c.url) }
-
-// transactionAt begins a transaction at the caller's daemon and continues it at another.
-func (c *loadCaller) transactionAt(url string) {
-	id := c.newID()
-	answer, ok := c.send(c.url, "Begin", id, `{"service":"orders"}`)
-	var begun struct {
-		Transaction string `json:"transaction"`
-	}
-	if !ok || json.Unmarshal([]byte(answer), &begun) != nil {
-		return
-	}
-	if _, ok := c.send(url, "ExecuteInTransaction", id, fmt.Sprintf(`{"transaction":%q,"sequence":1,"statement":%s}`, begun.Transaction, insertStatement(id))); !ok {
-		c.send(c.url, "Rollback", id, fmt.Sprintf(`{"transaction":%q}`, begun.Transaction))
-		return
-	}
-	c.send(url, "Commit", id, fmt.Sprintf(`{"transaction":%q,"request_id":%q}`, begun.Transaction, id))
-}
-
-// send sends one request, records its result and reports whether it succeeded.
-func (c *loadCaller) send(url, method, id, body string) (string, bool) {
-	var connection atomic.Pointer[httptrace.GotConnInfo]
-	var written atomic.Bool
-	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { connection.Store(&info) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
-	})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/rattanstream.v1.CallerService/"+method, strings.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Authorization", "Bearer "+c.load.key)
-	status, text, err := c.do(request)
-	switch {
-	case err == nil && status == http.StatusOK:
-		c.load.record(string(resultAnswered))
-		return text, true
-	case err == nil:
-		c.load.record(describeReason(text))
-	case connection.Load() == nil || isDialError(err):
-		c.load.record(string(resultNoConnection))
-		time.Sleep(reconnectPause)
-	case !written.Load():
-		c.load.record(string(resultUnsent))
-	default:
-		result := classifyCut(*connection.Load(), err)
-		c.load.record(string(result))
-		c.load.recordCut(cutRequest{result: result, caller: c.name + " " + method, id: id, at: time.Now(), err: err})
-	}
-	return "", false
-}
-
-// isDialError reports whether the last attempt found no daemon. The client makes a
-// second attempt only when the daemon cannot have handled the first one.
-func isDialError(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
-
-func (c *loadCaller) do(request *http.Request) (int, string, error) {
-	response, err := c.client.Do(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(text), err
-}
-
 // describeReason returns the reason and the run state of a refusal.
 func describeReason(text string) string {
 	words := strings.Fields(describeRefusal([]byte(text)))
@@ -276,10 +141,20 @@
 	return words[0] + " " + words[1]
 }
 
-func (l *callerLoad) record(result string) {
+func (l *callerLoad) record(result string, stored, uncertain int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.results[result]++
+	l.stored += stored
+	l.uncertain += uncertain
+}
+
+// recordRefusal records a refusal of a request that would have stored rows.
+func (l *callerLoad) recordRefusal(reason string, rows int) {
+	if strings.HasSuffix(reason, "RUN_STATE_NOT_RUN") {
+		rows = 0
+	}
+	l.record(reason, 0, rows)
 }
 
 func (l *callerLoad) recordCut(cut cutRequest) {
@@ -308,6 +183,24 @@
 	if failed > 0 {
 		ts.Fatalf("%d requests were cut or had run without an answer", failed)
 	}
+	l.checkRows(ts, url)
+}
+
+// checkRows compares the number of rows with the answers. More rows than answered and
+// uncertain requests explain were stored by requests that were refused as not run.
+func (l *callerLoad) checkRows(ts *testscript.TestScript, url string) {
+	response, err := post(http.DefaultClient, url, "Execute", l.key, "", `{"service":"orders","statement":{"text":"SELECT COUNT(*) FROM items"}}`)
+	ts.Check(err)
+	match := integerPattern.FindStringSubmatch(response.body)
+	if match == nil {
+		ts.Fatalf("no count in %s", response.body)
+	}
+	rows, err := strconv.Atoi(match[1])
+	ts.Check(err)
+	ts.Logf("%d rows, %d answered, %d uncertain", rows, l.stored, l.uncertain)
+	if rows < l.stored || rows > l.stored+l.uncertain {
+		ts.Fatalf("the number of rows is not that of the answers")
+	}
 }
 
 // isStored reports whether the daemon at url finds the row with the given id.
--- a/internal/daemon/rattanlisten/drain_test.go
+++ b/internal/daemon/rattanlisten/drain_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -108,6 +110,56 @@
 	})
 }
 
+// TestDrainWaitsForHandler guards against a stop that takes a connection for quiet while
+// a handler runs on it, in each protocol.
+func TestDrainWaitsForHandler(t *testing.T) {
+	const handlerTime = 2 * quietLooks * drainInterval
+	unencrypted := &http.Protocols{}
+	unencrypted.SetUnencryptedHTTP2(true)
+	encrypted := &http.Protocols{}
+	encrypted.SetHTTP2(true)
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	defer certificate.Close()
+	serverTLS := &tls.Config{Certificates: certificate.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}
+	clientTLS := &tls.Config{InsecureSkipVerify: true}
+	for _, tc := range []struct {
+		name, scheme string
+		transport    *http.Transport
+		options      []Option
+	}{
+		{"HTTP/1.1", "http", &http.Transport{}, nil},
+		{"HTTP/2", "http", &http.Transport{Protocols: unencrypted}, nil},
+		{"HTTP/1.1 with TLS", "https", &http.Transport{TLSClientConfig: clientTLS}, []Option{WithTLS(serverTLS)}},
+		{"HTTP/2 with TLS", "https", &http.Transport{TLSClientConfig: clientTLS.Clone(), Protocols: encrypted}, []Option{WithTLS(serverTLS)}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			running := make(chan string, 1)
+			server, stop, done := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				running <- r.Proto
+				time.Sleep(handlerTime)
+				_, _ = io.WriteString(w, "complete response")
+			}), append(tc.options, WithShutdownTimeout(time.Minute), WithConnectionLimit(10))...)
+			client := &http.Client{Transport: tc.transport}
+			defer client.CloseIdleConnections()
+			go func() {
+				t.Logf("handler runs with %s", <-running)
+				stop()
+			}()
+			response, err := client.Get(tc.scheme + "://" + server.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			if body, err := io.ReadAll(response.Body); err != nil || string(body) != "complete response" {
+				t.Errorf("response is %q, error %v", body, err)
+			}
+			assertStopped(t, done, 10*time.Second)
+		})
+	}
+}
+
 // TestDrainEnds guards against a connection without requests that delays the stop.
 func TestDrainEnds(t *testing.T) {
 	server, stop, done := drainingServer(t)
