rattansoak: look for missing answers around planned work

Cause: no check of connections that end, and no run without unplanned trouble: the random faults leave hardly any window that the rule judges.

Change: each statement that was sent whole and stays without the whole answer is checked against the SIGTERMs of its daemon and the unplanned trouble, in both kinds of runs. RunPlanned restarts daemons in turn, with repeated SIGTERMs, SIGTERMs shortly after a start, reloads, configurations and slow store links, and callers that stay with their daemon. Daemons that end by themselves and logged cut statements are violations, writes in doubt are counted. A stop no longer blocks the injection of faults: End held the daemon's lock. The daemons' ports lie below the ephemeral ones. A daemon whose caller address is taken exits with "bind: address already in use" (tried with a listener on it), which awaitService reported only as no write within 15 s; now the exit itself is reported.

--- a/internal/proof/rattansoak/caller.go
+++ b/internal/proof/rattansoak/caller.go
@@ -74,7 +74,13 @@
 			return nil, err
 		}
 	}
-	lines, err := c.exchange(fmt.Sprintf("QUERY %s %s\r\n", id, text))
+	if err := c.send(fmt.Sprintf("QUERY %s %s\r\n", id, text)); err != nil {
+		c.close()
+		return nil, err
+	}
+	sent := time.Now()
+	lines, err := c.receive()
+	c.fleet.journal.recordExchange(exchange{daemon: c.daemon.name, id: id, text: text, sent: sent, ended: time.Now(), err: err}, lines)
 	if err != nil {
 		c.close()
 	}
@@ -87,20 +93,26 @@
 		return err
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
-	if _, err := c.exchange(fmt.Sprintf("START %s %s\r\n", c.database, key)); err != nil {
+	err = c.send(fmt.Sprintf("START %s %s\r\n", c.database, key))
+	if err == nil {
+		_, err = c.receive()
+	}
+	if err != nil {
 		c.close()
-		return err
 	}
-	return nil
+	return err
 }
 
-func (c *client) exchange(message string) ([]string, error) {
+func (c *client) send(message string) error {
 	if err := c.conn.SetDeadline(time.Now().Add(responseTimeout)); err != nil {
-		return nil, err
-	}
-	if _, err := c.conn.Write([]byte(message)); err != nil {
-		return nil, err
+		return err
 	}
+	_, err := c.conn.Write([]byte(message))
+	return err
+}
+
+// receive returns the lines of a response before its READY line.
+func (c *client) receive() ([]string, error) {
 	var lines []string
 	for {
 		line, err := c.reader.ReadString('\n')
@@ -125,6 +137,11 @@
 // write writes a value and returns the outcome as the caller saw it.
 func (c *client) write(id, item, data string) record {
 	lines, err := c.query(id, "WRITE "+item+" "+data)
+	return outcomeOf(data, lines, err)
+}
+
+// outcomeOf returns the outcome of a write of data whose last response is given.
+func outcomeOf(data string, lines []string, err error) record {
 	outcome := record{data: data}
 	if err != nil || len(lines) == 0 {
 		// A failed dial means that nothing was sent, but counting that as an
--- a/internal/proof/rattansoak/faults.go
+++ b/internal/proof/rattansoak/faults.go
@@ -9,8 +9,11 @@
 // A fault is a kind of fault that can be injected into a fleet. The function that
 // begin returns ends it.
 type fault struct {
-	name  string
-	begin func(f *Fleet, r *rand.Rand) (end func() error, err error)
+	name string
+	// isPlanned is true if the rules let the callers notice nothing: work of an operator, and
+	// a store that keeps its history for a shorter time.
+	isPlanned bool
+	begin     func(f *Fleet, r *rand.Rand) (end func() error, err error)
 }
 
 func noop() error { return nil }
@@ -19,11 +22,11 @@
 // their order is part of what a seed determines.
 func faults() []fault {
 	return []fault{
-		{"kill a daemon", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"kill a daemon", false, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			d := f.randomDaemon(r)
 			return d.Start, d.End(syscall.SIGKILL)
 		}},
-		{"stop a daemon", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"stop a daemon", true, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			d := f.randomDaemon(r)
 			return func() error {
 				if err := d.End(syscall.SIGTERM); err != nil {
@@ -32,7 +35,7 @@
 				return d.Start()
 			}, nil
 		}},
-		{"suspend a daemon", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"suspend a daemon", false, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			d := f.randomDaemon(r)
 			resumed := f.recordSuspension()
 			return func() error {
@@ -40,31 +43,33 @@
 				return d.Signal(syscall.SIGCONT)
 			}, d.Signal(syscall.SIGSTOP)
 		}},
-		{"reload a daemon", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"reload a daemon", true, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			return noop, f.randomDaemon(r).Signal(syscall.SIGHUP)
 		}},
-		{"store unavailable", func(f *Fleet, _ *rand.Rand) (func() error, error) {
+		{"store unavailable", false, func(f *Fleet, _ *rand.Rand) (func() error, error) {
 			f.store.SetDown(true)
 			return func() error { f.store.SetDown(false); return nil }, nil
 		}},
-		{"store forgets its history", func(f *Fleet, _ *rand.Rand) (func() error, error) {
+		{"store forgets its history", true, func(f *Fleet, _ *rand.Rand) (func() error, error) {
 			f.store.Forget()
 			return noop, nil
 		}},
-		{"configuration updated", func(f *Fleet, _ *rand.Rand) (func() error, error) {
+		{"configuration updated", true, func(f *Fleet, _ *rand.Rand) (func() error, error) {
 			return noop, f.configure()
 		}},
-		{"daemon's store link impaired", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"daemon's store link impaired", false, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			return impair(f.randomDaemon(r).store, r)
 		}},
-		{"endpoint link impaired", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"endpoint link impaired", false, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			return impair(f.links[f.randomEndpoint(r)], r)
 		}},
-		{"endpoint connections reset", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"endpoint connections reset", false, func(f *Fleet, r *rand.Rand) (func() error, error) {
 			f.links[f.randomEndpoint(r)].Reset()
 			return noop, nil
 		}},
-		{"endpoint loses responses", func(f *Fleet, r *rand.Rand) (func() error, error) {
+		{"endpoint loses responses", false, func(f *Fleet, r *rand.Rand) (func() error, error) {
+			// Answers may be lost until the end of the injection.
+			f.journal.recordTrouble()
 			f.endpoints[f.randomEndpoint(r)].LoseAnswers(1 + r.IntN(5))
 			return noop, nil
 		}},
--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"os"
@@ -31,6 +32,8 @@
 	maxStaleness = 1500 * time.Millisecond
 	// stopTimeout is the stop_timeout of the daemons, that of the deployments.
 	stopTimeout = 6 * time.Second
+	// routeTimeout is the timeout of the routes.
+	routeTimeout = time.Second
 )
 
 // A Fleet is a set of daemon processes in front of one group of endpoints. Each
@@ -49,6 +52,7 @@
 	// suspended are the times in which a daemon could not run; the last one may have
 	// no end yet.
 	suspended []interval
+	journal   journal
 
 	mu sync.Mutex
 	// draining holds the endpoints that drain, starts how often each has started, and
@@ -75,7 +79,9 @@
 	process *exec.Cmd
 	// ended is closed when the process has exited.
 	ended chan struct{}
-	log   bytes.Buffer
+	// isEnding is true once the process has got a signal to end.
+	isEnding bool
+	log      bytes.Buffer
 }
 
 // NewFleet starts a fleet of daemons that run program, a binary of rattanstream.
@@ -143,18 +149,35 @@
 	f.mu.Unlock()
 	config := platformtest.Config{
 		Version: version, Account: account, Keys: []string{key}, Rate: 5000, Connections: 40,
-		Timeout: time.Second, Objective: 200 * time.Millisecond, Staleness: maxStaleness,
+		Timeout: routeTimeout, Objective: 200 * time.Millisecond, Staleness: maxStaleness,
 	}
 	return f.store.Put(platformtest.ConfigKey, config.Entry())
 }
 
+// firstPort and ports define a range below the kernel's ephemeral ports, so that no
+// outgoing connection takes the address of a daemon that is not running, and apart from that
+// of rattanproxy's tests.
+const (
+	firstPort = 10_000
+	ports     = 10_000
+)
+
+// givenAddresses are the addresses that freeAddress has returned: the daemon that got one
+// may not listen on it yet.
+var givenAddresses sync.Map
+
+// freeAddress returns an address on which nothing listens and that no other daemon has got.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if _, isGiven := givenAddresses.LoadOrStore(address, true); isGiven {
+			continue
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 func (f *Fleet) add(name, domain string) error {
@@ -194,11 +217,16 @@
 		return errors.Wrapf(err, "start %s", d.name)
 	}
 	ended := make(chan struct{})
-	d.process, d.ended = process, ended
+	d.process, d.ended, d.isEnding = process, ended, false
 	go func() {
 		defer close(ended)
 		// An exit by a signal is expected, so the error is ignored.
 		_ = process.Wait()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if !d.isEnding {
+			fmt.Fprintf(&d.log, "{\"msg\":%q,\"state\":%q}\n", selfEnd, process.ProcessState)
+		}
 	}()
 	return nil
 }
@@ -216,9 +244,18 @@
 func (d *Daemon) Signal(signal syscall.Signal) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.process == nil {
+	return d.signal(signal)
+}
+
+// signal is Signal. The caller holds d.mu.
+func (d *Daemon) signal(signal syscall.Signal) error {
+	if d.process == nil || d.hasEnded() {
 		return nil
 	}
+	if signal == syscall.SIGTERM {
+		d.fleet.journal.recordStop(d.name)
+	}
+	d.isEnding = d.isEnding || signal == syscall.SIGTERM || signal == syscall.SIGKILL
 	if err := d.process.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return errors.Wrapf(err, "signal %s", d.name)
 	}
@@ -226,21 +263,24 @@
 }
 
 // End sends a signal and waits until the process has exited. A suspended process is
-// resumed, so that it handles the signal.
+// resumed, so that it handles the signal. Other signals may be sent meanwhile.
 func (d *Daemon) End(signal syscall.Signal) error {
+	ended, err := d.beginEnd(signal)
+	if err == nil && ended != nil {
+		<-ended
+	}
+	return err
+}
+
+func (d *Daemon) beginEnd(signal syscall.Signal) (ended <-chan struct{}, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.process == nil {
-		return nil
-	}
 	for _, s := range []syscall.Signal{signal, syscall.SIGCONT} {
-		if err := d.process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-			return errors.Wrapf(err, "signal %s", d.name)
+		if err := d.signal(s); err != nil {
+			return nil, err
 		}
 	}
-	<-d.ended
-	d.process = nil
-	return nil
+	return d.ended, nil
 }
 
 // Log returns the output of the daemon so upstream, which is complete only after End.
--- a/internal/proof/rattansoak/restore.go
+++ b/internal/proof/rattansoak/restore.go
@@ -28,6 +28,7 @@
 		r.result.Planned = append(r.result.Planned, fmt.Sprintf("restore the store from %s before", age.Round(time.Millisecond)))
 		r.mu.Unlock()
 		time.Sleep(age)
+		over := r.fleet.journal.recordTrouble()
 		r.fleet.store.SetDown(true)
 		time.Sleep(storeAway)
 		r.fleet.store.Restore(saved)
@@ -35,6 +36,7 @@
 		if err := r.fleet.writeAgain(); err != nil {
 			return errors.Wrap(err, "write again what the store has lost")
 		}
+		over()
 	}
 	return nil
 }
--- a/internal/proof/rattansoak/run.go
+++ b/internal/proof/rattansoak/run.go
@@ -30,10 +30,14 @@
 	// Usage is the number of requests in the accepted reports of usage, and Windows that of
 	// their windows.
 	Usage, Windows int
+	// Unanswered are the statements, sent to daemons that got SIGTERM, without a whole
+	// answer; PlannedInDoubt are those that were answered as in doubt. Both are counted
+	// without unplanned trouble.
+	Unanswered, PlannedInDoubt int
 	// Faults are the injected faults, in order.
 	Faults []string
-	// Planned are the works that took endpoints out of service, in order, and the
-	// restorations of the store.
+	// Planned are the works that took endpoints or daemons out of service, in order, and
+	// the restorations of the store.
 	Planned []string
 	// Violations are the violations of guarantees that were found.
 	Violations []string
@@ -77,6 +81,12 @@
 			err = otherErr
 		}
 	}
+	return r.finish(err, cancel, &calling)
+}
+
+// finish waits until all daemons serve, unless the run has failed, ends the callers and
+// checks what they saw.
+func (r *run) finish(err error, cancel func(), calling *sync.WaitGroup) (Result, error) {
 	if err == nil {
 		err = r.awaitService("end")
 	}
@@ -85,6 +95,8 @@
 	r.checkWrites()
 	r.checkReads()
 	r.checkLateStatements()
+	r.checkAnswers()
+	r.checkProcesses()
 	r.checkUsage()
 	return r.result, err
 }
@@ -106,11 +118,16 @@
 	for begun := time.Now(); time.Since(begun) < duration; {
 		time.Sleep(time.Duration(random.Int64N(int64(faultGap))))
 		kind := kinds[random.IntN(len(kinds))]
+		over := func() {}
+		if !kind.isPlanned {
+			over = r.fleet.journal.recordTrouble()
+		}
 		end, err := kind.begin(r.fleet, random)
 		reportError(errors.Wrap(err, kind.name))
 		lasts := time.Duration(random.Int64N(int64(faultTime)))
 		r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s for %s", kind.name, lasts.Round(time.Millisecond)))
 		ends.Go(func() {
+			defer over()
 			time.Sleep(lasts)
 			reportError(errors.Wrap(end(), kind.name))
 		})
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -14,22 +14,32 @@
 	seeds    = flag.Int("soak.seeds", 2, "number of seeds of the soak")
 	first    = flag.Uint64("soak.first", 1, "first seed of the soak")
 	duration = flag.Duration("soak.time", 5*time.Second, "duration of the fault injection for one seed")
+	planned  = flag.Duration("soak.planned-time", 8*time.Second, "duration of the planned work for one seed")
 	daemons  = flag.Int("soak.daemons", 5, "number of daemons of the soak")
 	logs     = flag.String("soak.logs", "", "directory for the daemons' logs of failed seeds")
 )
 
-// failedSeeds are seeds with which a run failed before. They are run each time as
-// regression tests.
-var failedSeeds = []struct {
+// A failedSeed is a seed with which a run failed before.
+type failedSeed struct {
 	seed  uint64
 	cause string
-}{
+}
+
+// failedSeeds are seeds with which a run failed before. They are run each time as
+// regression tests.
+var failedSeeds = []failedSeed{
 	{123, "SIGHUP ended a daemon that did not handle it yet"},
 	{9, "statements ran at the last endpoints after they had drained"},
 	{10, "statements ran at the last endpoints after they had been evacuated"},
 	{149, "a write with an unknown outcome took effect late and was reported as a stale read"},
 }
 
+// failedPlannedSeeds are failedSeeds of runs with planned work only.
+var failedPlannedSeeds = []failedSeed{
+	{4, "statements of sessions accepted after the last look were cut off"},
+	{9, "a second SIGTERM cut off all statements"},
+}
+
 // buildProgram builds the rattanstream binary once for all seeds.
 func buildProgram(t *testing.T) string {
 	t.Helper()
@@ -54,13 +64,36 @@
 	}
 }
 
+// TestSoakPlanned guards against statements without a whole answer while daemons are
+// restarted, reloaded and configured, with all of that overlapping (LOST).
+func TestSoakPlanned(t *testing.T) {
+	program := buildProgram(t)
+	for _, failed := range failedPlannedSeeds {
+		t.Run(fmt.Sprintf("seed %d: %s", failed.seed, failed.cause), func(t *testing.T) { soakPlanned(t, program, failed.seed) })
+	}
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soakPlanned(t, program, seed) })
+	}
+}
+
+func soakPlanned(t *testing.T, program string, seed uint64) {
+	t.Helper()
+	soakWith(t, program, fmt.Sprintf("planned-seed-%d", seed), func(fleet *Fleet) (Result, error) { return RunPlanned(fleet, seed, *planned) })
+}
+
 func soak(t *testing.T, program string, seed uint64) {
+	t.Helper()
+	soakWith(t, program, fmt.Sprintf("seed-%d", seed), func(fleet *Fleet) (Result, error) { return Run(fleet, seed, *duration) })
+}
+
+func soakWith(t *testing.T, program, name string, run func(fleet *Fleet) (Result, error)) {
 	t.Helper()
 	fleet, err := NewFleet(program, t.TempDir(), *daemons)
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := Run(fleet, seed, *duration)
+	result, err := run(fleet)
 	if closeErr := fleet.Close(); closeErr != nil {
 		t.Error(closeErr)
 	}
@@ -70,15 +103,16 @@
 	for _, violation := range result.Violations {
 		t.Error(violation)
 	}
-	t.Logf("%d writes acknowledged, %d refused, %d with unknown outcome, %d reads, %d faults, %d requests in %d windows of usage",
-		result.Acknowledged, result.Refused, result.InDoubt, result.Reads, len(result.Faults), result.Usage, result.Windows)
+	t.Logf("%d writes acknowledged, %d refused, %d with unknown outcome, %d reads, %d faults, %d requests in %d windows of usage; "+
+		"around planned work only: %d statements without an answer, %d in doubt",
+		result.Acknowledged, result.Refused, result.InDoubt, result.Reads, len(result.Faults), result.Usage, result.Windows, result.Unanswered, result.PlannedInDoubt)
 	if t.Failed() {
-		saveLogs(t, fleet, result, seed)
+		saveLogs(t, fleet, result, name)
 	}
 }
 
-// saveLogs logs the faults of a failed seed and writes the daemons' logs to files.
-func saveLogs(t *testing.T, fleet *Fleet, result Result, seed uint64) {
+// saveLogs logs the faults of a failed run and writes the daemons' logs to files.
+func saveLogs(t *testing.T, fleet *Fleet, result Result, run string) {
 	t.Helper()
 	for _, fault := range append(result.Faults, result.Planned...) {
 		t.Log(fault)
@@ -87,7 +121,7 @@
 		return
 	}
 	for _, d := range fleet.daemons {
-		name := filepath.Join(*logs, fmt.Sprintf("seed-%d-%s.log", seed, d.name))
+		name := filepath.Join(*logs, run+"-"+d.name+".log")
 		if err := os.WriteFile(name, []byte(d.Log()), 0o600); err != nil {
 			t.Error(err)
 		}
--- a/internal/proof/rattansoak/stop_test.go
+++ b/internal/proof/rattansoak/stop_test.go
@@ -123,7 +123,7 @@
 			t.Error(err)
 		}
 		if t.Failed() {
-			saveLogs(t, fleet, Result{}, 0)
+			saveLogs(t, fleet, Result{}, "stop")
 		}
 	})
 	if err := (&run{fleet: fleet}).awaitService("start"); err != nil {
