rattancmd: a log that nobody reads does not end or hold up a daemon

Callers saw: no whole answer to anything in flight, also during a stop, once the reader of the daemon's log has gone or has stopped to read. Cause: a write to a closed pipe on standard output or error ends a Go process by SIGPIPE. serve wrote its log in the goroutine that logs, so a full pipe held it up. proxy waited at its exit without a limit for a full pipe. Evidence: scripts proxylog and servelog: pipe closed, and pipe full from the start; an open transaction commits after SIGTERM (and for proxy SIGHUP), exit code 0.

--- a/internal/cmd/rattancmd/process_test.go
+++ b/internal/cmd/rattancmd/process_test.go
@@ -62,9 +62,14 @@
 	log, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	ts.Check(err)
 	defer log.Close()
+	startProcess(ts, log, name, args[1:])
+}
+
+// startProcess starts a process with its log.
+func startProcess(ts *testscript.TestScript, log *os.File, name string, flags []string) {
 	binary, err := exec.LookPath("rattanstream")
 	ts.Check(err)
-	cmd := exec.Command(binary, append(processArgs(ts, name), args[1:]...)...)
+	cmd := exec.Command(binary, append(processArgs(ts, name), flags...)...)
 	cmd.Env = append(os.Environ(), "GOMAXPROCS="+ts.Getenv("GOMAXPROCS"), "GORACE="+ts.Getenv("GORACE"))
 	cmd.Dir, cmd.Stdout, cmd.Stderr = ts.MkAbs("."), log, log
 	ts.Check(cmd.Start())
@@ -121,8 +126,18 @@
 		got = state.Signal().String()
 	}
 	if got != args[1] {
-		ts.Fatalf("%s ended with %s, not %s; log:\n%s", args[0], got, args[1], ts.ReadFile(args[0]+".log"))
+		ts.Fatalf("%s ended with %s, not %s; log:\n%s", args[0], got, args[1], logOf(ts, args[0]))
+	}
+}
+
+// logOf returns the log of a process, or nothing if nobody reads it.
+func logOf(ts *testscript.TestScript, name string) string {
+	text, err := os.ReadFile(ts.MkAbs(name + ".log"))
+	if errors.Is(err, os.ErrNotExist) {
+		return ""
 	}
+	ts.Check(err)
+	return string(text)
 }
 
 // cmdExits runs the command and checks its exit code.
--- a/internal/cmd/rattancmd/proxycmd.go
+++ b/internal/cmd/rattancmd/proxycmd.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
-	"github.com/rattanstream/rattanstream/internal/base/rattanlog"
 	"github.com/rattanstream/rattanstream/internal/config/rattansettings"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanplatform"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanproxy"
@@ -44,17 +41,11 @@
 	if c.logLevel != "" {
 		level = c.logLevel
 	}
-	logWriter := rattanlog.NewWriter(c.stdout, time.Now)
-	logger, err := newLogger(logWriter, level)
+	logger, closeLog, err := startLog(c.stdout, level)
 	if err != nil {
 		return err
 	}
-	// The writer outlives ctx, so that log lines of the stop are written too.
-	writerCtx, stopWriter := context.WithCancel(context.WithoutCancel(ctx))
-	var writerDone sync.WaitGroup
-	writerDone.Go(func() { _ = logWriter.Run(writerCtx) })
-	defer writerDone.Wait()
-	defer stopWriter()
+	defer closeLog()
 	logger = logger.With("vm", settings.VM())
 	go c.observeRepeatedSignals(func(name string) { logger.Warn("signal_repeated", "signal", name) })
 	reload := func() (*rattansettings.ProxySettings, error) { return rattansettings.LoadProxySettings(path) }
--- a/internal/cmd/rattancmd/script_test.go
+++ b/internal/cmd/rattancmd/script_test.go
@@ -50,6 +50,7 @@
 			"shows":          cmdShows,
 			"signal":         cmdSignal,
 			"start":          cmdStart,
+			"startunread":    cmdStartUnread,
 			"stopped":        cmdStopped,
 			"writers":        cmdWriters,
 		},
--- a/internal/cmd/rattancmd/servecmd.go
+++ b/internal/cmd/rattancmd/servecmd.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"io"
-	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
@@ -86,10 +83,11 @@
 
 // serve runs a daemon until ctx ends and it has stopped gracefully.
 func (c *config) serve(ctx context.Context, process *rattansettings.ProcessSettings, options []rattandaemon.Option) error {
-	logger, err := newLogger(c.stderr, process.Daemon().LogLevel())
+	logger, closeLog, err := startLog(c.stderr, process.Daemon().LogLevel())
 	if err != nil {
 		return err
 	}
+	defer closeLog()
 	logger = logger.With("vm", process.Daemon().VM())
 	go c.observeRepeatedSignals(func(name string) { logger.Warn("daemon was asked again to stop", "signal", name) })
 	daemon, err := rattandaemon.New(process, rattanclock.System(), logger, options...)
@@ -98,17 +96,3 @@
 	}
 	return daemon.Run(ctx)
 }
-
-// newLogger returns a logger that writes JSON lines.
-func newLogger(w io.Writer, level string) (*log.Logger, error) {
-	parsed, err := log.ParseLevel(level)
-	if err != nil {
-		return nil, usageErrorf("log level %q: accepted are debug, info, warn and error", level)
-	}
-	return log.NewWithOptions(w, log.Options{
-		Formatter:       log.JSONFormatter,
-		Level:           parsed,
-		ReportTimestamp: true,
-		TimeFormat:      time.RFC3339Nano,
-	}), nil
-}
--- a/internal/cmd/rattancmd/signals.go
+++ b/internal/cmd/rattancmd/signals.go
@@ -25,11 +25,13 @@
 // handleDaemonSignals sets what signals do to a daemon until its exit. It returns a context
 // that ends at the first SIGTERM or SIGINT, which starts a graceful stop, and a channel
 // with those that follow. They do not cut the stop short, except for a second SIGINT,
-// which ends the process at once. SIGHUP never ends it.
+// which ends the process at once. SIGHUP and SIGPIPE never end it.
 func handleDaemonSignals() (context.Context, <-chan os.Signal) {
 	// The proxy also listens for SIGHUP, to reload its settings. It reads them after
 	// this, so a signal that comes before it listens can be dropped.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	// By default, a line that is logged after the log's reader has ended ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	received := make(chan os.Signal, maxPendingSignals)
 	signal.Notify(received, os.Interrupt, syscall.SIGTERM)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/cmd/rattancmd/signals_test.go
+++ b/internal/cmd/rattancmd/signals_test.go
@@ -1,6 +1,7 @@
 package rattancmd
 
 import (
+	"errors"
 	"os"
 	"strings"
 	"syscall"
@@ -59,6 +60,36 @@
 	}()
 }
 
+// cmdStartUnread is cmdStart with a log that nobody reads: its pipe is closed, or it is
+// full and stays so.
+func cmdStartUnread(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 || args[0] != "closed" && args[0] != "full" {
+		ts.Fatalf("usage: startunread closed|full NAME [FLAG...]")
+	}
+	reader, writer, err := os.Pipe()
+	ts.Check(err)
+	defer writer.Close()
+	if args[0] == "full" {
+		fill(ts, writer)
+		ts.Defer(func() { _ = reader.Close() })
+	} else {
+		ts.Check(reader.Close())
+	}
+	startProcess(ts, writer, args[1], args[2:])
+}
+
+// fill writes to a pipe until it is full.
+func fill(ts *testscript.TestScript, pipe *os.File) {
+	ts.Check(pipe.SetWriteDeadline(time.Now().Add(awaitInterval)))
+	for {
+		_, err := pipe.Write(make([]byte, 4096))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		ts.Check(err)
+	}
+}
+
 // signals are the signals by the names that scripts use.
 var signals = map[string]os.Signal{
 	"TERM": syscall.SIGTERM, "INT": syscall.SIGINT, "KILL": syscall.SIGKILL, "QUIT": syscall.SIGQUIT,
