rattanlink: Server.Shutdown, a goodbye, no response lost at a server's end

Callers saw: nothing yet, Shutdown has no caller; with it INDOUBT around the stop of the daemon that sends the statement. Cause: a server that ends closes its sessions under running handlers, whose responses are dropped; a frame that it has not read looks to the client like one that was handled; so do a connection that only the kernel has accepted and a call that never had a stream. Change: Shutdown accepts no more sessions and requests, answers those being handled and then says goodbye (the server opens a stream). Calls without a response at the goodbye fail as unsent. A client uses a session after a first ping. A call whose write fails with its session still looks for a response.

--- a/internal/peer/rattanlink/client.go
+++ b/internal/peer/rattanlink/client.go
@@ -75,11 +75,11 @@
 	defer cancel()
 	p, err := c.peer(address)
 	if err != nil {
-		return nil, err
+		return nil, &unsentError{cause: err}
 	}
 	defer p.release()
 	if err := p.acquireStream(ctx); err != nil {
-		return nil, err
+		return nil, &unsentError{cause: err}
 	}
 	defer p.releaseStream()
 	session, err := p.session(ctx)
@@ -98,6 +98,9 @@
 	defer stop()
 	frame.Id = c.lastID.Add(1)
 	response, err := c.exchange(stream, frame)
+	if session.hasNotHandled(err) {
+		err = &unsentError{cause: err}
+	}
 	if !IsUnsent(err) {
 		c.options.onExchange(Exchange{
 			Address: address, Kind: KindOf(frame), SentBytes: RequestBytes(frame), ReceivedBytes: ResponseBytes(response),
@@ -124,9 +127,10 @@
 		// The stream returns this error before it has sent the last bytes of the
 		// frame, and the peer handles only complete frames.
 		return nil, &unsentError{cause: err}
-	} else if err != nil {
+	} else if err != nil && !isSessionOver(err) {
 		return nil, err
 	}
+	// A session that is over may have sent the frame, and may have the response.
 	response, err := ReadFrame(stream, c.options.maxFrameBytes)
 	if err != nil {
 		return nil, err
--- a/internal/peer/rattanlink/peer.go
+++ b/internal/peer/rattanlink/peer.go
@@ -32,7 +32,7 @@
 
 	mutex   sync.Mutex
 	closed  bool
-	current *yamux.Session
+	current *clientSession
 	// attempt is the running connection attempt, nil when there is none.
 	attempt *dialAttempt
 	// ping is the running ping of the session, nil when there is none.
@@ -47,7 +47,7 @@
 // and err are valid then.
 type dialAttempt struct {
 	done    chan struct{}
-	session *yamux.Session
+	session *clientSession
 	err     error
 }
 
@@ -78,7 +78,7 @@
 // session returns the open session, or waits for a connection attempt. The
 // attempt has a timeout of its own, so that calls with short deadlines do not
 // abort the handshake with a distant peer again and again.
-func (p *peer) session(ctx context.Context) (*yamux.Session, error) {
+func (p *peer) session(ctx context.Context) (*clientSession, error) {
 	attempt, session, err := p.sessionOrAttempt()
 	if attempt == nil {
 		return session, err
@@ -93,7 +93,7 @@
 
 // sessionOrAttempt returns the open session, or else the running connection attempt,
 // which it starts if there is none.
-func (p *peer) sessionOrAttempt() (*dialAttempt, *yamux.Session, error) {
+func (p *peer) sessionOrAttempt() (*dialAttempt, *clientSession, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed || p.client.ctx.Err() != nil {
@@ -152,7 +152,9 @@
 	p.dialErr = dialErr
 }
 
-func (p *peer) connect() (*yamux.Session, error) {
+// connect opens a session with a server that answers: a connection that the kernel has
+// accepted for a process which is about to end is none.
+func (p *peer) connect() (*clientSession, error) {
 	o := p.client.options
 	ctx, cancel := context.WithTimeout(p.client.ctx, o.dialTimeout)
 	defer cancel()
@@ -169,12 +171,19 @@
 		}
 		conn = secured
 	}
-	session, err := yamux.Client(&joinConn{Conn: conn}, o.sessionConfig())
+	observed := &goodbyeConn{Conn: &joinConn{Conn: conn}}
+	session, err := yamux.Client(observed, o.sessionConfig())
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
-	return session, nil
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	if _, err := session.Ping(); err != nil {
+		_ = session.Close()
+		return nil, errors.Wrap(err, "first ping")
+	}
+	return &clientSession{Session: session, conn: observed}, nil
 }
 
 // tlsConfig returns the configured TLS settings. If they have no server name, it is
--- a/internal/peer/rattanlink/ping.go
+++ b/internal/peer/rattanlink/ping.go
@@ -1,10 +1,6 @@
 package rattanlink
 
-import (
-	"context"
-
-	"github.com/hashicorp/yamux"
-)
+import "context"
 
 // ping is one ping of a session. done is closed when it has ended; err is valid then.
 type ping struct {
@@ -50,7 +46,7 @@
 	return running
 }
 
-func (p *peer) runPing(running *ping, session *yamux.Session) {
+func (p *peer) runPing(running *ping, session *clientSession) {
 	_, running.err = session.Ping()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/peer/rattanlink/server.go
+++ b/internal/peer/rattanlink/server.go
@@ -29,19 +29,33 @@
 	counters counters
 	// sessions is a semaphore for the accepted connections.
 	sessions chan struct{}
+	// closing ends when Shutdown begins.
+	closing      context.Context
+	beginClosing context.CancelFunc
+	// aborted ends when Shutdown waits no longer.
+	aborted context.Context
+	abort   context.CancelFunc
 
 	mutex    sync.RWMutex
 	handlers map[Kind]Handler
+	// serving counts the running calls of Serve; served is closed when there is none any
+	// more after Shutdown has begun.
+	serving int
+	served  chan struct{}
 }
 
 // NewServer returns a Server without handlers.
 func NewServer(opts ...Option) *Server {
 	o := newOptions(opts)
-	return &Server{
+	s := &Server{
 		options:  o,
 		sessions: make(chan struct{}, o.maxSessions),
 		handlers: make(map[Kind]Handler),
+		served:   make(chan struct{}),
 	}
+	s.closing, s.beginClosing = context.WithCancel(context.Background())
+	s.aborted, s.abort = context.WithCancel(context.Background())
+	return s
 }
 
 // Handle registers the handler for frames of a kind. It replaces an earlier one.
@@ -56,19 +70,73 @@
 	return s.counters.read()
 }
 
-// Serve accepts sessions until ctx ends or the listener fails, closes the
-// listener, and returns after every handler has returned. It returns ctx's
-// error when ctx has ended.
+// Shutdown makes Serve end without the loss of a response: it accepts no more sessions,
+// answers the requests that are being handled, and makes calls whose requests it does not
+// handle fail as unsent at the client. It returns when all sessions have ended. When ctx
+// ends earlier, it closes the remaining sessions, as Serve does at the end of its own
+// context, and returns ctx's error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mutex.Lock()
+	if s.closing.Err() == nil && s.serving == 0 {
+		close(s.served)
+	}
+	s.beginClosing()
+	s.mutex.Unlock()
+	select {
+	case <-s.served:
+		return nil
+	case <-ctx.Done():
+		s.abort()
+		return ctx.Err()
+	}
+}
+
+// beginServing returns false when Shutdown has begun. Otherwise endServing must be called.
+func (s *Server) beginServing() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closing.Err() != nil {
+		return false
+	}
+	s.serving++
+	return true
+}
+
+func (s *Server) endServing() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.serving--
+	if s.closing.Err() != nil && s.serving == 0 {
+		close(s.served)
+	}
+}
+
+// Serve accepts sessions until ctx ends, Shutdown is called or the listener fails, closes
+// the listener, and returns after every handler has returned. It returns ctx's
+// error when ctx has ended, and ErrClosed after Shutdown.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if !s.beginServing() {
+		_ = listener.Close()
+		return ErrClosed
+	}
+	defer s.endServing()
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	stopAborted := context.AfterFunc(s.aborted, cancel)
+	defer stopAborted()
+	for _, end := range []context.Context{ctx, s.closing} {
+		stop := context.AfterFunc(end, func() { _ = listener.Close() })
+		defer stop()
+	}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
+			if s.closing.Err() != nil {
+				running.Wait()
+				return ErrClosed
+			}
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -113,7 +181,9 @@
 	if s.options.tls != nil {
 		secured := tls.Server(conn, s.options.tls)
 		handshake, cancelHandshake := context.WithTimeout(ctx, s.options.dialTimeout)
+		stopClosing := context.AfterFunc(s.closing, cancelHandshake)
 		err := secured.HandshakeContext(handshake)
+		stopClosing()
 		cancelHandshake()
 		if err != nil {
 			return
@@ -132,6 +202,9 @@
 	defer session.Close()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
+	accepted := &serverSession{session: session}
+	stopClosing := context.AfterFunc(s.closing, accepted.close)
+	defer stopClosing()
 	streams := make(chan struct{}, s.options.maxStreams)
 	for {
 		stream, err := session.AcceptStream()
@@ -146,14 +219,15 @@
 		}
 		running.Go(func() {
 			defer func() { <-streams }()
-			s.serveStream(ctx, stream)
+			s.serveStream(ctx, accepted, stream)
 		})
 	}
 }
 
-// serveStream reads one request from a stream and writes the response. A response
-// that is too large is replaced by an error.
-func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+// serveStream reads one request from a stream and writes the response. When the session
+// is closing it leaves the stream open: the session's end tells the client that the request
+// is not handled.
+func (s *Server) serveStream(ctx context.Context, session *serverSession, stream *yamux.Stream) {
 	defer stream.Close()
 	_ = stream.SetDeadline(time.Now().Add(requestReadTimeout))
 	request, err := ReadFrame(stream, s.options.maxFrameBytes)
@@ -161,6 +235,10 @@
 		s.counters.failed.Add(1)
 		return
 	}
+	if s.closing.Err() != nil || !session.begin() {
+		<-session.session.CloseChan()
+		return
+	}
 	s.counters.calls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, s.options.callTimeout)
 	defer cancel()
@@ -171,14 +249,22 @@
 	}
 	response.Id = request.GetId()
 	_ = stream.SetDeadline(time.Now().Add(requestReadTimeout))
-	err = WriteFrame(stream, response, s.options.maxFrameBytes)
+	err = s.respond(stream, response)
+	// A client that has reset the stream waits for no response.
+	session.finish(err == nil || errors.Is(err, yamux.ErrConnectionReset))
+}
+
+// respond writes a response. One that is too large is replaced by an error.
+func (s *Server) respond(stream *yamux.Stream, response *rattanv1.PeerFrame) error {
+	err := WriteFrame(stream, response, s.options.maxFrameBytes)
 	var tooLarge *FrameSizeError
-	if errors.As(err, &tooLarge) {
-		s.counters.failed.Add(1)
-		response = errorFrame(err)
-		response.Id = request.GetId()
-		_ = WriteFrame(stream, response, s.options.maxFrameBytes)
+	if !errors.As(err, &tooLarge) {
+		return err
 	}
+	s.counters.failed.Add(1)
+	failure := errorFrame(err)
+	failure.Id = response.GetId()
+	return WriteFrame(stream, failure, s.options.maxFrameBytes)
 }
 
 func (s *Server) handle(ctx context.Context, request *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
