rattanproxy: a daemon that unregisters does not register again

Callers saw: nothing by itself; after a stop a switchover may wait up to 2 s for a daemon that is gone. Cause: the registration went on renewing beside the revocation of its lease; with a store that answers late it found the lease ended, took a new one and wrote its entry again. Change: unregistering ends the renewals first.

--- a/internal/daemon/rattanproxy/registration.go
+++ b/internal/daemon/rattanproxy/registration.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
@@ -62,6 +63,9 @@
 	watching        atomic.Pointer[context.CancelFunc]
 	initialSyncWake chan struct{}
 	wake            chan struct{}
+	// withdrawn ends when the daemon unregisters for good.
+	withdrawn context.Context
+	withdraw  context.CancelFunc
 
 	mu         sync.Mutex
 	record     rattancache.VMRecord
@@ -86,7 +90,10 @@
 
 func newRegistration(p *Proxy) *registration {
 	incarnation := rand.Text()[:12]
+	withdrawn, withdraw := context.WithCancel(context.Background())
 	return &registration{
+		withdrawn:       withdrawn,
+		withdraw:        withdraw,
 		proxy:           p,
 		incarnation:     incarnation,
 		initialSyncWake: make(chan struct{}, 1),
@@ -121,8 +128,12 @@
 	return r.lease, r.leaseUntil
 }
 
-// run renews the lease and publishes changes of the entries.
+// run renews the lease and publishes changes of the entries, until the daemon unregisters.
 func (r *registration) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(r.withdrawn, cancel)
+	defer stop()
 	for ctx.Err() == nil {
 		next := r.proxy.clock.Now().Add(r.renewalInterval())
 		if err := r.renew(ctx); err != nil {
@@ -142,6 +153,9 @@
 		case <-r.proxy.clock.After(next.Sub(r.proxy.clock.Now())):
 		}
 	}
+	if r.withdrawn.Err() != nil {
+		return suture.ErrDoNotRestart
+	}
 	return nil
 }
 
@@ -344,8 +358,9 @@
 	r.markDirty()
 }
 
-// unregister removes the VM's entry by revoking its lease.
+// unregister removes the VM's entry by revoking its lease, and requests no new one.
 func (r *registration) unregister(ctx context.Context) error {
+	r.withdraw()
 	lease, _ := r.Lease()
 	if lease.IsZero() {
 		return nil
--- a/internal/daemon/rattanproxy/stop_test.go
+++ b/internal/daemon/rattanproxy/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,6 +156,49 @@
 	}
 }
 
+// A leaseCounter is a store that counts the leases which it grants after a daemon has revoked
+// its own, and answers the revocation late.
+type leaseCounter struct {
+	rattankv.Store
+	isRevoked atomic.Bool
+	granted   atomic.Int32
+}
+
+func (c *leaseCounter) RevokeLease(ctx context.Context, lease rattankv.Lease) error {
+	err := c.Store.RevokeLease(ctx, lease)
+	c.isRevoked.Store(true)
+	<-ctx.Done()
+	return err
+}
+
+func (c *leaseCounter) GrantLease(ctx context.Context, ttl time.Duration) (rattankv.Lease, time.Duration, error) {
+	if c.isRevoked.Load() {
+		c.granted.Add(1)
+	}
+	return c.Store.GrantLease(ctx, ttl)
+}
+
+// TestStopDoesNotRegisterAgain guards against a daemon that registers again while it
+// unregisters, and that others then wait for after its exit.
+func TestStopDoesNotRegisterAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleetWithoutDaemons(t)
+	counter := &leaseCounter{}
+	f.platform = func(address string) rattanproxy.Platform {
+		platform := rattanplatform.New(address, address)
+		counter.Store = platform.Store
+		platform.Store = counter
+		return platform
+	}
+	f.startAll(1)
+	f.dial(f.daemons[0], "checkout", testKey).retryUntilOK("WRITE i1 before", waitBound)
+	f.daemons[0].stop()
+	<-f.daemons[0].stopped
+	if granted := counter.granted.Load(); !counter.isRevoked.Load() || granted > 0 {
+		t.Errorf("revoked: %t; %d leases granted after it, want none", counter.isRevoked.Load(), granted)
+	}
+}
+
 // lateID is the id of the statement of writeLate.
 const lateID = "late"
 
