rattanproxy: a stopping daemon answers the statements of other daemons

Callers saw: INDOUBT, or an aborted transaction, when the daemon that sends their statement stops. Cause: at the end of a stop the links between daemons were closed under the requests in progress, whose results were lost, and requests that had not been read yet looked as if they might have run. Change: after the sessions the peer server shuts down: it answers what is in progress and tells the others that the rest has not run. Watches of the store that other daemons have here end at once.

--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -29,6 +29,8 @@
 // watches the store, and serves them to others when it is such a daemon itself.
 type follower struct {
 	proxy *Proxy
+	// ended is closed when this daemon serves the changes to others no longer.
+	ended chan struct{}
 
 	mu sync.Mutex
 	// unusableUntil is until when each watcher that failed is not used.
@@ -44,7 +46,19 @@
 }
 
 func newFollower(p *Proxy) *follower {
-	return &follower{proxy: p, unusableUntil: make(map[string]time.Time)}
+	return &follower{proxy: p, ended: make(chan struct{}), unusableUntil: make(map[string]time.Time)}
+}
+
+// endWatches ends the watches of other daemons and refuses new ones. It is called once.
+func (f *follower) endWatches() { close(f.ended) }
+
+func (f *follower) hasEnded() bool {
+	select {
+	case <-f.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // source returns the daemon from which this one gets the changes of the store, or
@@ -177,7 +191,7 @@
 		f.awaitChange(ctx, request)
 	}
 	age := f.syncAge()
-	response.IsSource = age < maxSyncAge
+	response.IsSource = age < maxSyncAge && !f.hasEnded()
 	response.SyncAgeMs = uint32(age.Milliseconds()) + 1
 	if response.IsSource {
 		f.fill(response, request)
@@ -225,6 +239,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-f.ended:
+			return
 		case <-timeout:
 			return
 		case <-changed:
--- a/internal/daemon/rattanproxy/peers.go
+++ b/internal/daemon/rattanproxy/peers.go
@@ -6,16 +6,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 )
 
-// servePeers handles the requests of other daemons.
-func (p *Proxy) servePeers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", p.settings.PeerAddress())
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
-	}
+// newPeerServer returns the server for the requests of other daemons.
+func (p *Proxy) newPeerServer() *rattanlink.Server {
 	server := rattanlink.NewServer(rattanlink.WithPanicHandler(func(err *rattanlink.PanicError) {
 		p.logPanic("peer "+err.Kind.String(), err.Cause, err.Stack)
 	}))
@@ -28,12 +25,36 @@
 	if p.usage != nil {
 		server.Handle(rattanlink.KindUsage, p.usage.handle)
 	}
-	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	return server
+}
+
+// servePeers handles the requests of other daemons.
+func (p *Proxy) servePeers(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.PeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	err = p.peerServer.Serve(ctx, listener)
+	if errors.Is(err, rattanlink.ErrClosed) {
+		return suture.ErrDoNotRestart
+	}
+	if err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve peers")
 	}
 	return nil
 }
 
+// shutdownPeers answers the requests of other daemons that are in progress, at most until a
+// time. The others are told that theirs have not run.
+func (p *Proxy) shutdownPeers(until time.Time) {
+	p.follower.endWatches()
+	ctx, cancel := context.WithTimeout(context.Background(), until.Sub(p.clock.Now()))
+	defer cancel()
+	if err := p.peerServer.Shutdown(ctx); err != nil {
+		p.logger.Warn("peers_shutdown_failed", "error", err, "forwarded", p.forwarded.runningCount())
+	}
+}
+
 // dialPeer connects to another daemon. The kernel closes a connection whose peer
 // does not answer keep-alive probes, so that a session does not long outlive its
 // network path.
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -117,6 +117,7 @@
 	registration *registration
 	admission    *admission
 	peers        *rattanlink.Client
+	peerServer   *rattanlink.Server
 	sessions     sessions
 	// knowsRecords is true while the daemon has held grants without a gap: it then knows
 	// of every switchover that has ended.
@@ -157,6 +158,7 @@
 		rattanplacement.New(p.egress, rand.Float64), p.logOutlier)
 	p.registration = newRegistration(p)
 	p.admission = newAdmission(p)
+	p.peerServer = p.newPeerServer()
 	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
 		rattanlink.WithMaxBackoff(peerBackoff), rattanlink.WithStreamOpenTimeout(peerAckTimeout),
 		rattanlink.WithExchangeObserver(p.egress.observeExchange))
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -34,8 +34,10 @@
 		"waited_ms", p.clock.Now().Sub(begun).Milliseconds())
 	_ = callers.Close()
 	p.sessions.refuseNew()
-	p.endSessions(schedule.End().Add(lastAnswersTimeout))
+	until := schedule.End().Add(lastAnswersTimeout)
+	p.endSessions(until)
 	p.logger.Info("stop_sessions_ended", "sessions", p.sessions.count())
+	p.shutdownPeers(until)
 	if p.usage != nil {
 		p.usage.flush()
 	}
