rattandaemon: let commits that arrive at the end of stop_timeout finish

Callers saw: commits and statements of transactions with an uncertain outcome (shutting_down, unknown) around the end of stop_timeout, some of which had run.

Cause: while a transaction is open the stop waits for all of stop_timeout, and then ended at once what ran. Until then calls of transactions of other daemons were taken, so that some always ran.

Change: after the wait for transactions, new calls of transactions are refused as not run, and what runs has another 0.5 s before it is ended.

--- a/internal/caller/rattanservice/service.go
+++ b/internal/caller/rattanservice/service.go
@@ -49,8 +49,10 @@
 	forwarder    Forwarder
 	limits       Limits
 	stopping     atomic.Bool
-	running      atomic.Int64
-	counters     Counters
+	// stoppingTransactions is true once calls of transactions are refused too.
+	stoppingTransactions atomic.Bool
+	running              atomic.Int64
+	counters             Counters
 	// lifetime ends with End. Its cause is the refusal of the requests that then run.
 	lifetime    context.Context
 	endLifetime context.CancelCauseFunc
@@ -83,10 +85,17 @@
 // completed, and calls of open transactions are still served.
 func (s *Service) StopAccepting() { s.stopping.Store(true) }
 
-// End ends the requests that still run and refuses all new ones, also calls of
-// transactions. The refusal of a request that was ended says whether it may have run.
-func (s *Service) End() {
+// StopTransactions makes the service refuse all new requests, also calls of
+// transactions. Requests that run now are completed.
+func (s *Service) StopTransactions() {
 	s.StopAccepting()
+	s.stoppingTransactions.Store(true)
+}
+
+// End ends the requests that still run and refuses all new ones. The refusal of a
+// request that was ended says whether it may have run.
+func (s *Service) End() {
+	s.StopTransactions()
 	s.endLifetime(errShuttingDown())
 }
 
--- a/internal/caller/rattanservice/transactions.go
+++ b/internal/caller/rattanservice/transactions.go
@@ -150,7 +150,7 @@
 // transactionCall authenticates a call that names a transaction and no route. It
 // requires a key, so that other callers cannot use the transaction.
 func (s *Service) transactionCall(ctx context.Context, header http.Header) (*call, error) {
-	if s.lifetime.Err() != nil {
+	if s.stoppingTransactions.Load() {
 		return nil, errShuttingDown()
 	}
 	identity, err := s.keyring.Authenticate(bearer(header))
@@ -222,7 +222,7 @@
 func (s *Service) HandleForward(ctx context.Context, forward *rattanv1.ForwardRequest) *rattanv1.ForwardResponse {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.lifetime.Err() != nil {
+	if s.stoppingTransactions.Load() {
 		return refusedForward(errShuttingDown())
 	}
 	ctx, cancelLifetime := s.withLifetime(ctx)
--- a/internal/daemon/rattandaemon/run.go
+++ b/internal/daemon/rattandaemon/run.go
@@ -23,8 +23,11 @@
 	// balancerDelay is how long a stopping daemon still accepts new requests after
 	// it reports NOT_SERVING, so that the platform's load balancer notices first.
 	balancerDelay = 500 * time.Millisecond
-	// answerTimeout bounds the wait for the answers to the requests that the end of
-	// stop_timeout has ended.
+	// lateTimeout is how long requests that run at the end of stop_timeout may still
+	// run, such as a commit that has just arrived.
+	lateTimeout = 500 * time.Millisecond
+	// answerTimeout bounds the wait for the answers to the requests that the stop
+	// has ended.
 	answerTimeout = time.Second
 	// leaveTimeout bounds the change of the roster at the stop.
 	leaveTimeout = 2 * time.Second
@@ -206,7 +209,22 @@
 	if ended := d.transactions.Drain(ctx); ended > 0 {
 		d.logger.Warn("transactions were rolled back at the stop", "transactions", ended)
 	}
+	d.callers.StopTransactions()
 	d.waitRunning(ctx)
+	d.endRequests()
+	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancelLeave()
+	if err := d.roster.Leave(leaveCtx); err != nil {
+		d.logger.Warn("shares were not given back; they stay unused until the VM is removed from the roster", "error", err)
+	}
+}
+
+// endRequests ends the requests that still run after lateTimeout, waits for their
+// answers and closes the connections to the endpoints.
+func (d *Daemon) endRequests() {
+	lateCtx, cancelLate := context.WithTimeout(context.Background(), lateTimeout)
+	defer cancelLate()
+	d.waitRunning(lateCtx)
 	if running := d.callers.Running(); running > 0 {
 		d.logger.Warn("requests were ended at the stop", "requests", running)
 	}
@@ -215,11 +233,6 @@
 	defer cancelAnswer()
 	d.waitRunning(answerCtx)
 	d.endpoints.Close(answerCtx)
-	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancelLeave()
-	if err := d.roster.Leave(leaveCtx); err != nil {
-		d.logger.Warn("shares were not given back; they stay unused until the VM is removed from the roster", "error", err)
-	}
 }
 
 // waitRunning waits until no request of a caller runs, at most until ctx ends.
