rattanproxy: an owner can end its forwarded statements in order

Callers saw: INDOUBT for a write whose owner (the daemon that sends it) ended, ABORTED for a transaction; nothing changes before stop calls this. Cause: a stopping owner takes forwarded statements until its process is gone, and closes the sessions of the other daemons under those in progress. Evidence: reading; the tests of rattanlink.Server.Shutdown. Change: forwardedWork.beginClosing answers all further statements as not run, wait returns when those in progress have ended and rolls back the open transactions; Proxy.endForwardedWork does both and shuts the peer server down. servePeers does not start it again.

--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -9,6 +9,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/daemon/rattanstop"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
@@ -27,6 +28,8 @@
 // daemon owns.
 type forwardedWork struct {
 	proxy *Proxy
+	// server accepts the sessions of the other daemons.
+	server *rattanlink.Server
 
 	mu           sync.Mutex
 	transactions map[string]*forwardedTransaction
@@ -38,6 +41,10 @@
 	startedAt map[string]time.Time
 	// running counts the requests in progress.
 	running int
+	// isClosing is true once no request is run any more; idle is closed when none is in
+	// progress then.
+	isClosing bool
+	idle      chan struct{}
 }
 
 // A forwardedTransaction is an open transaction of another daemon. Its field
@@ -49,31 +56,80 @@
 }
 
 func newForwardedWork(p *Proxy) *forwardedWork {
-	return &forwardedWork{proxy: p, transactions: make(map[string]*forwardedTransaction), ended: make(map[string]time.Time), startedAt: make(map[string]time.Time)}
+	return &forwardedWork{
+		proxy: p, server: newPeerServer(p), transactions: make(map[string]*forwardedTransaction), ended: make(map[string]time.Time),
+		startedAt: make(map[string]time.Time), idle: make(chan struct{}),
+	}
 }
 
 // handle runs a request that another daemon has forwarded.
 func (f *forwardedWork) handle(_ context.Context, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	begun := f.proxy.boot.Now()
-	f.begin(frame.GetWorkRequest())
-	defer f.finish()
-	response := f.run(frame.GetWorkRequest())
+	response := unknownWorkResponse()
+	if f.begin(frame.GetWorkRequest()) {
+		defer f.finish()
+		response = f.run(frame.GetWorkRequest())
+	}
 	trimLoad(response, f.proxy.registration.incarnation)
 	response.TookUs = uint32(f.proxy.boot.Now().Sub(begun).Microseconds())
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_WorkResponse{WorkResponse: response}}, nil
 }
 
-func (f *forwardedWork) begin(request *rattanv1.WorkRequest) {
+// begin reports whether a request is to be run. Then finish must be called.
+func (f *forwardedWork) begin(request *rattanv1.WorkRequest) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.isClosing {
+		return false
+	}
 	f.running++
 	f.startedAt[request.GetEndpoint()] = f.proxy.clock.Now()
+	return true
 }
 
 func (f *forwardedWork) finish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running--
+	if f.isClosing && f.running == 0 {
+		close(f.idle)
+	}
+}
+
+// beginClosing makes all further requests be answered as not run.
+func (f *forwardedWork) beginClosing() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isClosing {
+		return
+	}
+	f.isClosing = true
+	if f.running == 0 {
+		close(f.idle)
+	}
+}
+
+// wait waits until the requests in progress when closing began have ended, and rolls back
+// the transactions that are open then. It returns ctx's error when ctx ends earlier.
+func (f *forwardedWork) wait(ctx context.Context) error {
+	select {
+	case <-f.idle:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for name, forwarded := range f.list() {
+		f.end(name, forwarded)
+	}
+	return nil
+}
+
+// end drops a transaction unless that has been done.
+func (f *forwardedWork) end(name string, forwarded *forwardedTransaction) {
+	forwarded.mu.Lock()
+	defer forwarded.mu.Unlock()
+	if forwarded.transaction != nil {
+		f.drop(name, forwarded)
+	}
 }
 
 // idleTime returns how long ago the last request for an endpoint arrived.
@@ -147,11 +203,7 @@
 		return unknownWorkResponse()
 	}
 	if forwarded, ok := f.take(request.GetTransaction(), true); ok {
-		forwarded.mu.Lock()
-		defer forwarded.mu.Unlock()
-		if forwarded.transaction != nil {
-			f.drop(request.GetTransaction(), forwarded)
-		}
+		f.end(request.GetTransaction(), forwarded)
 	}
 	return unknownWorkResponse()
 }
--- a/internal/daemon/rattanproxy/peers.go
+++ b/internal/daemon/rattanproxy/peers.go
@@ -6,19 +6,25 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 )
 
+// newPeerServer returns a server without handlers for the requests of other daemons.
+func newPeerServer(p *Proxy) *rattanlink.Server {
+	return rattanlink.NewServer(rattanlink.WithPanicHandler(func(err *rattanlink.PanicError) {
+		p.logPanic("peer "+err.Kind.String(), err.Cause, err.Stack)
+	}))
+}
+
 // servePeers handles the requests of other daemons.
 func (p *Proxy) servePeers(ctx context.Context) error {
 	listener, err := net.Listen("tcp", p.settings.PeerAddress())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	server := rattanlink.NewServer(rattanlink.WithPanicHandler(func(err *rattanlink.PanicError) {
-		p.logPanic("peer "+err.Kind.String(), err.Cause, err.Stack)
-	}))
+	server := p.forwarded.server
 	server.Handle(rattanlink.KindToken, p.admission.handleTokens)
 	server.Handle(rattanlink.KindWork, p.forwarded.handle)
 	server.Handle(rattanlink.KindKnowledge, p.relay.handleKnowledge)
@@ -28,10 +34,27 @@
 	if p.usage != nil {
 		server.Handle(rattanlink.KindUsage, p.usage.handle)
 	}
-	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	err = server.Serve(ctx, listener)
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case errors.Is(err, rattanlink.ErrClosed):
+		return suture.ErrDoNotRestart
+	default:
 		return errors.Wrap(err, "serve peers")
 	}
-	return nil
+}
+
+// endForwardedWork takes no more statements of other daemons, waits for those in progress
+// and for their answers to be sent, and shuts the server for other daemons down. Other daemons
+// learn of each statement that arrives meanwhile that it has not run. After it, no statement
+// of another daemon is sent to an endpoint, unless ctx has ended before.
+func (p *Proxy) endForwardedWork(ctx context.Context) error {
+	p.forwarded.beginClosing()
+	if err := p.forwarded.wait(ctx); err != nil {
+		return errors.Wrap(err, "statements of other daemons in progress")
+	}
+	return errors.Wrap(p.forwarded.server.Shutdown(ctx), "shut the server for other daemons down")
 }
 
 // dialPeer connects to another daemon. The kernel closes a connection whose peer
