rattanproxy: an owner that stops takes no late statements of other daemons

Callers saw: INDOUBT for writes that the endpoint ran and acknowledged, at daemons that nobody stops, while the owner of the connections to the primary stops and no daemon reaches the store. Cause: a stopping owner took the reads and writes of other daemons until AnswerBy, which is also the limit of their wait: those of the last moments were given up. Daemons that know of the stop send none; without the store they do not know. Evidence: TestStopOfOwnerLosesNoResult/no_store_for_all: all lost answers come 5.30 s after the SIGTERM, at AnswerBy. Change: reads and writes of other daemons are taken for the first half of stop_timeout, as their transactions are; they are answered as not run then, and run elsewhere. Commits are taken until 0.3 s before AnswerBy.

--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -20,6 +20,9 @@
 	// orphanIdleTimeout is how long a transaction may stay idle whose daemon is
 	// unregistered.
 	orphanIdleTimeout = 3 * time.Second
+	// commitAnswerTime is how long an endpoint may take for a commit, and is well above the
+	// usual time.
+	commitAnswerTime = 300 * time.Millisecond
 	// idleCheckInterval separates two checks for idle transactions.
 	idleCheckInterval = 1 * time.Second
 )
@@ -185,13 +188,15 @@
 	}
 }
 
-// takes reports whether a request of a kind is still run during a stop.
+// takes reports whether a request of a kind is still run during a stop. A statement that
+// needs nothing of this daemon's is not: the other daemon sends it elsewhere, while here the
+// end may come before the answer. A commit is taken while there is time for its answer.
 func takes(schedule *rattanstop.Schedule, kind rattanv1.WorkKind, now time.Time) bool {
 	switch kind {
-	case rattanv1.WorkKind_WORK_KIND_RUN, rattanv1.WorkKind_WORK_KIND_BEGIN:
+	case rattanv1.WorkKind_WORK_KIND_READ, rattanv1.WorkKind_WORK_KIND_WRITE, rattanv1.WorkKind_WORK_KIND_BEGIN, rattanv1.WorkKind_WORK_KIND_RUN:
 		return schedule.TakesStatements(now)
-	case rattanv1.WorkKind_WORK_KIND_READ, rattanv1.WorkKind_WORK_KIND_WRITE, rattanv1.WorkKind_WORK_KIND_COMMIT:
-		return schedule.TakesCommits(now)
+	case rattanv1.WorkKind_WORK_KIND_COMMIT:
+		return schedule.TakesCommits(now.Add(commitAnswerTime))
 	default:
 		return true
 	}
--- a/internal/daemon/rattanproxy/forwardedwork_test.go
+++ b/internal/daemon/rattanproxy/forwardedwork_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rattanstream/rattanstream/internal/daemon/rattanstop"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
@@ -95,3 +96,33 @@
 		t.Errorf("Serve after the end: got %v, want %v", err, rattanlink.ErrClosed)
 	}
 }
+
+// TestTakesDuringStop guards against statements of other daemons that a stopping owner sends
+// to the endpoint so late that it gives the wait for the answer up (LOST).
+func TestTakesDuringStop(t *testing.T) {
+	const timeout = 6 * time.Second
+	begun := time.Unix(1000, 0)
+	schedule := rattanstop.New(begun, timeout)
+	lastAnswers := schedule.AnswerBy().Sub(begun)
+	for _, test := range []struct {
+		kind  rattanv1.WorkKind
+		until time.Duration
+	}{
+		{rattanv1.WorkKind_WORK_KIND_READ, timeout / 2},
+		{rattanv1.WorkKind_WORK_KIND_WRITE, timeout / 2},
+		{rattanv1.WorkKind_WORK_KIND_BEGIN, timeout / 2},
+		{rattanv1.WorkKind_WORK_KIND_RUN, timeout / 2},
+		{rattanv1.WorkKind_WORK_KIND_COMMIT, lastAnswers - commitAnswerTime},
+		{rattanv1.WorkKind_WORK_KIND_ROLLBACK, timeout},
+	} {
+		if !takes(schedule, test.kind, begun.Add(test.until-time.Millisecond)) {
+			t.Errorf("%s is refused before %s", test.kind, test.until)
+		}
+		if isEnd := test.kind == rattanv1.WorkKind_WORK_KIND_ROLLBACK; takes(schedule, test.kind, begun.Add(test.until)) != isEnd {
+			t.Errorf("%s is taken after %s: %t, want %t", test.kind, test.until, !isEnd, isEnd)
+		}
+		if !takes(nil, test.kind, begun) {
+			t.Errorf("%s is refused without a stop", test.kind)
+		}
+	}
+}
