--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -30,7 +30,8 @@
 type follower struct {
 	proxy *Proxy
 	// ended is closed when this daemon serves the changes to others no longer.
-	ended chan struct{}
+	ended   chan struct{}
+	endOnce sync.Once
 
 	mu sync.Mutex
 	// unusableUntil is until when each watcher that failed is not used.
@@ -49,8 +50,8 @@
 	return &follower{proxy: p, ended: make(chan struct{}), unusableUntil: make(map[string]time.Time)}
 }
 
-// endWatches ends the watches of other daemons and refuses new ones. It is called once.
-func (f *follower) endWatches() { close(f.ended) }
+// endWatches ends the watches of other daemons and refuses new ones.
+func (f *follower) endWatches() { f.endOnce.Do(func() { close(f.ended) }) }
 
 func (f *follower) hasEnded() bool {
 	select {
--- a/internal/daemon/rattanproxy/peers.go
+++ b/internal/daemon/rattanproxy/peers.go
@@ -35,24 +35,27 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	err = p.peerServer.Serve(ctx, listener)
-	if errors.Is(err, rattanlink.ErrClosed) {
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case errors.Is(err, rattanlink.ErrClosed):
 		return suture.ErrDoNotRestart
-	}
-	if err != nil && ctx.Err() == nil {
+	default:
 		return errors.Wrap(err, "serve peers")
 	}
-	return nil
 }
 
-// shutdownPeers answers the requests of other daemons that are in progress, at most until a
-// time. The others are told that theirs have not run.
-func (p *Proxy) shutdownPeers(until time.Time) {
-	p.follower.endWatches()
-	ctx, cancel := context.WithTimeout(context.Background(), until.Sub(p.clock.Now()))
-	defer cancel()
-	if err := p.peerServer.Shutdown(ctx); err != nil {
-		p.logger.Warn("peers_shutdown_failed", "error", err, "forwarded", p.forwarded.runningCount())
+// endForwardedWork takes no more statements of other daemons, waits for those in progress
+// and for their answers to be sent, and shuts the server for other daemons down. Other daemons
+// learn of each statement that arrives meanwhile that it has not run. After it, no statement
+// of another daemon is sent to an endpoint, unless ctx has ended before.
+func (p *Proxy) endForwardedWork(ctx context.Context) error {
+	p.forwarded.beginClosing()
+	if err := p.forwarded.wait(ctx); err != nil {
+		return errors.Wrap(err, "statements of other daemons in progress")
 	}
+	p.follower.endWatches()
+	return errors.Wrap(p.peerServer.Shutdown(ctx), "shut the server for other daemons down")
 }
 
 // dialPeer connects to another daemon. The kernel closes a connection whose peer
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -40,7 +40,6 @@
 	ReadStatement() (rattanstatement.Statement, error)
 	// AwaitMessage waits for a message of the caller and consumes nothing.
 	AwaitMessage() error
-	HasBuffered() bool
 	// HasArrived reports whether a message has arrived that was not read yet.
 	HasArrived() bool
 	WriteGreeting() error
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -38,11 +38,14 @@
 	position rattanmodel.Position
 
 	mu sync.Mutex
-	// isBusy is true from the first byte of a message until the response, and while a
-	// transaction is open.
+	// isReceiving is true from the first byte of a message to the last one, isLast once the
+	// session is to close and its rest must arrive soon.
+	isReceiving, isLast bool
+	// isBusy is true from the receipt of a message until the response, and while a transaction
+	// is open.
 	isBusy bool
-	// isAnswering is true from the first byte of a message until the response, answering is
-	// the id of its statement.
+	// isAnswering is true from the receipt of a message until the response, answering is the
+	// id of its statement.
 	isAnswering bool
 	answering   string
 	// isClosing is true when the session is to close once it is not busy, isEnded when it
--- a/internal/daemon/rattanproxy/sessionread.go
+++ b/internal/daemon/rattanproxy/sessionread.go
@@ -22,8 +22,8 @@
 		return rattanstatement.Statement{}, err
 	}
 	err := s.conn.AwaitMessage()
-	if isTimeout(err) && s.isLeaving() && s.conn.HasArrived() {
-		err = s.awaitLastMessage()
+	if isTimeout(err) && s.takesLastMessage() {
+		err = s.conn.AwaitMessage()
 	}
 	if err != nil {
 		return rattanstatement.Statement{}, err
@@ -32,15 +32,26 @@
 		return rattanstatement.Statement{}, err
 	}
 	statement, err := s.conn.ReadStatement()
-	s.setAnswering(statement.ID)
+	s.endMessage(statement.ID)
 	return statement, err
 }
 
-func (s *session) awaitLastMessage() error {
-	if err := s.conn.SetReadDeadline(s.proxy.clock.Now().Add(lastMessageTimeout)); err != nil {
-		return err
+// takesLastMessage reports whether a message has arrived in a session that is to close, and
+// limits the wait for its rest.
+func (s *session) takesLastMessage() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isLeavingLocked() || !s.conn.HasArrived() {
+		return false
 	}
-	return s.conn.AwaitMessage()
+	return s.limitMessage() == nil
+}
+
+// limitMessage begins the message that is the last one and sets until when it must have
+// arrived. The caller holds s.mu.
+func (s *session) limitMessage() error {
+	s.isReceiving, s.isLast = true, true
+	return s.conn.SetReadDeadline(s.proxy.clock.Now().Add(lastMessageTimeout))
 }
 
 // awaitNext prepares the wait for the next statement.
@@ -51,8 +62,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.isAnswering, s.answering = false, ""
-	s.isBusy = s.transaction != nil || s.conn.HasBuffered()
+	s.isReceiving, s.isLast, s.isAnswering, s.answering = false, false, false, ""
+	s.isBusy = s.transaction != nil
 	if s.isLeavingLocked() {
 		limit = interrupted
 	}
@@ -76,23 +87,23 @@
 	return fallback
 }
 
-// beginMessage records that a message has begun to arrive: from now on the session closes
-// only after the answer. If it is to close, the rest of the message must arrive soon.
+// beginMessage records that a message has begun to arrive: the session closes only after
+// the answer to it, unless its rest does not arrive in time.
 func (s *session) beginMessage() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.isBusy, s.isAnswering = true, true
-	if !s.isClosing && !s.isEnded {
+	s.isReceiving = true
+	if s.isLast || !s.isLeavingLocked() {
 		return nil
 	}
-	return s.conn.SetReadDeadline(s.proxy.clock.Now().Add(lastMessageTimeout))
+	return s.limitMessage()
 }
 
-// setAnswering records the id of the statement that was read.
-func (s *session) setAnswering(id string) {
+// endMessage records that a message has arrived and, if it is a statement, its id.
+func (s *session) endMessage(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answering = id
+	s.isReceiving, s.isBusy, s.isAnswering, s.answering = false, true, true, id
 }
 
 // closeIdle closes the session; if a statement or transaction is in progress, the
@@ -102,7 +113,7 @@
 	defer s.mu.Unlock()
 	s.isClosing = true
 	if !s.isBusy {
-		_ = s.conn.SetReadDeadline(interrupted)
+		s.interrupt()
 	}
 }
 
@@ -113,7 +124,18 @@
 	defer s.mu.Unlock()
 	s.isEnded = true
 	if !s.isAnswering {
+		s.interrupt()
+	}
+}
+
+// interrupt ends the wait for the next message, or limits that for the rest of one. The
+// caller holds s.mu.
+func (s *session) interrupt() {
+	switch {
+	case !s.isReceiving:
 		_ = s.conn.SetReadDeadline(interrupted)
+	case !s.isLast:
+		_ = s.limitMessage()
 	}
 }
 
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -37,7 +37,7 @@
 	until := schedule.End().Add(lastAnswersTimeout)
 	p.endSessions(until)
 	p.logger.Info("stop_sessions_ended", "sessions", p.sessions.count())
-	p.shutdownPeers(until)
+	p.endPeers(until)
 	if p.usage != nil {
 		p.usage.flush()
 	}
@@ -74,6 +74,15 @@
 	}
 }
 
+// endPeers answers the other daemons' statements that are in progress, at most until a time.
+func (p *Proxy) endPeers(until time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), until.Sub(p.clock.Now()))
+	defer cancel()
+	if err := p.endForwardedWork(ctx); err != nil {
+		p.logger.Warn("forwarded_work_unended", "error", err)
+	}
+}
+
 // unregister removes the daemon's entry from the store. It gives up at the end of the stop
 // timeout; the entry then ends with its lease.
 func (p *Proxy) unregister(end time.Time) {
