--- a/internal/daemon/rattanproxy/registration.go
+++ b/internal/daemon/rattanproxy/registration.go
@@ -130,10 +130,6 @@
 
 // run renews the lease and publishes changes of the entries, until the daemon unregisters.
 func (r *registration) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(r.withdrawn, cancel)
-	defer stop()
 	for ctx.Err() == nil {
 		next := r.proxy.clock.Now().Add(r.renewalInterval())
 		if err := r.renew(ctx); err != nil {
@@ -153,12 +149,25 @@
 		case <-r.proxy.clock.After(next.Sub(r.proxy.clock.Now())):
 		}
 	}
-	if r.withdrawn.Err() != nil {
-		return suture.ErrDoNotRestart
-	}
 	return nil
 }
 
+// untilWithdrawn returns a service that ends before the daemon unregisters: what it does
+// needs the lease.
+func (r *registration) untilWithdrawn(run func(ctx context.Context) error) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		stop := context.AfterFunc(r.withdrawn, cancel)
+		defer stop()
+		err := run(ctx)
+		if r.withdrawn.Err() != nil {
+			return suture.ErrDoNotRestart
+		}
+		return err
+	}
+}
+
 func (r *registration) renewalInterval() time.Duration {
 	if r.proxy.follower.isFed() {
 		return followerRenewal
--- a/internal/proof/rattansoak/answers_test.go
+++ b/internal/proof/rattansoak/answers_test.go
@@ -116,8 +116,8 @@
 		t.Fatal(err)
 	}
 	<-d.ended
-	fmt.Fprintf(&d.log, "{\"time\":%q,\"msg\":\"statement_cut\",\"id\":\"a\"}\n", time.Now().Format(time.RFC3339Nano))
 	r := &run{fleet: fleet}
+	fmt.Fprintf(&d.log, "{\"time\":%q,\"msg\":\"statement_cut\",\"id\":\"a\"}\n", time.Now().Format(time.RFC3339Nano))
 	r.checkProcesses()
 	assertViolations(t, r, selfEnd, 1)
 	assertViolations(t, r, "statement_cut", 1)
--- a/internal/proof/rattansoak/rolling.go
+++ b/internal/proof/rattansoak/rolling.go
@@ -82,6 +82,9 @@
 	if changeErr := <-changed; err == nil {
 		err = changeErr
 	}
+	if err == nil {
+		err = r.restore(nil)
+	}
 	return r.finish(err, cancel, &calling)
 }
 
--- a/internal/proof/rattansoak/run.go
+++ b/internal/proof/rattansoak/run.go
@@ -21,6 +21,8 @@
 	// recoveryLimit is the time after the last fault within which every daemon must
 	// serve writes again.
 	recoveryLimit = 15 * time.Second
+	// endedLogSize is how many bytes are shown of the log of a daemon that has ended.
+	endedLogSize = 400
 )
 
 // A Result is the result of a run. The counts are those of writes by outcome, and of
@@ -171,6 +173,10 @@
 			if outcome.isAcknowledged {
 				break
 			}
+			if d.hasEnded() {
+				log := d.Log()
+				return errors.Errorf("%s: %s has ended: %s", when, d.name, log[max(0, len(log)-endedLogSize):])
+			}
 			if time.Since(begun) > recoveryLimit {
 				return errors.Errorf("%s: %s acknowledged no write within %s", when, d.name, recoveryLimit)
 			}
