rattanproxy: a stopping daemon serves tokens until it has unregistered

Callers saw: in tests, BUSY 'over its rate' for accounts far within it while two daemons stop. Change: before the unregistration only statements are refused, as not run; the links end after it. Also: the scripts' processes get the default effect of signals that the test inherited as ignored. othersignals failed under nohup, where SIGHUP is ignored; its expectation stands.

--- a/internal/cmd/rattancmd/script_test.go
+++ b/internal/cmd/rattancmd/script_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -14,6 +16,17 @@
 	})
 }
 
+// restoreSignals gives the processes of the scripts the default effect of signals that this
+// process inherited as ignored, for example from nohup: a signal that it handles is no longer
+// ignored by those that it starts.
+func restoreSignals() {
+	for _, s := range []os.Signal{syscall.SIGHUP, os.Interrupt} {
+		if signal.Ignored(s) {
+			signal.Notify(make(chan os.Signal, 1), s)
+		}
+	}
+}
+
 // parallelScripts bounds how many scripts run at a time. Each runs up to eight
 // processes, and the machine may be shared.
 const parallelScripts = 3
@@ -22,6 +35,7 @@
 // processes. Each script has the commands of operators and the requests of callers
 // against processes on loopback addresses; its head says what it guards against.
 func TestScripts(t *testing.T) {
+	restoreSignals()
 	slots := make(chan struct{}, parallelScripts)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/scripts",
--- a/internal/daemon/rattanproxy/forwardedwork_test.go
+++ b/internal/daemon/rattanproxy/forwardedwork_test.go
@@ -79,14 +79,17 @@
 	}
 }
 
-// TestEndForwardedWorkEndsServer guards against a daemon that accepts sessions of other
+// TestEndPeerServer guards against a daemon that accepts sessions of other
 // daemons after it has taken its last statement.
-func TestEndForwardedWorkEndsServer(t *testing.T) {
+func TestEndPeerServer(t *testing.T) {
 	p := newIdleProxy(t, "vm-1")
 	for range 2 {
 		if err := p.endForwardedWork(context.Background()); err != nil {
 			t.Error(err)
 		}
+		if err := p.endPeerServer(context.Background()); err != nil {
+			t.Error(err)
+		}
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/daemon/rattanproxy/peers.go
+++ b/internal/daemon/rattanproxy/peers.go
@@ -45,15 +45,18 @@
 	}
 }
 
-// endForwardedWork takes no more statements of other daemons, waits for those in progress
-// and for their answers to be sent, and shuts the server for other daemons down. Other daemons
-// learn of each statement that arrives meanwhile that it has not run. After it, no statement
-// of another daemon is sent to an endpoint, unless ctx has ended before.
+// endForwardedWork takes no more statements of other daemons and waits for those in
+// progress. Other daemons learn of each statement that arrives later that it has not run.
+// After it, no statement of another daemon is sent to an endpoint, unless ctx has ended before.
 func (p *Proxy) endForwardedWork(ctx context.Context) error {
 	p.forwarded.beginClosing()
-	if err := p.forwarded.wait(ctx); err != nil {
-		return errors.Wrap(err, "statements of other daemons in progress")
-	}
+	return errors.Wrap(p.forwarded.wait(ctx), "statements of other daemons in progress")
+}
+
+// endPeerServer answers the requests of other daemons that are in progress and takes no more.
+// It comes after the unregistration: until then other daemons rely on this one for their
+// tokens and for the changes of the store.
+func (p *Proxy) endPeerServer(ctx context.Context) error {
 	p.follower.endWatches()
 	return errors.Wrap(p.peerServer.Shutdown(ctx), "shut the server for other daemons down")
 }
--- a/internal/daemon/rattanproxy/stop.go
+++ b/internal/daemon/rattanproxy/stop.go
@@ -37,11 +37,12 @@
 	until := schedule.End().Add(lastAnswersTimeout)
 	p.endSessions(until)
 	p.logger.Info("stop_sessions_ended", "sessions", p.sessions.count())
-	p.endPeers(until)
+	p.within(until, "forwarded_work_unended", p.endForwardedWork)
 	if p.usage != nil {
 		p.usage.flush()
 	}
 	p.unregister(begun.Add(p.settings.StopTimeout()))
+	p.within(p.clock.Now().Add(lastAnswersTimeout), "peers_unended", p.endPeerServer)
 }
 
 // awaitIdle waits until there is neither a session nor work of other daemons, at most until
@@ -74,12 +75,12 @@
 	}
 }
 
-// endPeers answers the other daemons' statements that are in progress, at most until a time.
-func (p *Proxy) endPeers(until time.Time) {
+// within calls a step of the stop, which must end by a time, and logs its error as an event.
+func (p *Proxy) within(until time.Time, event string, step func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(context.Background(), until.Sub(p.clock.Now()))
 	defer cancel()
-	if err := p.endForwardedWork(ctx); err != nil {
-		p.logger.Warn("forwarded_work_unended", "error", err)
+	if err := step(ctx); err != nil {
+		p.logger.Warn(event, "error", err)
 	}
 }
 
