rattananswer: tell which answers of endpoints are not those to the request

Cause: not known yet. The logs say nothing of an answer that is taken for a success, nor what ended a message. Change: a history for each connection judges each answer against the request and the answers before it; answer_untrusted and message_line_break are logged and counted. What is done with an answer is unchanged. A forwarded statement says whether it is a commit.

--- a/internal/caller/rattanstatement/statement.go
+++ b/internal/caller/rattanstatement/statement.go
@@ -25,6 +25,19 @@
 	StepDown
 )
 
+var kindNames = [...]string{
+	"statement", "begin", "begin_read", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate",
+	"reset", "status", "step_down",
+}
+
+// String returns the name that logs use for k.
+func (k Kind) String() string {
+	if k < 0 || int(k) >= len(kindNames) {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
 // An Access says whether a prepared statement reads or writes.
 type Access int
 
@@ -49,6 +62,9 @@
 	// Prepare the statement text, for Execute the item, followed by the data when
 	// the prepared statement writes.
 	Argument string
+	// HasLineBreak is true when the message held a carriage return or line feed, or ended with a
+	// line feed alone.
+	HasLineBreak bool
 }
 
 // A Request is one request to an endpoint.
@@ -90,8 +106,10 @@
 	// Signature is the endpoint's signature of a success.
 	Signature string
 	// Code is None on success.
-	Code              Code
-	Detail            string
+	Code   Code
+	Detail string
+	// IsPartial is true for an answer of an endpoint that says neither success nor error.
+	IsPartial         bool
 	TransactionStatus TransactionStatus
 	Position          rattanmodel.Position
 }
--- a/internal/daemon/rattanproxy/endpointset.go
+++ b/internal/daemon/rattanproxy/endpointset.go
@@ -120,6 +120,7 @@
 			continue
 		}
 		s.upstreams[id] = rattanupstream.New(s.proxy.clock, s.proxy.platform.Dial, s.proxy.grants, endpoint, limits, s.proxy.metrics.count, s.wakeUp)
+		s.upstreams[id].SetAnswerObserver(s.proxy)
 		if s.proxy.usage != nil {
 			s.upstreams[id].SetRunCounter(s.proxy.usage)
 		}
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -140,6 +140,10 @@
 // handleStatement runs a statement and writes its result.
 func (s *session) handleStatement(statement rattanstatement.Statement) error {
 	arrived := s.proxy.clock.Now()
+	if statement.HasLineBreak {
+		s.proxy.metrics.count(countLineBreaks)
+		s.proxy.logger.Info("message_line_break", "id", statement.ID, "database", s.database, "account", s.account)
+	}
 	decision := s.stateMachine.Decide(statement)
 	outcome := s.run(decision, arrived)
 	if outcome.OK() {
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -218,7 +218,9 @@
 }
 
 func (c *endpointControl) upstream(endpoint rattancatalog.Endpoint) *rattanupstream.Upstream {
-	return rattanupstream.New(c.proxy.clock, c.proxy.platform.Dial, c.proxy.grants, endpoint, rattanadmission.Limits{}, c.proxy.metrics.count, func() {})
+	upstream := rattanupstream.New(c.proxy.clock, c.proxy.platform.Dial, c.proxy.grants, endpoint, rattanadmission.Limits{}, c.proxy.metrics.count, func() {})
+	upstream.SetAnswerObserver(c.proxy)
+	return upstream
 }
 
 // Status implements rattanswitchover.EndpointControl.
--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -36,7 +36,7 @@
 		Kind: kind, Endpoint: endpoint, Account: statement.Account, Priority: uint32(statement.Priority), Values: statement.SessionVars,
 		StatementId: statement.StatementID, Text: statement.Text, Shape: statement.Prepared.Text, Writes: statement.IsWrite,
 		Argument: statement.Argument, Floor: statement.MinPosition.Wire(),
-		IsRepeat:    statement.IsRepeat,
+		IsRepeat: statement.IsRepeat, IsCommit: statement.IsCommit,
 		ObjectiveMs: uint32(max(time.Until(statement.Objective), 0).Milliseconds()),
 		Route:       statement.Kind.Route, WaitedMs: uint32(max(statement.Waited, 0).Milliseconds()),
 	}
@@ -54,6 +54,7 @@
 		},
 		SessionVars: request.GetValues(), StatementID: request.GetStatementId(), Text: request.GetText(),
 		Argument: request.GetArgument(), IsWrite: request.GetWrites(), IsRepeat: request.GetIsRepeat(),
+		IsCommit:    request.GetIsCommit(),
 		MinPosition: rattanmodel.PositionFromWire(request.GetFloor()),
 	}
 	if request.GetShape() != "" {
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -227,6 +227,7 @@
 		StatementID:    operation.Statement.ID,
 		Text:           operation.Statement.Text,
 		IsWrite:        operation.IsWrite,
+		IsCommit:       operation.Statement.Kind == rattanstatement.Commit,
 		MinPosition:    minPosition,
 	}
 	if operation.Prepared != nil {
--- a/internal/endpoint/rattanupstream/control.go
+++ b/internal/endpoint/rattanupstream/control.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 )
 
 // A Status is the state that an endpoint reports of itself.
@@ -64,5 +65,11 @@
 	if err := conn.Send(request); err != nil {
 		return Status{}, rattanstatement.Result{}, err
 	}
-	return conn.ReceiveStatus()
+	checked := checkedConn{Conn: conn, upstream: u, answers: rattananswer.New(opened)}
+	result, err := checked.receive(request)
+	if err != nil || !result.OK() {
+		return Status{}, result, err
+	}
+	status, err := conn.ParseStatus(result)
+	return status, result, err
 }
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
@@ -17,9 +18,13 @@
 	// order.
 	Send(requests ...rattanstatement.Request) error
 	Receive() (rattanstatement.Result, error)
-	ReceiveStatus() (rattanstatement.EndpointStatus, rattanstatement.Result, error)
+	// ParseStatus returns the status in the result of a Status or StepDown request.
+	ParseStatus(result rattanstatement.Result) (rattanstatement.EndpointStatus, error)
 	// IsStale reports whether the endpoint has closed the idle connection.
 	IsStale() bool
+	// HasSurplus reports whether data of the endpoint has arrived that is not the result of
+	// a request.
+	HasSurplus() bool
 	SetDeadline(t time.Time) error
 	Close() error
 	// Abort closes the connection at once. Data still in transit is lost.
@@ -36,7 +41,7 @@
 // prepared statements that exist on it. It serves one request at a time.
 type PooledConn struct {
 	upstream    *Upstream
-	conn        Conn
+	conn        checkedConn
 	account     string
 	sessionVars map[string]string
 	// prepared has the name of each prepared statement on the connection.
@@ -50,6 +55,11 @@
 	isRunCounted bool
 }
 
+// newPooledConn returns a connection whose session was opened with an answer.
+func newPooledConn(u *Upstream, conn Conn, opened rattanstatement.Result, account string) *PooledConn {
+	return &PooledConn{upstream: u, conn: checkedConn{Conn: conn, upstream: u, answers: rattananswer.New(opened)}, account: account}
+}
+
 // begin records the request for which the connection is used from now on.
 func (c *PooledConn) begin(request AcquireRequest, assignedAt time.Time) {
 	c.acquiredAt, c.kind, c.priority = assignedAt, request.Kind, request.Priority
@@ -117,7 +127,7 @@
 	}
 	var refused *SetupError
 	for i := range setup {
-		result, err := c.conn.Receive()
+		result, err := c.conn.receive(setup[i])
 		if err != nil {
 			c.countRun(request, sentAt, result, true)
 			return rattanstatement.Result{}, err
@@ -126,7 +136,7 @@
 			refused = &SetupError{Kind: setup[i].Kind, Result: result}
 		}
 	}
-	result, err := c.conn.Receive()
+	result, err := c.conn.receive(request)
 	c.countRun(request, sentAt, result, err != nil)
 	if err != nil {
 		return rattanstatement.Result{}, err
--- a/internal/endpoint/rattanupstream/runs_test.go
+++ b/internal/endpoint/rattanupstream/runs_test.go
@@ -1,6 +1,7 @@
 package rattanupstream
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -14,12 +15,19 @@
 )
 
 // A scriptedConn answers each request with the next result; after them, answers are lost.
+// Successes of callers' statements are signed.
 type scriptedConn struct {
 	Conn
 	results []rattanstatement.Result
+	// sent are the requests that have no answer yet, signed counts the signatures.
+	sent   []rattanstatement.Request
+	signed int
 }
 
-func (c *scriptedConn) Send(...rattanstatement.Request) error { return nil }
+func (c *scriptedConn) Send(requests ...rattanstatement.Request) error {
+	c.sent = append(c.sent, requests...)
+	return nil
+}
 
 func (c *scriptedConn) SetDeadline(time.Time) error { return nil }
 
@@ -27,8 +35,12 @@
 	if len(c.results) == 0 {
 		return rattanstatement.Result{}, errors.New("the connection was closed")
 	}
-	result := c.results[0]
-	c.results = c.results[1:]
+	result, request := c.results[0], c.sent[0]
+	c.results, c.sent = c.results[1:], c.sent[1:]
+	if request.ID != "" && result.OK() {
+		c.signed++
+		result.Signature = strconv.Itoa(c.signed)
+	}
 	return result, nil
 }
 
@@ -41,8 +53,9 @@
 // statement of a transaction, or not at all.
 func TestCountRun(t *testing.T) {
 	begin, rollback := rattanstatement.Request{Kind: rattanstatement.Begin}, rattanstatement.Request{Kind: rattanstatement.Rollback}
-	statement := rattanstatement.Request{ID: "1", Text: "READ i1"}
-	repeat := rattanstatement.Request{ID: "1", Text: "READ i1", IsRepeat: true}
+	statement := rattanstatement.Request{ID: "1", Kind: rattanstatement.Read, Text: "READ i1"}
+	commit := rattanstatement.Request{ID: "1", Kind: rattanstatement.Commit, Text: "COMMIT"}
+	repeat := rattanstatement.Request{ID: "1", Kind: rattanstatement.Read, Text: "READ i1", IsRepeat: true}
 	idle, open := rattanstatement.Result{}, rattanstatement.Result{TransactionStatus: rattanstatement.InTransaction}
 	refused := func(code rattanstatement.Code) rattanstatement.Result { return rattanstatement.Refuse(code, "") }
 	for _, test := range []struct {
@@ -55,18 +68,18 @@
 		{"refused", []rattanstatement.Request{statement, statement}, []rattanstatement.Result{refused(rattanstatement.Busy), refused(rattanstatement.Behind)}, 0},
 		{"failed", []rattanstatement.Request{statement}, []rattanstatement.Result{refused(rattanstatement.Failed)}, 1},
 		{"repeated", []rattanstatement.Request{statement, repeat}, []rattanstatement.Result{refused(rattanstatement.Failed), idle}, 1},
-		{"repeated transaction", []rattanstatement.Request{begin, repeat, statement}, []rattanstatement.Result{open, open, idle}, 0},
+		{"repeated transaction", []rattanstatement.Request{begin, repeat, commit}, []rattanstatement.Result{open, open, idle}, 0},
 		{"answer lost", []rattanstatement.Request{statement}, nil, 1},
-		{"transaction", []rattanstatement.Request{begin, statement, statement, statement}, []rattanstatement.Result{open, open, open, idle}, 1},
-		{"transaction and statement", []rattanstatement.Request{begin, statement, statement, statement}, []rattanstatement.Result{open, open, idle, idle}, 2},
-		{"transactions", []rattanstatement.Request{begin, statement, rollback, begin, statement, statement}, []rattanstatement.Result{open, open, idle, open, open, idle}, 2},
+		{"transaction", []rattanstatement.Request{begin, statement, statement, commit}, []rattanstatement.Result{open, open, open, idle}, 1},
+		{"transaction and statement", []rattanstatement.Request{begin, statement, commit, statement}, []rattanstatement.Result{open, open, idle, idle}, 2},
+		{"transactions", []rattanstatement.Request{begin, statement, rollback, begin, statement, commit}, []rattanstatement.Result{open, open, idle, open, open, idle}, 2},
 		{"no statement runs", []rattanstatement.Request{begin, statement, rollback}, []rattanstatement.Result{open, refused(rattanstatement.Busy), idle}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			counts := make(runCounts)
 			upstream := New(rattanclock.System(), nil, rattangrant.New(rattanclock.System(), time.Second), rattancatalog.Endpoint{}, rattanadmission.Limits{}, func(string) {}, func() {})
 			upstream.SetRunCounter(counts)
-			conn := &PooledConn{upstream: upstream, conn: &scriptedConn{results: test.results}, account: "miny"}
+			conn := newPooledConn(upstream, &scriptedConn{results: test.results}, rattanstatement.Result{}, "miny")
 			for _, request := range test.requests {
 				// The result is that of the script.
 				_, _ = conn.Run(nil, request, time.Now().Add(time.Second))
--- a/internal/endpoint/rattanupstream/scarce_test.go
+++ b/internal/endpoint/rattanupstream/scarce_test.go
@@ -75,10 +75,12 @@
 	return rattanstatement.Result{}, errUnused
 }
 
-func (c *fakeConn) ReceiveStatus() (rattanstatement.EndpointStatus, rattanstatement.Result, error) {
-	return rattanstatement.EndpointStatus{}, rattanstatement.Result{}, errUnused
+func (c *fakeConn) ParseStatus(rattanstatement.Result) (rattanstatement.EndpointStatus, error) {
+	return rattanstatement.EndpointStatus{}, errUnused
 }
 
+func (c *fakeConn) HasSurplus() bool { return false }
+
 // newScarce returns an upstream with so many connections, kept by demand, at an endpoint
 // that accepts as many.
 func newScarce(connections int) (*Upstream, *fakeEndpoint) {
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -52,17 +52,31 @@
 	Argument string
 	// IsWrite is true for statements that write.
 	IsWrite bool
+	// IsCommit is true for the commit of a transaction.
+	IsCommit bool
 	// MinPosition is the position that the endpoint must hold, zero for none.
 	MinPosition rattanmodel.Position
 	// IsRepeat is true when an earlier attempt of the request has run at an endpoint.
 	IsRepeat bool
 }
 
+// kind returns the kind of the statement, unless it is a prepared one.
+func (r StatementRequest) kind() rattanstatement.Kind {
+	switch {
+	case r.IsCommit:
+		return rattanstatement.Commit
+	case r.IsWrite:
+		return rattanstatement.Write
+	default:
+		return rattanstatement.Read
+	}
+}
+
 // wireRequests returns the setup requests and the request for the statement on a
 // pooled connection.
 func (r StatementRequest) wireRequests(pooled *PooledConn) ([]rattanstatement.Request, rattanstatement.Request) {
 	setup := pooled.SetupRequests(r.SessionVars)
-	request := rattanstatement.Request{ID: r.StatementID, Text: r.Text, MinPosition: r.MinPosition, IsRepeat: r.IsRepeat}
+	request := rattanstatement.Request{ID: r.StatementID, Kind: r.kind(), Text: r.Text, MinPosition: r.MinPosition, IsRepeat: r.IsRepeat}
 	if r.Prepared != (PreparedStatement{}) {
 		name, prepare := pooled.Prepare(r.Prepared)
 		setup = append(setup, prepare...)
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
@@ -56,6 +57,8 @@
 	isOpeningAhead atomic.Bool
 	// runs is nil unless the runs of callers' requests are counted.
 	runs RunCounter
+	// untrusted is nil unless untrusted answers are observed.
+	untrusted AnswerObserver
 
 	mu       sync.Mutex
 	endpoint rattancatalog.Endpoint
@@ -184,6 +187,9 @@
 			pooled.begin(request, assignedAt)
 			return pooled, nil
 		}
+		if pooled.conn.HasSurplus() {
+			u.reportUntrusted(rattanstatement.Request{}, rattanstatement.Result{}, rattananswer.ReasonSurplus)
+		}
 		_ = pooled.conn.Close()
 	}
 	u.count(CountOpened)
@@ -278,7 +284,7 @@
 			return nil, errors.Wrap(ErrUnreachable, err.Error())
 		case result.OK():
 			u.observeAnswer(result)
-			return &PooledConn{upstream: u, conn: conn, account: account}, nil
+			return newPooledConn(u, conn, result, account), nil
 		}
 		_ = conn.Close()
 		if err := u.refused(result); err != nil {
