rattanlineserver: a signature of its own for each answer

Cause: all answers of an endpoint had the same signature, so no test could see that an answer belongs to another statement. Change: each signature comes once, and the group tells which statement and rows it is for.

--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -31,13 +31,38 @@
 	writeCounts map[string]int
 	// received has the ids of the statements that have reached an endpoint.
 	received map[string]struct{}
+	// signed has the signed answers by their signatures.
+	signed map[string]SignedAnswer
 	// deposedWrites counts the writes that ran at deposed primaries.
 	deposedWrites int
 }
 
 // NewGroup returns a group whose replicas apply each commit after lag.
 func NewGroup(name string, lag time.Duration) *Group {
-	return &Group{name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int), received: make(map[string]struct{})}
+	return &Group{name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int), received: make(map[string]struct{}), signed: make(map[string]SignedAnswer)}
+}
+
+// A SignedAnswer is what an endpoint has signed: the rows, as sent, in the answer to a
+// statement.
+type SignedAnswer struct {
+	Statement string
+	Rows      string
+}
+
+// Signed returns the answer that has a signature.
+func (g *Group) Signed(signature string) (SignedAnswer, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	answer, ok := g.signed[signature]
+	return answer, ok
+}
+
+// sign returns the signature of an answer; no two answers have the same. The caller holds
+// the group's mutex.
+func (e *Endpoint) sign(statement, rows string) string {
+	signature := fmt.Sprintf("%s.proof.%x", e.id, len(e.group.signed))
+	e.group.signed[signature] = SignedAnswer{Statement: statement, Rows: rows}
+	return signature
 }
 
 // An Endpoint is one instance of a group.
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -17,6 +17,8 @@
 	// one, E for a failed one.
 	state       string
 	isReadWrite bool
+	// statement is the id of the statement in progress.
+	statement string
 	// writes are the items and data that the open transaction has written.
 	writes [][2]string
 	// variables are the session variables.
@@ -58,6 +60,7 @@
 		}
 		e.group.recordReceived(fields[1])
 		e.pause()
+		s.statement = fields[1]
 		reply, ok := s.run(fields[2])
 		if !ok {
 			continue
@@ -212,7 +215,7 @@
 		s.endpoint.lostResponses--
 		return "", false
 	}
-	reply, _ := s.complete(s.endpoint.id + ".proof")
+	reply, _ := s.complete(s.endpoint.sign(s.statement, rows))
 	return rows + reply, true
 }
 
