rattanlineserver: the answer to STATUS carries no signature

Evidence: with the answers checked, answer_untrusted with reason unexpected_signature for each status, and no primary was found.

--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -177,7 +177,11 @@
 		if e.isPrimary() {
 			role = "primary"
 		}
-		return s.respond(fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\n", role, e.term(), e.positionText(), len(e.conns)))
+		if s.losesAnswer() {
+			return "", false
+		}
+		reply, _ := s.complete("-")
+		return fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\n", role, e.term(), e.positionText(), len(e.conns)) + reply, true
 	default:
 		return s.fail("MALFORMED " + verb)
 	}
@@ -208,11 +212,20 @@
 	return s.respond("")
 }
 
-// respond returns the response to a statement that occupies a slot, signed by the
-// endpoint. It returns false while LoseAnswers is in effect.
+// losesAnswer reports whether the response to a statement that occupies a slot is lost,
+// since LoseAnswers is in effect.
+func (s *session) losesAnswer() bool {
+	if s.endpoint.lostResponses == 0 {
+		return false
+	}
+	s.endpoint.lostResponses--
+	return true
+}
+
+// respond returns the response to a read, write or commit, signed by the endpoint. It
+// returns false if the response is lost.
 func (s *session) respond(rows string) (string, bool) {
-	if s.endpoint.lostResponses > 0 {
-		s.endpoint.lostResponses--
+	if s.losesAnswer() {
 		return "", false
 	}
 	reply, _ := s.complete(s.endpoint.sign(s.statement, rows))
