rattanupstream: take only answers that are certainly those to the request

Cause: the class is an answer that is taken for that to the request sent last because it arrives first. An endpoint that repeats an answer shifts all later ones on the pooled connection. IsStale looks only when a connection leaves the pool. Change: repeats are passed over, so the request gets its own answer; then the connection serves no further request. A success needs its signature and transaction status. An error that has come before, or follows an answer without a signature that may be a repeat, is no promise: a write is in doubt, a read goes on. Setup is awaited before a caller's statement is sent, and a statement that was not sent is not in doubt. A write is not sent behind a BEGIN whose answer may be a repeat. An empty session value is set. Positions and terms are learned only from answers that are taken.

--- a/internal/endpoint/rattanupstream/answers.go
+++ b/internal/endpoint/rattanupstream/answers.go
@@ -1,6 +1,8 @@
 package rattanupstream
 
 import (
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 )
@@ -29,18 +31,89 @@
 	Conn
 	upstream *Upstream
 	answers  *rattananswer.History
+	// distrust is why the connection serves no further request, empty while it may.
+	distrust rattananswer.Reason
+}
+
+// An UncertainError says that an answer may belong to an earlier request.
+type UncertainError struct {
+	Reason rattananswer.Reason
+	// Result is the answer.
+	Result rattanstatement.Result
+}
+
+// Error implements the error interface.
+func (e *UncertainError) Error() string {
+	return "the answer of the endpoint may belong to an earlier request: " + string(e.Reason)
 }
 
-// receive reads the answer to a request.
+// errInvalidAnswer says that an answer is not whole or does not fit the request.
+var errInvalidAnswer = errors.New("the answer of the endpoint does not fit the request")
+
+// errSetupRefused says that the endpoint refused a request that prepares the connection.
+var errSetupRefused = errors.New("the endpoint refused the connection setup")
+
+// errSurplus says that the endpoint has sent more than the answers.
+var errSurplus = errors.New("the endpoint has sent more than one answer to a request")
+
+// errTentative says that the answer to a begin may be that to an earlier one.
+var errTentative = errors.New("the transaction may not have begun")
+
+// isUnsent reports whether the statement that failed with an error was not sent.
+func isUnsent(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent)
+}
+
+// asUncertain returns the uncertain answer to a statement that was sent.
+func asUncertain(err error) (*UncertainError, bool) {
+	var uncertain *UncertainError
+	ok := !isUnsent(err) && errors.As(err, &uncertain)
+	return uncertain, ok
+}
+
+// isAnswered reports whether a request failed because of what the endpoint answered, and not
+// for want of an answer.
+func isAnswered(err error) bool {
+	var uncertain *UncertainError
+	return errors.As(err, &uncertain) || errors.Is(err, errInvalidAnswer) || errors.Is(err, errSetupRefused) ||
+		errors.Is(err, errSurplus) || errors.Is(err, errTentative)
+}
+
+// receive reads the answer to a request. It passes over repeats of earlier answers, since
+// the request's own one comes after them. After an *UncertainError it is unknown whether the
+// request has been answered, after any other error the answer is missing.
 func (c *checkedConn) receive(request rattanstatement.Request) (rattanstatement.Result, error) {
-	result, err := c.Receive()
-	if err != nil {
-		return result, err
-	}
-	if judgement := c.answers.Judge(request, result); judgement.Verdict != rattananswer.Own {
+	for {
+		result, err := c.Receive()
+		if err != nil {
+			return rattanstatement.Result{}, err
+		}
+		judgement := c.answers.Judge(request, result)
+		if judgement.Verdict == rattananswer.Own {
+			return result, nil
+		}
+		c.distrust = judgement.Reason
 		c.upstream.reportUntrusted(request, result, judgement.Reason)
+		switch judgement.Verdict {
+		case rattananswer.Repeated:
+		case rattananswer.Uncertain:
+			return rattanstatement.Result{}, &UncertainError{Reason: judgement.Reason, Result: result}
+		default:
+			return rattanstatement.Result{}, errors.Wrap(errInvalidAnswer, string(judgement.Reason))
+		}
+	}
+}
+
+// hasSurplus reports whether data has arrived while no request waits for an answer. The
+// connection serves no further request then.
+func (c *checkedConn) hasSurplus() bool {
+	if !c.HasSurplus() {
+		return false
 	}
-	return result, nil
+	c.distrust = rattananswer.ReasonSurplus
+	c.upstream.reportUntrusted(rattanstatement.Request{}, rattanstatement.Result{}, rattananswer.ReasonSurplus)
+	return true
 }
 
 func (u *Upstream) reportUntrusted(request rattanstatement.Request, result rattanstatement.Result, reason rattananswer.Reason) {
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
@@ -65,6 +67,17 @@
 	c.acquiredAt, c.kind, c.priority = assignedAt, request.Kind, request.Priority
 }
 
+// isUsable reports whether the idle connection may serve a request. Only a read may follow
+// an error: a repeat of the error would tell that a write has not run.
+func (c *PooledConn) isUsable(request AcquireRequest) bool {
+	if c.conn.IsStale() {
+		// It is closed by the caller, whether it has ended or holds more than the answers.
+		_ = c.conn.hasSurplus()
+		return false
+	}
+	return request.Kind.Operation == rattanwork.Read || !c.conn.answers.HasErrors()
+}
+
 // Interrupt ends a request that is in flight by closing the connection; the outcome
 // of the request is then unknown. It may be called while another goroutine runs the
 // request.
@@ -83,7 +96,7 @@
 		}
 	}
 	for name, value := range sessionVars {
-		if c.sessionVars[name] == value {
+		if known, ok := c.sessionVars[name]; ok && known == value {
 			continue
 		}
 		if c.sessionVars == nil {
@@ -112,54 +125,93 @@
 	}}
 }
 
-// Run sends setup and one request in one write and returns the result of the
-// request. After an error it is unknown whether the request ran, except after a
-// *SetupError, which comes with the result of the request.
+// Run sends setup and one request and returns the result of the request. A request of a
+// caller is sent only after the setup has succeeded, so that it never runs without; one of
+// the daemon itself is sent together with it. After an *UnsentError the request has not run,
+// after any other error that is unknown.
 func (c *PooledConn) Run(setup []rattanstatement.Request, request rattanstatement.Request, deadline time.Time) (rattanstatement.Result, error) {
 	if err := c.conn.SetDeadline(deadline); err != nil {
-		return rattanstatement.Result{}, &SendError{Cause: err}
+		return rattanstatement.Result{}, &UnsentError{Cause: err}
 	}
-	sentAt := c.upstream.clock.Now()
 	late := time.AfterFunc(lateAnswerDelay, c.upstream.ObserveTimeout)
 	defer late.Stop()
-	if err := c.conn.Send(append(setup, request)...); err != nil {
-		return rattanstatement.Result{}, &SendError{Cause: err}
+	if request.ID == "" {
+		return c.runOwn(setup, request)
 	}
-	var refused *SetupError
-	for i := range setup {
-		result, err := c.conn.receive(setup[i])
-		if err != nil {
-			c.countRun(request, sentAt, result, true)
-			return rattanstatement.Result{}, err
-		}
-		if !result.OK() && refused == nil {
-			refused = &SetupError{Kind: setup[i].Kind, Result: result}
+	if len(setup) > 0 {
+		if err := c.prepareFor(setup); err != nil {
+			return rattanstatement.Result{}, &UnsentError{Cause: err}
 		}
 	}
+	sentAt := c.upstream.clock.Now()
+	if err := c.conn.Send(request); err != nil {
+		return rattanstatement.Result{}, &SendError{Cause: err}
+	}
 	result, err := c.conn.receive(request)
 	c.countRun(request, sentAt, result, err != nil)
 	if err != nil {
 		return rattanstatement.Result{}, err
 	}
 	c.upstream.observeAnswer(result)
-	if refused != nil {
-		return result, refused
+	return result, nil
+}
+
+// runOwn runs a request of the daemon itself together with its setup.
+func (c *PooledConn) runOwn(setup []rattanstatement.Request, request rattanstatement.Request) (rattanstatement.Result, error) {
+	if err := c.conn.Send(append(setup, request)...); err != nil {
+		return rattanstatement.Result{}, &SendError{Cause: err}
 	}
+	if err := c.receiveSetup(setup); err != nil {
+		return rattanstatement.Result{}, &UnsentError{Cause: err}
+	}
+	result, err := c.conn.receive(request)
+	if err != nil {
+		return rattanstatement.Result{}, err
+	}
+	c.countRun(request, c.upstream.clock.Now(), result, false)
+	c.upstream.observeAnswer(result)
 	return result, nil
 }
 
-// A SetupError says that the endpoint refused a setup request, which was sent before
-// the request of the caller.
-type SetupError struct {
-	Kind   rattanstatement.Kind
-	Result rattanstatement.Result
+// prepareFor runs the setup of a statement.
+func (c *PooledConn) prepareFor(setup []rattanstatement.Request) error {
+	if err := c.conn.Send(setup...); err != nil {
+		return err
+	}
+	if err := c.receiveSetup(setup); err != nil {
+		return err
+	}
+	if c.conn.hasSurplus() {
+		return errSurplus
+	}
+	return nil
 }
 
-// Error implements the error interface.
-func (e *SetupError) Error() string {
-	return "the endpoint refused the connection setup: " + e.Result.Code.String()
+func (c *PooledConn) receiveSetup(setup []rattanstatement.Request) error {
+	for _, request := range setup {
+		result, err := c.conn.receive(request)
+		if err != nil {
+			return err
+		}
+		if !result.OK() {
+			return errors.Wrap(errSetupRefused, result.Code.String())
+		}
+	}
+	return nil
+}
+
+// An UnsentError says that a request has not been sent, since the connection could not be
+// prepared for it.
+type UnsentError struct {
+	Cause error
 }
 
+// Error implements the error interface.
+func (e *UnsentError) Error() string { return "the statement was not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Cause }
+
 // A SendError says that a request could not be sent completely. Part of it may have
 // reached the endpoint.
 type SendError struct {
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -121,10 +121,17 @@
 	}
 	setup, request := statement.wireRequests(pooled)
 	result, err := pooled.Run(setup, request, until)
+	// An error of an earlier read is as good an answer as its own one: a read changes nothing.
+	if uncertain, ok := asUncertain(err); ok {
+		result, err = uncertain.Result, nil
+	}
 	u.observeOutcome(result, err, true, sentAt)
 	if err != nil {
 		u.observeCost(pooled, false)
 		u.discardFailed(pooled, err)
+		if isUnsent(err) && isAnswered(err) {
+			return rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
+		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
 	u.observeCost(pooled, result.OK())
@@ -151,8 +158,7 @@
 	u.observeOutcome(result, err, false, time.Time{})
 	if err != nil {
 		u.discardFailed(pooled, err)
-		var refused *SetupError
-		if errors.As(err, &refused) && result.Code.NotRun() {
+		if isUnsent(err) {
 			return rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
 		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -162,12 +168,11 @@
 	return result, nil
 }
 
-// discardFailed closes a connection after an error. Unless the error is an answer of
-// the endpoint, the endpoint is probed.
+// discardFailed closes a connection after an error. Unless the endpoint has answered, it is
+// probed.
 func (u *Upstream) discardFailed(pooled *PooledConn, err error) {
 	u.Discard(pooled)
-	var refused *SetupError
-	if !errors.As(err, &refused) {
+	if !isAnswered(err) {
 		u.ObserveTimeout()
 	}
 }
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -66,6 +66,9 @@
 	u.observeCost(pooled, err == nil && result.OK())
 	if err != nil {
 		transaction.fail(err)
+		if isUnsent(err) {
+			return nil, rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
+		}
 		return nil, rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
 	if !result.OK() {
@@ -124,12 +127,17 @@
 	if until.After(statement.Deadline) {
 		until = statement.Deadline
 	}
-	result, err := t.conn.Run(t.conn.SetupRequests(statement.SessionVars), request, until)
+	statement.MinPosition = rattanmodel.Position{}
+	setup, first := statement.wireRequests(t.conn)
+	result, err := t.conn.Run(setup, request, until)
 	if err != nil || !result.OK() {
 		return result, err
 	}
-	statement.MinPosition = rattanmodel.Position{}
-	return t.run(statement, until)
+	if statement.IsWrite && t.conn.conn.answers.IsTentative() {
+		return rattanstatement.Result{}, &UnsentError{Cause: errTentative}
+	}
+	t.hasWritten = statement.IsWrite
+	return t.conn.Run(nil, first, until)
 }
 
 func (t *LocalTransaction) isGranted() bool {
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -14,7 +14,6 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
-	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanoutlier"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
@@ -183,13 +182,10 @@
 		_ = evicted.conn.Close()
 	}
 	if pooled := w.Assignment.Conn; pooled != nil {
-		if !pooled.conn.IsStale() {
+		if pooled.isUsable(request) {
 			pooled.begin(request, assignedAt)
 			return pooled, nil
 		}
-		if pooled.conn.HasSurplus() {
-			u.reportUntrusted(rattanstatement.Request{}, rattanstatement.Result{}, rattananswer.ReasonSurplus)
-		}
 		_ = pooled.conn.Close()
 	}
 	u.count(CountOpened)
@@ -362,8 +358,14 @@
 }
 
 // Release returns a connection to the queue after use. It closes the connection that the
-// queue no longer has a place for, if any.
-func (u *Upstream) Release(pooled *PooledConn) { u.putBack(pooled, u.queue.Release) }
+// queue no longer has a place for, if any, and one whose answers cannot be trusted any more.
+func (u *Upstream) Release(pooled *PooledConn) {
+	if pooled.conn.distrust != "" {
+		u.Discard(pooled)
+		return
+	}
+	u.putBack(pooled, u.queue.Release)
+}
 
 // putBack gives an idle connection to the queue by one of its methods, which returns the
 // connection that it has no place for, if any. That one is closed.
