rattanlineserver: end messages at CR LF; answers that go wrong

What callers saw: nothing by itself.

Cause: the stand-in shared the daemon's mistake. It also ran statements of a failed transaction, and committed it; the page has MALFORMED for them, and ending it rolls back.

Change: messages end at CR LF only, and nothing is trimmed. What arrived is recorded by id: text, template, session values, transaction, and whether it ran.

--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -29,40 +30,23 @@
 	primary     string
 	endpoints   map[string]*Endpoint
 	writeCounts map[string]int
-	// received has the ids of the statements that have reached an endpoint.
-	received map[string]struct{}
+	// arrivals has the statements that have reached an endpoint, by their ids, with how often
+	// they have.
+	arrivals map[string]map[Arrival]int
 	// signed has the signed answers by their signatures.
 	signed map[string]SignedAnswer
 	// deposedWrites counts the writes that ran at deposed primaries.
 	deposedWrites int
+	// transactions counts the transactions that were begun.
+	transactions int
 }
 
 // NewGroup returns a group whose replicas apply each commit after lag.
 func NewGroup(name string, lag time.Duration) *Group {
-	return &Group{name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int), received: make(map[string]struct{}), signed: make(map[string]SignedAnswer)}
-}
-
-// A SignedAnswer is what an endpoint has signed: the rows, as sent, in the answer to a
-// statement.
-type SignedAnswer struct {
-	Statement string
-	Rows      string
-}
-
-// Signed returns the answer that has a signature.
-func (g *Group) Signed(signature string) (SignedAnswer, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	answer, ok := g.signed[signature]
-	return answer, ok
-}
-
-// sign returns the signature of an answer; no two answers have the same. The caller holds
-// the group's mutex.
-func (e *Endpoint) sign(statement, rows string) string {
-	signature := fmt.Sprintf("%s.proof.%x", e.id, len(e.group.signed))
-	e.group.signed[signature] = SignedAnswer{Statement: statement, Rows: rows}
-	return signature
+	return &Group{
+		name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int),
+		arrivals: make(map[string]map[Arrival]int), signed: make(map[string]SignedAnswer),
+	}
 }
 
 // An Endpoint is one instance of a group.
@@ -88,6 +72,9 @@
 	// started counts the requests that began to run: single statements and transactions.
 	started       int
 	lostResponses int
+	// faults are the answers that go wrong, chosen with random.
+	faults AnswerFaults
+	random *rand.Rand
 	// reports counts the entries that the endpoint has published.
 	reports int
 	// closesAt is when the endpoint stops expecting new statements, zero for never;
@@ -327,17 +314,3 @@
 	term, number := e.position()
 	return fmt.Sprintf("%d.%d", term, number)
 }
-
-// HasReceived reports whether the statement with an id has reached an endpoint.
-func (g *Group) HasReceived(id string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	_, ok := g.received[id]
-	return ok
-}
-
-func (g *Group) recordReceived(id string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.received[id] = struct{}{}
-}
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -13,12 +13,16 @@
 type session struct {
 	endpoint *Endpoint
 	conn     net.Conn
+	answers  *answerWriter
 	// state is that of the transaction in the protocol: I for none, T for an open
 	// one, E for a failed one.
 	state       string
 	isReadWrite bool
-	// statement is the id of the statement in progress.
+	// statement is the id of the statement in progress, arrival what is recorded of it.
 	statement string
+	arrival   Arrival
+	// transaction is the number of the transaction that was begun last.
+	transaction int
 	// writes are the items and data that the open transaction has written.
 	writes [][2]string
 	// variables are the session variables.
@@ -40,21 +44,29 @@
 func (e *Endpoint) serveConn(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	line, err := reader.ReadString('\n')
+	message, err := readMessage(reader)
 	if err != nil {
 		return
 	}
-	s := &session{endpoint: e, conn: conn, state: "I", variables: make(map[string]string), prepared: make(map[string]string)}
-	if !s.start(strings.Fields(line)) {
+	s := &session{
+		endpoint: e, conn: conn, answers: &answerWriter{conn: conn}, state: "I",
+		variables: make(map[string]string), prepared: make(map[string]string),
+	}
+	greeting, ok := s.start(strings.Split(message, " "))
+	if !ok {
+		_ = s.answers.write(greeting, delivery{})
 		return
 	}
 	defer e.removeConn(conn)
+	if err := s.answers.write(greeting, e.plan(greeting)); err != nil {
+		return
+	}
 	for {
-		line, err := reader.ReadString('\n')
+		message, err := readMessage(reader)
 		if err != nil {
 			return
 		}
-		fields := strings.SplitN(strings.TrimRight(line, "\r\n"), " ", 3)
+		fields := strings.SplitN(message, " ", 3)
 		if len(fields) < 3 || fields[0] != "QUERY" {
 			return
 		}
@@ -65,7 +77,7 @@
 		if !ok {
 			continue
 		}
-		if _, err := conn.Write([]byte(reply)); err != nil {
+		if err := s.answers.write(reply, e.plan(reply)); err != nil {
 			return
 		}
 	}
@@ -77,43 +89,56 @@
 	delete(e.conns, conn)
 }
 
-// start replies to the first line of a connection. After the verb, that has the
-// service, the client account and optionally the endpoint. It returns false when
-// the session is refused.
-func (s *session) start(fields []string) bool {
+// start returns the reply to the first message of a connection. After the verb, that has
+// the service, the client account and optionally the endpoint. It returns false when the
+// session is refused.
+func (s *session) start(fields []string) (string, bool) {
 	e := s.endpoint
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
-	reply, ok := fmt.Sprintf("READY I %s\r\n", e.positionText()), true
 	switch {
 	case e.isDown || len(fields) < 3:
-		return false
+		return "", false
 	case fields[1] != e.group.name || len(fields) > 3 && fields[3] != e.id:
-		reply, ok = "ERROR WRONGNODE "+e.id+"\r\n", false
+		return "ERROR WRONGNODE " + e.id + lineEnd, false
 	case len(e.conns) >= e.maxConns:
-		reply, ok = "ERROR TOOMANY connections\r\n", false
-	default:
-		e.conns[s.conn] = struct{}{}
-		e.opened++
-		e.tenants[fields[2]]++
+		return "ERROR TOOMANY connections" + lineEnd, false
 	}
-	_, err := s.conn.Write([]byte(reply))
-	return ok && err == nil
+	e.conns[s.conn] = struct{}{}
+	e.opened++
+	e.tenants[fields[2]]++
+	return "READY I " + e.positionText() + lineEnd, true
 }
 
 // run executes a statement and returns its response, false if that is lost.
 func (s *session) run(text string) (string, bool) {
-	e := s.endpoint
-	e.group.mu.Lock()
-	defer e.group.mu.Unlock()
+	g := s.endpoint.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.arrival = Arrival{Text: text, Variables: FormatVariables(s.variables)}
+	if s.state != "I" {
+		s.arrival.Transaction = s.transaction
+	}
+	reply, ok := s.runText(text)
+	g.arrivals[s.statement][s.arrival]++
+	return reply, ok
+}
+
+func (s *session) runText(text string) (string, bool) {
 	verb, rest, _ := strings.Cut(text, " ")
 	if verb == "AFTER" {
 		minPosition, statement, _ := strings.Cut(rest, " ")
-		if !e.hasApplied(minPosition) {
+		if !s.endpoint.hasApplied(minPosition) {
 			return s.fail("LAGGING behind " + minPosition)
 		}
 		verb, rest, _ = strings.Cut(statement, " ")
 	}
+	if s.state == "E" && verb != "COMMIT" && verb != "ROLLBACK" {
+		return s.fail("MALFORMED the transaction has failed")
+	}
+	if reply, isRefused := s.refuse(verb, rest); isRefused {
+		return reply, true
+	}
 	return s.execute(verb, rest)
 }
 
@@ -139,7 +164,8 @@
 		if s.isReadWrite && !isPrimary {
 			return s.fail("READONLY " + e.id)
 		}
-		s.state = "T"
+		s.endpoint.group.transactions++
+		s.state, s.transaction = "T", s.endpoint.group.transactions
 		return s.complete("-")
 	case "COMMIT":
 		return s.commit(isPrimary)
@@ -163,9 +189,11 @@
 		if !ok {
 			return s.fail("NOSUCHSTMT " + name)
 		}
+		s.arrival.Template = template
 		access, _, _ := strings.Cut(template, " ")
 		return s.execute(access, argument)
 	case "READ":
+		s.arrival.HasRun = true
 		return s.respond(fmt.Sprintf("ROW %s\r\n", e.read(rest)))
 	case "WRITE":
 		return s.write(rest, isPrimary)
@@ -191,6 +219,7 @@
 	if !isPrimary {
 		return s.fail("READONLY " + s.endpoint.id)
 	}
+	s.arrival.HasRun = true
 	item, data, _ := strings.Cut(rest, " ")
 	if s.state == "T" {
 		s.writes = append(s.writes, [2]string{item, data})
@@ -201,6 +230,10 @@
 }
 
 func (s *session) commit(isPrimary bool) (string, bool) {
+	if s.state == "E" {
+		s.state, s.writes = "I", nil
+		return s.fail("ABORTED the transaction has failed")
+	}
 	if len(s.writes) > 0 && !isPrimary {
 		s.state, s.writes = "I", nil
 		return s.fail("READONLY " + s.endpoint.id)
