rattansoak: judge every answer and every statement; awkward data; failing

No soak of ours could see that.

Cause: the soak's callers read to a line feed and trimmed as the daemon does, took a READY with anything before it for a success, and compared no signature; their data were letters and digits.

Change: callers read messages by CR LF and take only whole answers. A judge compares each success with what an endpoint has signed for the statement's id, and each statement that reached an endpoint with what its caller sent: text, session values, template and transaction. Callers draw awkward data, items, names, values and ids, set values, prepare statements and use transactions.

--- a/internal/proof/rattansoak/answers.go
+++ b/internal/proof/rattansoak/answers.go
@@ -63,12 +63,12 @@
 	j.stops[daemon] = append(j.stops[daemon], time.Now())
 }
 
-func (j *journal) recordExchange(e exchange, lines []string) {
+func (j *journal) recordExchange(e exchange, got answer) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if e.err != nil {
 		j.unanswered = append(j.unanswered, e)
-	} else if len(lines) > 0 && strings.HasPrefix(lines[len(lines)-1], "ERROR INDOUBT") && !j.hadTrouble(e.sent.Add(-calmTime), e.ended) {
+	} else if got.code() == "INDOUBT" && !j.hadTrouble(e.sent.Add(-calmTime), e.ended) {
 		j.inDoubt++
 	}
 }
--- a/internal/proof/rattansoak/caller.go
+++ b/internal/proof/rattansoak/caller.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rattanstream/rattanstream/internal/standin/rattanlineserver"
 )
 
 // responseTimeout limits the wait for a response. The timeout of the routes is a
@@ -22,6 +24,8 @@
 	data string
 	// isAcknowledged and isRefused are both false if the outcome is unknown.
 	isAcknowledged, isRefused bool
+	// isUncommitted is true if the write was in a transaction and no COMMIT was sent.
+	isUncommitted bool
 }
 
 // A counter is an item with one writer. Its values only increase, so a read can be
@@ -65,26 +69,77 @@
 	database string
 	conn     net.Conn
 	reader   *bufio.Reader
+	// variables and templates are the session variables and the prepared statements that were
+	// acknowledged, transaction the id of the BEGIN of the open transaction.
+	variables, templates map[string]string
+	transaction          string
+	// hasFirst is true once a read or write was sent in the open transaction.
+	hasFirst bool
 }
 
-// query runs a statement and returns the lines of the response.
-func (c *client) query(id, text string) ([]string, error) {
+// query runs a statement and returns its answer.
+func (c *client) query(id, text string) (answer, error) {
 	if c.conn == nil {
 		if err := c.open(); err != nil {
-			return nil, err
+			return answer{}, err
 		}
 	}
-	if err := c.send(fmt.Sprintf("QUERY %s %s\r\n", id, text)); err != nil {
+	statement, judge := c.statement(text), &c.fleet.judge
+	if c.reader.Buffered() > 0 {
+		judge.report("MIXED: %s sent more than the answers before %q (%q)", c.daemon.name, text, id)
+	}
+	judge.recordSent(id, statement)
+	if err := c.send("QUERY " + id + " " + text + lineEnd); err != nil {
 		c.close()
-		return nil, err
+		return answer{}, err
 	}
 	sent := time.Now()
-	lines, err := c.receive()
-	c.fleet.journal.recordExchange(exchange{daemon: c.daemon.name, id: id, text: text, sent: sent, ended: time.Now(), err: err}, lines)
+	got, err := readAnswer(c.reader)
+	c.fleet.journal.recordExchange(exchange{daemon: c.daemon.name, id: id, text: text, sent: sent, ended: time.Now(), err: err}, got)
 	if err != nil {
+		if errors.Is(err, errNotWhole) {
+			judge.report("MIXED: %q (%q) at %s: %v", text, id, c.daemon.name, err)
+		}
 		c.close()
+		return answer{}, err
+	}
+	judge.checkAnswer(c.fleet.group, id, statement, got)
+	if got.isSuccess() {
+		c.apply(id, text)
+	}
+	return got, nil
+}
+
+// statement returns what the session has when a text is about to be sent.
+func (c *client) statement(text string) sentStatement {
+	s := sentStatement{text: text, variables: rattanlineserver.FormatVariables(c.variables), transaction: c.transaction}
+	if call, ok := strings.CutPrefix(text, "EXECUTE "); ok {
+		name, _, _ := strings.Cut(call, " ")
+		s.template = c.templates[name]
+	}
+	if kind := s.kind(); kind == "READ" || kind == "WRITE" {
+		s.isFirst = c.transaction != "" && !c.hasFirst
+		c.hasFirst = true
+	}
+	return s
+}
+
+// apply changes what the session has, after a statement has succeeded.
+func (c *client) apply(id, text string) {
+	verb, rest, _ := strings.Cut(text, " ")
+	name, value, _ := strings.Cut(rest, " ")
+	switch verb {
+	case "SET":
+		c.variables[name] = value
+	case "PREPARE":
+		c.templates[name] = value
+	case "DEALLOC":
+		delete(c.templates, name)
+	case "BEGIN":
+		c.transaction, c.hasFirst = id, false
+	case "COMMIT", "ROLLBACK":
+		c.transaction = ""
 	}
-	return lines, err
 }
 
 func (c *client) open() error {
@@ -93,9 +148,10 @@
 		return err
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
-	err = c.send(fmt.Sprintf("START %s %s\r\n", c.database, key))
+	c.variables, c.templates, c.transaction = make(map[string]string), make(map[string]string), ""
+	err = c.send("START " + c.database + " " + key + lineEnd)
 	if err == nil {
-		_, err = c.receive()
+		err = readGreeting(c.reader)
 	}
 	if err != nil {
 		c.close()
@@ -111,22 +167,6 @@
 	return err
 }
 
-// receive returns the lines of a response before its READY line.
-func (c *client) receive() ([]string, error) {
-	var lines []string
-	for {
-		line, err := c.reader.ReadString('\n')
-		if err != nil {
-			return lines, err
-		}
-		line = strings.TrimRight(line, "\r\n")
-		if strings.HasPrefix(line, "READY ") {
-			return lines, nil
-		}
-		lines = append(lines, line)
-	}
-}
-
 func (c *client) close() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -136,37 +176,12 @@
 
 // write writes a value and returns the outcome as the caller saw it.
 func (c *client) write(id, item, data string) record {
-	lines, err := c.query(id, "WRITE "+item+" "+data)
-	return outcomeOf(data, lines, err)
+	got, err := c.query(id, "WRITE "+item+" "+data)
+	return outcomeOf(data, got, err)
 }
 
-// outcomeOf returns the outcome of a write of data whose last response is given.
-func outcomeOf(data string, lines []string, err error) record {
-	outcome := record{data: data}
-	if err != nil || len(lines) == 0 {
-		// A failed dial means that nothing was sent, but counting that as an
-		// unknown outcome too is safe.
-		return outcome
-	}
-	last := lines[len(lines)-1]
-	outcome.isAcknowledged = strings.HasPrefix(last, "COMPLETE ")
-	for _, code := range notRunCodes {
-		outcome.isRefused = outcome.isRefused || strings.HasPrefix(last, "ERROR "+code)
-	}
-	return outcome
-}
-
-// read returns the value of a counter, and false if the read failed.
-func (c *client) read(id, item string) (int, bool) {
-	lines, err := c.query(id, "READ "+item)
-	if err != nil || len(lines) < 2 {
-		return 0, false
-	}
-	value, ok := strings.CutPrefix(lines[0], "ROW ")
-	if !ok {
-		return 0, false
-	}
-	_, number, _ := strings.Cut(value, ".")
-	n, err := strconv.Atoi(number)
-	return n, err == nil || value == "none"
+// outcomeOf returns the outcome of a write of data whose last response is given. A failed dial
+// means that nothing was sent, but counting that as an unknown outcome too is safe.
+func outcomeOf(data string, last answer, err error) record {
+	return record{data: data, isAcknowledged: err == nil && last.isSuccess(), isRefused: err == nil && last.isRefused()}
 }
--- a/internal/proof/rattansoak/faults.go
+++ b/internal/proof/rattansoak/faults.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"github.com/rattanstream/rattanstream/internal/standin/rattanlineserver"
 )
 
 // A fault is a kind of fault that can be injected into a fleet. The function that
@@ -76,6 +78,37 @@
 	}
 }
 
+// minAnswerShare and answerSpread are the smallest share of an endpoint's answers that go wrong
+// while a fault lasts, and what is added at most.
+const minAnswerShare, answerSpread = 0.02, 0.1
+
+// answerFaults returns the kinds of wrong answers of endpoints.
+func answerFaults() []fault {
+	return []fault{
+		answerFault("endpoint repeats answers", false, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Repeated }),
+		answerFault("endpoint cuts answers off", false, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Cut }),
+		answerFault("endpoint splits answers", true, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Split }),
+		answerFault("endpoint refuses requests", false, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Refused }),
+	}
+}
+
+// answerFault returns the fault that raises a share at one endpoint.
+func answerFault(name string, isPlanned bool, share func(*rattanlineserver.AnswerFaults) *float64) fault {
+	return fault{name, isPlanned, func(f *Fleet, r *rand.Rand) (func() error, error) {
+		id, added, seed := f.randomEndpoint(r), minAnswerShare+answerSpread*r.Float64(), r.Uint64()
+		change := func(by float64) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			faults := f.answerFaults[id]
+			*share(&faults) += by
+			f.answerFaults[id] = faults
+			f.endpoints[id].SetAnswerFaults(faults, seed)
+		}
+		change(added)
+		return func() error { change(-added); return nil }, nil
+	}}
+}
+
 // impair makes a link slow, unresponsive, or drop responses.
 func impair(link *Link, r *rand.Rand) (func() error, error) {
 	link.Set([]LinkState{Slow, Silent, DropAnswers}[r.IntN(3)])
--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -53,6 +53,7 @@
 	// no end yet.
 	suspended []interval
 	journal   journal
+	judge     judge
 
 	mu sync.Mutex
 	// draining holds the endpoints that drain, starts how often each has started, and
@@ -60,6 +61,8 @@
 	draining  map[string]bool
 	starts    map[string]int
 	evacuated map[string]bool
+	// answerFaults are the wrong answers of each endpoint.
+	answerFaults map[string]rattanlineserver.AnswerFaults
 }
 
 // domains are the failure domains of the endpoints.
@@ -91,6 +94,7 @@
 		program: program, directory: directory, group: rattanlineserver.NewGroup("orders", replicationLag),
 		endpoints: make(map[string]*rattanlineserver.Endpoint), links: make(map[string]*Link),
 		draining: make(map[string]bool), starts: make(map[string]int), evacuated: make(map[string]bool),
+		answerFaults: make(map[string]rattanlineserver.AnswerFaults),
 	}
 	f.store = rattankvserver.New(func(_, id string) bool {
 		ok := f.group.Promote(id)
--- a/internal/proof/rattansoak/rolling.go
+++ b/internal/proof/rattansoak/rolling.go
@@ -83,7 +83,7 @@
 		err = changeErr
 	}
 	if err == nil {
-		err = r.restore(nil)
+		err = r.restore()
 	}
 	return r.finish(err, cancel, &calling)
 }
@@ -162,9 +162,7 @@
 		if slices.Contains(kind.texts, "WRITE item DATA") {
 			r.record(outcome)
 		} else if outcome.isAcknowledged {
-			r.mu.Lock()
-			r.result.Reads++
-			r.mu.Unlock()
+			r.countRead()
 		}
 		if !kind.keepsSession || len(kind.texts) > 1 && !outcome.isAcknowledged {
 			c.close()
@@ -177,9 +175,10 @@
 	outcome := record{data: data}
 	for i, text := range kind.texts {
 		sleepUpTo(random, kind.pause)
-		lines, err := c.query(fmt.Sprintf("%s-%d", data, i), strings.ReplaceAll(text, "DATA", data))
-		outcome = outcomeOf(data, lines, err)
+		got, err := c.query(fmt.Sprintf("%s-%d", data, i), strings.ReplaceAll(text, "DATA", data))
+		outcome = outcomeOf(data, got, err)
 		if !outcome.isAcknowledged {
+			outcome.isUncommitted = text != "COMMIT" && slices.Contains(kind.texts, "COMMIT")
 			break
 		}
 	}
--- a/internal/proof/rattansoak/run.go
+++ b/internal/proof/rattansoak/run.go
@@ -57,12 +57,25 @@
 	lowReads []lowRead
 }
 
-// Run runs callers while injecting faults for duration, both randomly chosen from
-// seed, and checks the outcomes that the callers saw.
-func Run(fleet *Fleet, seed uint64, duration time.Duration) (Result, error) {
-	r := &run{fleet: fleet}
+// Options are the options of a run.
+type Options struct {
+	// Seed determines the callers' statements and the faults.
+	Seed     uint64
+	Duration time.Duration
+	// IsPlain is true for data and names of letters and digits only.
+	IsPlain bool
+	// HasOnlyAnswerFaults is true for a run without other faults than wrong answers of the
+	// endpoints.
+	HasOnlyAnswerFaults bool
+}
+
+// Run runs callers while injecting faults, both randomly chosen, and checks the outcomes that
+// the callers saw.
+func Run(fleet *Fleet, options Options) (Result, error) {
+	r, seed, duration := &run{fleet: fleet}, options.Seed, options.Duration
+	names := awkward{random: rand.New(rand.NewPCG(seed, callers+6)), isPlain: options.IsPlain}
 	for i := range callers {
-		r.counters = append(r.counters, &counter{item: fmt.Sprint("item", i)})
+		r.counters = append(r.counters, &counter{item: names.word(fmt.Sprint("item", i))})
 	}
 	if err := r.awaitService("start"); err != nil {
 		return r.result, err
@@ -70,19 +83,28 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var calling sync.WaitGroup
 	for i := range callers {
-		calling.Go(func() { r.call(ctx, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		calling.Go(func() { r.newCaller(i, random, options.IsPlain).call(ctx) })
+	}
+	answers := rand.New(rand.NewPCG(seed, callers+7))
+	if options.HasOnlyAnswerFaults {
+		return r.finish(r.inject(answerFaults(), answers, duration), cancel, &calling)
 	}
-	// The planned work and the restorations of the store have random numbers of their
-	// own, so that they do not change the faults of a seed.
-	others := make(chan error, 2)
+	// The planned work, the restorations of the store and the wrong answers have random
+	// numbers of their own, so that they do not change the other faults of a seed.
+	others := make(chan error, 3)
+	go func() { others <- r.inject(answerFaults(), answers, duration) }()
 	go func() { others <- r.plan(rand.New(rand.NewPCG(seed, callers+1)), duration) }()
 	go func() { others <- r.restoreStore(rand.New(rand.NewPCG(seed, callers+2)), duration) }()
-	err := r.inject(rand.New(rand.NewPCG(seed, callers)), duration)
+	err := r.inject(faults(), rand.New(rand.NewPCG(seed, callers)), duration)
 	for range cap(others) {
 		if otherErr := <-others; err == nil {
 			err = otherErr
 		}
 	}
+	if err == nil {
+		err = r.restore()
+	}
 	return r.finish(err, cancel, &calling)
 }
 
@@ -95,6 +117,9 @@
 	cancel()
 	calling.Wait()
 	r.checkWrites()
+	for _, violation := range r.fleet.judge.checkArrivals(r.fleet.group.Arrivals()) {
+		r.reportViolation("%s", violation)
+	}
 	r.checkReads()
 	r.checkLateStatements()
 	r.checkAnswers()
@@ -104,9 +129,8 @@
 }
 
 // inject begins faults at random times until duration has passed, and waits for the
-// end of all of them. Faults may overlap.
-func (r *run) inject(random *rand.Rand, duration time.Duration) error {
-	kinds := faults()
+// end of all of them. Faults may overlap. It returns the first error.
+func (r *run) inject(kinds []fault, random *rand.Rand, duration time.Duration) error {
 	var ends sync.WaitGroup
 	failed := make(chan error, 1)
 	reportError := func(err error) {
@@ -127,7 +151,9 @@
 		end, err := kind.begin(r.fleet, random)
 		reportError(errors.Wrap(err, kind.name))
 		lasts := time.Duration(random.Int64N(int64(faultTime)))
+		r.mu.Lock()
 		r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s for %s", kind.name, lasts.Round(time.Millisecond)))
+		r.mu.Unlock()
 		ends.Go(func() {
 			defer over()
 			time.Sleep(lasts)
@@ -135,17 +161,16 @@
 		})
 	}
 	ends.Wait()
-	return r.restore(failed)
-}
-
-// restore makes sure that no fault remains, and returns the first error of the
-// injection.
-func (r *run) restore(failed <-chan error) error {
 	select {
 	case err := <-failed:
 		return err
 	default:
+		return nil
 	}
+}
+
+// restore makes sure that no fault remains.
+func (r *run) restore() error {
 	r.fleet.store.SetDown(false)
 	for _, endpoint := range r.fleet.endpoints {
 		endpoint.LoseAnswers(0)
@@ -207,86 +232,6 @@
 	r.result.Violations = append(r.result.Violations, fmt.Sprintf(format, args...))
 }
 
-// call runs one caller, which writes its own counter and reads all counters.
-func (r *run) call(ctx context.Context, index int, random *rand.Rand) {
-	own := r.counters[index]
-	database := []string{"checkout", "browse", "pick"}[index%3]
-	c := &client{fleet: r.fleet, daemon: r.fleet.randomDaemon(random), database: database}
-	defer c.close()
-	sessionValue := 0
-	for n := 1; ctx.Err() == nil; n++ {
-		wasOpen := c.conn != nil
-		id := fmt.Sprintf("c%d-%d", index, n)
-		if random.IntN(3) == 0 {
-			outcome := c.write(id, own.item, fmt.Sprintf("%d.%d", index, n))
-			r.record(outcome)
-			if outcome.isAcknowledged {
-				own.acknowledge(n)
-				sessionValue = n
-			}
-		} else {
-			r.readOne(c, id, r.counters[random.IntN(callers)], own, sessionValue)
-		}
-		if c.conn == nil {
-			sessionValue = 0
-			if wasOpen || random.IntN(4) == 0 {
-				c.daemon = r.fleet.randomDaemon(random)
-			}
-		}
-		time.Sleep(callerPause)
-	}
-}
-
-// readOne reads a counter and checks the value against the guarantee of the route:
-// no acknowledged write may be missing, except for the staleness that the route
-// allows. Within a session, the pick route also returns the session's own writes.
-func (r *run) readOne(c *client, id string, read, own *counter, sessionValue int) {
-	begun := time.Now()
-	minimum := read.newestBefore(begun)
-	if c.database != "checkout" {
-		minimum = read.newestBefore(begun.Add(-maxStaleness))
-	}
-	if read == own && c.database == "pick" {
-		minimum = max(minimum, sessionValue)
-	}
-	value, ok := c.read(id, read.item)
-	if !ok {
-		return
-	}
-	r.mu.Lock()
-	r.result.Reads++
-	r.mu.Unlock()
-	if value < minimum {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.lowReads = append(r.lowReads, lowRead{
-			data: fmt.Sprintf("%s.%d", strings.TrimPrefix(read.item, "item"), value),
-			text: fmt.Sprintf("read %s of %s on %s at %s returned %d, at least %d was acknowledged", id, read.item, c.database, c.daemon.name, value, minimum),
-		})
-	}
-}
-
-// A lowRead is a read that returned less than the minimum value that the guarantee of
-// its route allows. data identifies the write whose value was read.
-type lowRead struct {
-	data, text string
-}
-
-// checkReads reports low reads as violations unless the value is that of a write with
-// an unknown outcome. Such a write may take effect after later ones, for example if
-// the daemon that was about to run it was suspended.
-func (r *run) checkReads() {
-	hasUnknownOutcome := make(map[string]bool)
-	for _, outcome := range r.records {
-		hasUnknownOutcome[outcome.data] = !outcome.isAcknowledged && !outcome.isRefused
-	}
-	for _, read := range r.lowReads {
-		if !hasUnknownOutcome[read.data] {
-			r.reportViolation("%s", read.text)
-		}
-	}
-}
-
 // checkWrites compares the outcomes that callers saw with the writes that took
 // effect. It also ends the daemons, and checks that endpoints received no other client
 // account and that no log contains the key.
@@ -295,11 +240,13 @@
 		runs := r.fleet.group.Runs(outcome.data)
 		switch {
 		case runs > 1:
-			r.reportViolation("write %s took effect %d times", outcome.data, runs)
+			r.reportViolation("TWICE: write %q took effect %d times", outcome.data, runs)
 		case outcome.isAcknowledged && runs == 0:
-			r.reportViolation("write %s was acknowledged but did not take effect", outcome.data)
+			r.reportViolation("MIXED: write %q was acknowledged but did not take effect", outcome.data)
+		case outcome.isUncommitted && runs > 0:
+			r.reportViolation("UNASKED: write %q took effect without a COMMIT of its caller", outcome.data)
 		case outcome.isRefused && runs > 0:
-			r.reportViolation("write %s was refused as not run but took effect", outcome.data)
+			r.reportViolation("REFUSED: write %q was refused as not run but took effect", outcome.data)
 		}
 	}
 	for id, endpoint := range r.fleet.endpoints {
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -16,6 +17,9 @@
 	duration = flag.Duration("soak.time", 5*time.Second, "duration of the fault injection for one seed")
 	planned  = flag.Duration("soak.planned-time", 8*time.Second, "duration of the planned work for one seed")
 	daemons  = flag.Int("soak.daemons", 5, "number of daemons of the soak")
+	program  = flag.String("soak.program", "", "program to run in place of a build of this code")
+	plain    = flag.Bool("soak.plain", false, "use data and names of letters and digits only")
+	answers  = flag.Bool("soak.answers", false, "inject wrong answers of endpoints only")
 	logs     = flag.String("soak.logs", "", "directory for the daemons' logs of failed seeds")
 )
 
@@ -40,9 +44,12 @@
 	{9, "a second SIGTERM cut off all statements"},
 }
 
-// buildProgram builds the rattanstream binary once for all seeds.
+// buildProgram builds the rattanstream binary once for all seeds, unless a flag names one.
 func buildProgram(t *testing.T) string {
 	t.Helper()
+	if *program != "" {
+		return *program
+	}
 	program := filepath.Join(t.TempDir(), "rattanstream")
 	build := exec.Command("go", "build", "-o", program, "github.com/rattanstream/rattanstream")
 	if output, err := build.CombinedOutput(); err != nil {
@@ -84,7 +91,9 @@
 
 func soak(t *testing.T, program string, seed uint64) {
 	t.Helper()
-	soakWith(t, program, fmt.Sprintf("seed-%d", seed), func(fleet *Fleet) (Result, error) { return Run(fleet, seed, *duration) })
+	soakWith(t, program, fmt.Sprintf("seed-%d", seed), func(fleet *Fleet) (Result, error) {
+		return Run(fleet, Options{Seed: seed, Duration: *duration, IsPlain: *plain, HasOnlyAnswerFaults: *answers})
+	})
 }
 
 func soakWith(t *testing.T, program, name string, run func(fleet *Fleet) (Result, error)) {
@@ -100,9 +109,7 @@
 	if err != nil {
 		t.Error(err)
 	}
-	for _, violation := range result.Violations {
-		t.Error(violation)
-	}
+	reportViolations(t, result.Violations)
 	t.Logf("%d writes acknowledged, %d refused, %d with unknown outcome, %d reads, %d faults, %d requests in %d windows of usage; "+
 		"around planned work only: %d statements without an answer, %d in doubt",
 		result.Acknowledged, result.Refused, result.InDoubt, result.Reads, len(result.Faults), result.Usage, result.Windows, result.Unanswered, result.PlannedInDoubt)
@@ -111,6 +118,24 @@
 	}
 }
 
+// shownViolations is how many violations of a rule are shown.
+const shownViolations = 6
+
+// reportViolations counts the violations by what they begin with, and shows the first ones.
+func reportViolations(t *testing.T, violations []string) {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, violation := range violations {
+		rule, _, _ := strings.Cut(violation, " ")
+		if counts[rule]++; counts[rule] <= shownViolations {
+			t.Error(violation)
+		}
+	}
+	for rule, count := range counts {
+		t.Logf("%d violations that begin with %q", count, rule)
+	}
+}
+
 // saveLogs logs the faults of a failed run and writes the daemons' logs to files.
 func saveLogs(t *testing.T, fleet *Fleet, result Result, run string) {
 	t.Helper()
@@ -120,6 +145,9 @@
 	if *logs == "" {
 		return
 	}
+	if err := os.WriteFile(filepath.Join(*logs, run+"-violations.txt"), []byte(strings.Join(result.Violations, "\n")), 0o600); err != nil {
+		t.Error(err)
+	}
 	for _, d := range fleet.daemons {
 		name := filepath.Join(*logs, run+"-"+d.name+".log")
 		if err := os.WriteFile(name, []byte(d.Log()), 0o600); err != nil {
--- a/internal/proof/rattansoak/stop_test.go
+++ b/internal/proof/rattansoak/stop_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,7 +91,7 @@
 func (l *stopLoad) operate(c *client, n uint64, texts []string) {
 	for i, text := range texts {
 		id := fmt.Sprintf("s%d-%d", n, i)
-		lines, err := c.query(id, text)
+		got, err := c.query(id, text)
 		l.mu.Lock()
 		if err == nil {
 			l.answered++
@@ -100,7 +99,7 @@
 			l.unanswered = append(l.unanswered, fmt.Sprintf("%s at %s at %s: %v", text, c.daemon.name, time.Now().Format(time.StampMilli), err))
 		}
 		l.mu.Unlock()
-		if err != nil || len(lines) > 0 && strings.HasPrefix(lines[len(lines)-1], "ERROR ") {
+		if err != nil || !got.isSuccess() {
 			c.close()
 			return
 		}
--- a/internal/proof/rattansoak/stopowner_test.go
+++ b/internal/proof/rattansoak/stopowner_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -57,18 +56,17 @@
 
 // query runs one statement. It returns false when the operation has failed.
 func (l *ownerLoad) query(c *client, id, text string) bool {
-	lines, err := c.query(id, text)
-	answer := strings.Join(lines, "|")
+	got, err := c.query(id, text)
 	isReceived := l.fleet.group.HasReceived(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case err != nil && isReceived, strings.Contains(answer, "ERROR INDOUBT"):
+	case err != nil && isReceived, got.code() == "INDOUBT":
 		l.lost = append(l.lost, fmt.Sprintf("%s, %s at %s at %s: %s, %v (the endpoint has received it: %t)",
-			id, text, c.daemon.name, time.Now().Format(time.StampMilli), answer, err, isReceived))
-	case strings.Contains(answer, "ERROR ABORTED"):
+			id, text, c.daemon.name, time.Now().Format(time.StampMilli), got.failure, err, isReceived))
+	case got.code() == "ABORTED":
 		l.aborted++
-	case err == nil && !strings.Contains(answer, "ERROR "):
+	case err == nil && got.isSuccess():
 		l.done++
 		return true
 	}
--- a/internal/standin/rattanlineserver/arrivals.go
+++ b/internal/standin/rattanlineserver/arrivals.go
@@ -14,7 +14,7 @@
 	Variables string
 	// Transaction is the number of the open transaction, 0 outside one.
 	Transaction int
-	// HasRun is true if a read or write has run.
+	// HasRun is true if a read, write or commit has run.
 	HasRun bool
 }
 
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -234,6 +234,7 @@
 		s.state, s.writes = "I", nil
 		return s.fail("ABORTED the transaction has failed")
 	}
+	s.arrival.HasRun = true
 	if len(s.writes) > 0 && !isPrimary {
 		s.state, s.writes = "I", nil
 		return s.fail("READONLY " + s.endpoint.id)
