rattanupstream: learn no position from an answer that may be a repeat

Cause: a read may end with the error of an earlier one, and the position in it was taken for what the endpoint holds now. Change: such an answer is passed on without its position. Measured: TestRepeatedError/read failed before and passes; go test ./internal/endpoint/rattanupstream passed.

--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -243,10 +243,12 @@
 		assertDialed(t, endpoint, 2)
 	})
 	t.Run("read", func(t *testing.T) {
-		upstream, endpoint := newStuttering(script{{busy}, {busy, row(1, idle)}}, script{{row(2, idle)}})
-		for range 2 {
-			if result, err := upstream.Read(stutterRequest("1")); err != nil || result.Code != rattanstatement.Busy {
-				t.Errorf("got %+v, %v", result, err)
+		first := busy
+		first.Position = rattanmodel.Position{Term: 1, Index: 1}
+		upstream, endpoint := newStuttering(script{{first}, {first, row(1, idle)}}, script{{row(2, idle)}})
+		for _, position := range []rattanmodel.Position{first.Position, {}} {
+			if result, err := upstream.Read(stutterRequest("1")); err != nil || result.Code != rattanstatement.Busy || result.Position != position {
+				t.Errorf("got %+v, %v, want busy at %s", result, err, position)
 			}
 		}
 		result, err := upstream.Read(stutterRequest("2"))
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -121,9 +121,10 @@
 	}
 	setup, request := statement.wireRequests(pooled)
 	result, err := pooled.Run(setup, request, until)
-	// An error of an earlier read is as good an answer as its own one: a read changes nothing.
+	// An error of an earlier read is as good an answer as its own one, as a read changes
+	// nothing. Its position says nothing of now.
 	if uncertain, ok := asUncertain(err); ok {
-		result, err = uncertain.Result, nil
+		result, err = rattanstatement.Refuse(uncertain.Result.Code, uncertain.Result.Detail), nil
 	}
 	u.observeOutcome(result, err, true, sentAt)
 	if err != nil {
