rattanupstream: a commit that was not sent is not in doubt

Cause: Commit told any error as one after which the commit may have run. Change: a commit that was not sent ends in ErrOverloaded, and the transaction in ABORTED. Measured: TestSetupBeforeStatement/commit failed before and passes; go test ./internal/endpoint/rattanupstream ./internal/endpoint/rattandispatch passed.

--- a/internal/endpoint/rattandispatch/transaction.go
+++ b/internal/endpoint/rattandispatch/transaction.go
@@ -121,6 +121,8 @@
 	switch {
 	case errors.Is(err, rattanupstream.ErrNoGrant):
 		return t.failed(rattanstatement.Aborted, "the primary is changing; the transaction is rolled back", err)
+	case errors.Is(err, rattanupstream.ErrOverloaded):
+		return t.failed(rattanstatement.Aborted, "the commit was not sent; the transaction is rolled back", err)
 	case err != nil && !t.hasWritten:
 		return t.failed(rattanstatement.Aborted, "the endpoint did not answer; nothing was written", err)
 	case err != nil:
--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -301,6 +301,16 @@
 		assertError(t, result, err, ErrOverloaded)
 		assertSent(t, endpoint, rattanstatement.Write, 1)
 	})
+	t.Run("commit", func(t *testing.T) {
+		upstream, endpoint := newStuttering(script{{begun}, {row(1, rattanstatement.InTransaction)}, {busy}})
+		transaction, result, err := upstream.Begin(Begin{First: stutterWrite("1"), AtPrimary: true})
+		assertRow(t, result, err, 1)
+		commit := withValue(stutterRequest("2"))
+		commit.IsCommit = true
+		result, err = transaction.Commit(commit)
+		assertError(t, result, err, ErrOverloaded)
+		assertSent(t, endpoint, rattanstatement.Commit, 0)
+	})
 	t.Run("empty value", func(t *testing.T) {
 		upstream, endpoint := newStuttering(script{{done}, {row(1, idle)}})
 		request := stutterRequest("1")
--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -25,8 +25,8 @@
 	// Run runs a statement and waits for its answer until the given time. After
 	// an error the transaction must be aborted.
 	Run(statement StatementRequest, until time.Time) (rattanstatement.Result, error)
-	// Commit commits the transaction. After ErrNoGrant nothing has been sent;
-	// after another error the commit is in doubt.
+	// Commit commits the transaction. After ErrNoGrant and ErrOverloaded nothing has been
+	// sent; after another error the commit is in doubt.
 	Commit(statement StatementRequest) (rattanstatement.Result, error)
 	// Rollback rolls the transaction back. The connection is kept open if the
 	// endpoint confirms the rollback.
@@ -175,6 +175,9 @@
 	free()
 	if err != nil {
 		t.fail(err)
+		if isUnsent(err) {
+			return rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
+		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
 	if !result.OK() || result.TransactionStatus != rattanstatement.Idle {
