--- a/internal/caller/rattanstatement/statement.go
+++ b/internal/caller/rattanstatement/statement.go
@@ -62,8 +62,7 @@
 	// Prepare the statement text, for Execute the item, followed by the data when
 	// the prepared statement writes.
 	Argument string
-	// HasLineBreak is true when the message held a carriage return or line feed, or ended with a
-	// line feed alone.
+	// HasLineBreak is true when the message holds a carriage return or a line feed.
 	HasLineBreak bool
 }
 
