platform: refuse a field that would be a message of its own

Cause: the class is a text composed into a message unchecked, so that its reader sees other messages or fields than were meant. Open and Send return *rattanstatement.InvalidFieldError before they write; rattanupstream takes that as not sent: the caller gets BUSY, the connection is discarded since its setup is not known, and it counts neither as a failure of the endpoint nor as silence.

--- /dev/null
+++ b/internal/caller/rattanstatement/invalid.go
@@ -0,0 +1,19 @@
+package rattanstatement
+
+import "github.com/pkg/errors"
+
+// An InvalidFieldError says that a request or a result was not sent, since a field of it
+// cannot be part of a message. Nothing of it has left the daemon.
+type InvalidFieldError struct {
+	Field   string
+	Problem string
+}
+
+// Error implements the error interface.
+func (e *InvalidFieldError) Error() string { return "the " + e.Field + " cannot be sent: " + e.Problem }
+
+// IsInvalidField reports whether an error is or wraps an *InvalidFieldError.
+func IsInvalidField(err error) bool {
+	var invalid *InvalidFieldError
+	return errors.As(err, &invalid)
+}
--- a/internal/endpoint/rattanupstream/answers.go
+++ b/internal/endpoint/rattanupstream/answers.go
@@ -72,8 +72,12 @@
 	return uncertain, ok
 }
 
-// isAnswered reports whether a request failed because of what the endpoint answered, and not
-// for want of an answer.
+// isWithoutAnswer reports whether a request failed for want of an answer, and not because of
+// what the endpoint answered or because it was refused before it was sent.
+func isWithoutAnswer(err error) bool {
+	return !isAnswered(err) && !rattanstatement.IsInvalidField(err)
+}
+
 func isAnswered(err error) bool {
 	var uncertain *UncertainError
 	return errors.As(err, &uncertain) || errors.Is(err, errInvalidAnswer) || errors.Is(err, errSetupRefused) ||
--- a/internal/endpoint/rattanupstream/load.go
+++ b/internal/endpoint/rattanupstream/load.go
@@ -11,9 +11,13 @@
 )
 
 // observeOutcome records what became of a request to the endpoint that was sent at a
-// time. A refusal that says why it did not run is no failure, nor is an answer that is
-// late: it counts by its time, unless the caller's deadline has cut it short.
+// time. A refusal that says why it did not run is no failure, nor is a request that was not
+// sent or an answer that is late: a late one counts by its time, unless the caller's deadline
+// has cut it short.
 func (u *Upstream) observeOutcome(result rattanstatement.Result, err error, isRead bool, sentAt time.Time) {
+	if rattanstatement.IsInvalidField(err) {
+		return
+	}
 	now := u.clock.Now()
 	took, isLate := now.Sub(sentAt), errors.Is(err, os.ErrDeadlineExceeded)
 	u.mu.Lock()
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -14,7 +14,8 @@
 // A Conn is a connection to an endpoint, over the endpoint's protocol.
 type Conn interface {
 	// Open starts a session of a client account at the endpoint with that group and
-	// id. It is refused when another endpoint answers.
+	// id. It is refused when another endpoint answers. After a
+	// *rattanstatement.InvalidFieldError, here and of Send, nothing has been sent.
 	Open(group, account, id string) (rattanstatement.Result, error)
 	// Send sends requests in one write. Their results are received in the same
 	// order.
@@ -144,8 +145,8 @@
 		}
 	}
 	sentAt := c.upstream.clock.Now()
-	if err := c.conn.Send(request); err != nil {
-		return rattanstatement.Result{}, &SendError{Cause: err}
+	if err := c.send(request); err != nil {
+		return rattanstatement.Result{}, err
 	}
 	result, err := c.conn.receive(request)
 	c.countRun(request, sentAt, result, err != nil)
@@ -158,8 +159,8 @@
 
 // runOwn runs a request of the daemon itself together with its setup.
 func (c *PooledConn) runOwn(setup []rattanstatement.Request, request rattanstatement.Request) (rattanstatement.Result, error) {
-	if err := c.conn.Send(append(setup, request)...); err != nil {
-		return rattanstatement.Result{}, &SendError{Cause: err}
+	if err := c.send(append(setup, request)...); err != nil {
+		return rattanstatement.Result{}, err
 	}
 	if err := c.receiveSetup(setup); err != nil {
 		return rattanstatement.Result{}, &UnsentError{Cause: err}
@@ -173,6 +174,19 @@
 	return result, nil
 }
 
+// send sends requests. The error is an *UnsentError if they were refused before that.
+func (c *PooledConn) send(requests ...rattanstatement.Request) error {
+	err := c.conn.Send(requests...)
+	switch {
+	case err == nil:
+		return nil
+	case rattanstatement.IsInvalidField(err):
+		return &UnsentError{Cause: err}
+	default:
+		return &SendError{Cause: err}
+	}
+}
+
 // prepareFor runs the setup of a statement.
 func (c *PooledConn) prepareFor(setup []rattanstatement.Request) error {
 	if err := c.conn.Send(setup...); err != nil {
@@ -201,7 +215,7 @@
 }
 
 // An UnsentError says that a request has not been sent, since the connection could not be
-// prepared for it.
+// prepared for it or the request cannot be one message.
 type UnsentError struct {
 	Cause error
 }
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		u.observeCost(pooled, false)
 		u.discardFailed(pooled, err)
-		if isUnsent(err) && isAnswered(err) {
+		if isUnsent(err) && !isWithoutAnswer(err) {
 			return rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
 		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -168,11 +168,11 @@
 	return result, nil
 }
 
-// discardFailed closes a connection after an error. Unless the endpoint has answered, it is
+// discardFailed closes a connection after an error. If the endpoint has not answered, it is
 // probed.
 func (u *Upstream) discardFailed(pooled *PooledConn, err error) {
 	u.Discard(pooled)
-	if !isAnswered(err) {
+	if isWithoutAnswer(err) {
 		u.ObserveTimeout()
 	}
 }
--- a/internal/endpoint/rattanupstream/upstream.go
+++ b/internal/endpoint/rattanupstream/upstream.go
@@ -274,6 +274,9 @@
 		}
 		result, err := conn.Open(endpoint.Group, account, endpoint.ID)
 		switch {
+		case rattanstatement.IsInvalidField(err):
+			_ = conn.Close()
+			return nil, errors.Wrap(ErrOverloaded, err.Error())
 		case err != nil:
 			_ = conn.Abort()
 			u.startProbing()
