rattanlink: take only the response to a request of its kind

Cause: the class is an answer that is taken for the answer to the request sent last. A response is matched to its call by its stream and its Id, but nothing looked at what it is. Evidence: TestReplyOfAnotherKind. All handlers return the response of their kind, so this matters for a faulty or newer daemon only. Change: Call returns ErrMismatchedFrame, so that each caller of it counts the response as missing and learns nothing from it; peer_answer_untrusted and its counter tell of it. A repeated or late frame has no way to another call: a stream carries one call and is closed after the first response, and the Id is checked before the kind.

--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -160,7 +160,8 @@
 	p.peerServer = p.newPeerServer()
 	p.peers = rattanlink.NewClient(rattanlink.WithDial(dialPeer),
 		rattanlink.WithMaxBackoff(peerBackoff), rattanlink.WithStreamOpenTimeout(peerAckTimeout),
-		rattanlink.WithExchangeObserver(p.egress.observeExchange))
+		rattanlink.WithExchangeObserver(p.egress.observeExchange),
+		rattanlink.WithMismatchObserver(p.observeMismatch))
 	return p
 }
 
--- a/internal/daemon/rattanproxy/untrusted.go
+++ b/internal/daemon/rattanproxy/untrusted.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
+	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
 )
 
 var _ rattanupstream.AnswerObserver = (*Proxy)(nil)
@@ -21,3 +22,16 @@
 		"request", answer.Request.Kind.String(), "code", answer.Result.Code.String(), "signed", answer.Result.Signature != "",
 		"rows", len(answer.Result.Rows), "partial", answer.Result.IsPartial)
 }
+
+// countPeerUntrusted begins the names of the counters of other daemons' responses that do not
+// fit the request, which end with the reason.
+const countPeerUntrusted = "peer_answers_untrusted_"
+
+// reasonMismatched says that a frame is the response to another request or kind of request.
+const reasonMismatched = "mismatched"
+
+// observeMismatch counts and logs a frame that is not the response to the request.
+func (p *Proxy) observeMismatch(address string, request rattanlink.Kind) {
+	p.metrics.count(countPeerUntrusted + reasonMismatched)
+	p.logger.Warn("peer_answer_untrusted", "peer", address, "reason", reasonMismatched, "request", request.String())
+}
--- a/internal/peer/rattanlink/client.go
+++ b/internal/peer/rattanlink/client.go
@@ -59,10 +59,14 @@
 // Call sends frame to the daemon at address (host:port) and returns its
 // response. It sets frame's Id. A call that fails or times out closes only its own
 // stream. It returns ErrClosed, ErrBackoff, a *RemoteError when the peer could not
-// handle the frame, a *FrameSizeError, ctx's error, or a network error.
+// handle the frame, ErrMismatchedFrame when the response is that to another request or kind
+// of request, a *FrameSizeError, ctx's error, or a network error.
 func (c *Client) Call(ctx context.Context, address string, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	c.counters.calls.Add(1)
 	response, err := c.call(ctx, address, frame)
+	if errors.Is(err, ErrMismatchedFrame) {
+		c.options.onMismatch(address, KindOf(frame))
+	}
 	if err != nil {
 		c.counters.failed.Add(1)
 		return nil, err
@@ -118,6 +122,9 @@
 	if failure := response.GetError(); failure != nil {
 		return nil, &RemoteError{Address: address, Message: failure.GetMessage()}
 	}
+	if responseKind(response) != KindOf(frame) {
+		return nil, errors.Wrapf(ErrMismatchedFrame, "call %s", address)
+	}
 	return response, nil
 }
 
--- a/internal/peer/rattanlink/errors.go
+++ b/internal/peer/rattanlink/errors.go
@@ -16,7 +16,7 @@
 	// ErrMalformedFrame is returned for bytes that are not a PeerFrame.
 	ErrMalformedFrame = errors.New("malformed peer frame")
 	// ErrMismatchedFrame is returned when a response has the Id of another
-	// request.
+	// request, or is none to a request of the kind.
 	ErrMismatchedFrame = errors.New("response belongs to another request")
 )
 
--- a/internal/peer/rattanlink/kind.go
+++ b/internal/peer/rattanlink/kind.go
@@ -86,3 +86,36 @@
 		return KindUnknown
 	}
 }
+
+// responseKind returns the kind of the requests that a frame is the response to, or
+// KindUnknown when it is none or has no content.
+func responseKind(frame *rattanv1.PeerFrame) Kind {
+	switch {
+	case frame.GetSyncResponse() != nil:
+		return KindSync
+	case frame.GetBorrowResponse() != nil:
+		return KindBorrow
+	case frame.GetReturnLoanResponse() != nil:
+		return KindReturnLoan
+	case frame.GetForwardResponse() != nil:
+		return KindForward
+	case frame.GetLoadResponse() != nil:
+		return KindLoad
+	case frame.GetTokenResponse() != nil:
+		return KindToken
+	case frame.GetWorkResponse() != nil:
+		return KindWork
+	case frame.GetKnowledgeResponse() != nil:
+		return KindKnowledge
+	case frame.GetStopResponse() != nil:
+		return KindStop
+	case frame.GetPromiseResponse() != nil:
+		return KindPromise
+	case frame.GetStoreWatchResponse() != nil:
+		return KindStoreWatch
+	case frame.GetUsageResponse() != nil:
+		return KindUsage
+	default:
+		return KindUnknown
+	}
+}
--- a/internal/peer/rattanlink/option.go
+++ b/internal/peer/rattanlink/option.go
@@ -64,6 +64,7 @@
 	streamOpenTimeout time.Duration
 	onPanic           func(*PanicError)
 	onExchange        func(Exchange)
+	onMismatch        func(address string, request Kind)
 	dial              func(ctx context.Context, address string) (net.Conn, error)
 }
 
@@ -131,6 +132,12 @@
 	return func(o *options) { o.onExchange = onExchange }
 }
 
+// WithMismatchObserver sets the function that is called when a client has got a frame that is
+// not the response to its request.
+func WithMismatchObserver(onMismatch func(address string, request Kind)) Option {
+	return func(o *options) { o.onMismatch = onMismatch }
+}
+
 // WithPanicHandler sets the function that is called with each panic of a handler.
 func WithPanicHandler(onPanic func(*PanicError)) Option {
 	return func(o *options) { o.onPanic = onPanic }
@@ -149,6 +156,7 @@
 		streamOpenTimeout: DefaultStreamOpenTimeout,
 		onPanic:           func(*PanicError) {},
 		onExchange:        func(Exchange) {},
+		onMismatch:        func(string, Kind) {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		},
--- a/internal/peer/rattanlink/reply_test.go
+++ b/internal/peer/rattanlink/reply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -56,10 +57,15 @@
 		"response without any": {Body: &rattanv1.PeerFrame_KnowledgeResponse{}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address, client := replyServer(t, reply, nil), newTestClient(t)
+			var mismatches []Kind
+			address := replyServer(t, reply, nil)
+			client := newTestClient(t, WithMismatchObserver(func(_ string, request Kind) { mismatches = append(mismatches, request) }))
 			if got, err := call(t, client, address, borrowFrame(1)); !errors.Is(err, ErrMismatchedFrame) || IsUnsent(err) {
 				t.Errorf("got %v, %v, want %v", got, err, ErrMismatchedFrame)
 			}
+			if !slices.Equal(mismatches, []Kind{KindBorrow}) {
+				t.Errorf("mismatches of %v are observed, want one of %v", mismatches, KindBorrow)
+			}
 			assertServes(t, client, address)
 		})
 	}
