rattanlink: a frame that cannot be encoded is not sent

Cause: WriteFrame writes nothing when a frame is too large or holds text that is not UTF-8, but the call counted as sent and unanswered, and its failure as the owner's. The class is text that one side takes as valid and the other does not. Change: such a call is unsent (IsUnsendable) and says nothing of the peer. A response that cannot be encoded, and the text of an error, are answered as an error instead of EOF.

--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -317,6 +317,10 @@
 	}
 	if err != nil {
 		callErr := &ownerCallError{cause: err, isNotRun: rattanlink.IsUnsent(err)}
+		if rattanlink.IsUnsendable(err) {
+			o.proxy.observeUnsendable(vm, request, err)
+			return rattanstatement.Result{}, callErr
+		}
 		if isOutside {
 			o.proxy.isolation.recordLate(vm, now)
 		}
--- a/internal/daemon/rattanproxy/untrusted.go
+++ b/internal/daemon/rattanproxy/untrusted.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 	"github.com/rattanstream/rattanstream/internal/peer/rattanlink"
+	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 var _ rattanupstream.AnswerObserver = (*Proxy)(nil)
@@ -35,3 +36,12 @@
 	p.metrics.count(countPeerUntrusted + reasonMismatched)
 	p.logger.Warn("peer_answer_untrusted", "peer", address, "reason", reasonMismatched, "request", request.String())
 }
+
+// countUnsendable counts the statements that no message between daemons can hold.
+const countUnsendable = "statements_unsendable"
+
+// observeUnsendable counts and logs a statement that cannot be forwarded.
+func (p *Proxy) observeUnsendable(keeper string, request *rattanv1.WorkRequest, err error) {
+	p.metrics.count(countUnsendable)
+	p.logger.Info("statement_unsendable", "keeper", keeper, "id", request.GetStatementId(), "error", err)
+}
--- a/internal/peer/rattanlink/client.go
+++ b/internal/peer/rattanlink/client.go
@@ -60,7 +60,7 @@
 // response. It sets frame's Id. A call that fails or times out closes only its own
 // stream. It returns ErrClosed, ErrBackoff, a *RemoteError when the peer could not
 // handle the frame, ErrMismatchedFrame when the response is that to another request or kind
-// of request, a *FrameSizeError, ctx's error, or a network error.
+// of request, a *FrameSizeError, an *EncodeError, ctx's error, or a network error.
 func (c *Client) Call(ctx context.Context, address string, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
 	c.counters.calls.Add(1)
 	response, err := c.call(ctx, address, frame)
@@ -130,7 +130,9 @@
 
 // exchange sends frame on a new stream and reads the response.
 func (c *Client) exchange(stream *yamux.Stream, frame *rattanv1.PeerFrame) (*rattanv1.PeerFrame, error) {
-	if err := WriteFrame(stream, frame, c.options.maxFrameBytes); errors.Is(err, yamux.ErrStreamClosed) {
+	if err := WriteFrame(stream, frame, c.options.maxFrameBytes); isUnwritable(err) {
+		return nil, &unsentError{cause: err}
+	} else if errors.Is(err, yamux.ErrStreamClosed) {
 		// The stream returns this error before it has sent the last bytes of the
 		// frame, and the peer handles only complete frames.
 		return nil, &unsentError{cause: err}
--- a/internal/peer/rattanlink/errors.go
+++ b/internal/peer/rattanlink/errors.go
@@ -73,6 +73,23 @@
 	return errors.As(err, &unsent)
 }
 
+// An EncodeError says that a frame cannot be encoded, as one with a string that is not UTF-8.
+type EncodeError struct {
+	cause error
+}
+
+// Error implements the error interface.
+func (e *EncodeError) Error() string { return "encode frame: " + e.cause.Error() }
+
 // IsUnsendable reports whether a call failed because its frame cannot be encoded or is too
 // large. Nothing of it was sent, and it says nothing of the peer.
-func IsUnsendable(error) bool { return false }
+func IsUnsendable(err error) bool {
+	return IsUnsent(err) && isUnwritable(err)
+}
+
+// isUnwritable reports whether WriteFrame has written nothing because of the frame itself.
+func isUnwritable(err error) bool {
+	var encodeErr *EncodeError
+	var sizeErr *FrameSizeError
+	return errors.As(err, &encodeErr) || errors.As(err, &sizeErr)
+}
--- a/internal/peer/rattanlink/frame.go
+++ b/internal/peer/rattanlink/frame.go
@@ -20,8 +20,8 @@
 // arrived, so that a peer cannot exhaust memory by announcing a false length.
 const readChunkBytes = 64 << 10
 
-// WriteFrame writes frame preceded by its length. It returns a
-// *FrameSizeError, and writes nothing, when frame is larger than limit bytes.
+// WriteFrame writes frame preceded by its length. It writes nothing when it returns a
+// *FrameSizeError, since frame is larger than limit bytes, or an *EncodeError.
 func WriteFrame(w io.Writer, frame *rattanv1.PeerFrame, limit int) error {
 	size := proto.Size(frame)
 	if size > limit {
@@ -31,7 +31,7 @@
 	binary.BigEndian.PutUint32(buffer, uint32(size))
 	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, frame)
 	if err != nil {
-		return errors.Wrap(err, "encode frame")
+		return &EncodeError{cause: err}
 	}
 	if _, err := w.Write(buffer); err != nil {
 		return errors.Wrap(err, "write frame")
--- a/internal/peer/rattanlink/server.go
+++ b/internal/peer/rattanlink/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -254,11 +255,11 @@
 	session.finish(err == nil || errors.Is(err, yamux.ErrConnectionReset))
 }
 
-// respond writes a response. One that is too large is replaced by an error.
+// respond writes a response. One that is too large or cannot be encoded is replaced by an
+// error.
 func (s *Server) respond(stream *yamux.Stream, response *rattanv1.PeerFrame) error {
 	err := WriteFrame(stream, response, s.options.maxFrameBytes)
-	var tooLarge *FrameSizeError
-	if !errors.As(err, &tooLarge) {
+	if !isUnwritable(err) {
 		return err
 	}
 	s.counters.failed.Add(1)
@@ -298,6 +299,9 @@
 	return handler(ctx, request)
 }
 
+// errorFrame returns the response that tells an error, whose text may hold any bytes of a
+// request.
 func errorFrame(err error) *rattanv1.PeerFrame {
-	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_Error{Error: &rattanv1.PeerError{Message: err.Error()}}}
+	message := strings.ToValidUTF8(err.Error(), "\uFFFD")
+	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_Error{Error: &rattanv1.PeerError{Message: message}}}
 }
