rattanproxy: take only whole answers to forwarded statements

Cause: decodeWorkResponse made a success of whatever it did not know: no response, no signature, an unknown failure or code. The class is an answer that is not whole and passes as one. Change: a success of a read, write, begin with its first statement, run or commit carries the signature, that of a rollback or abort neither signature nor rows; an error carries no signature; failure and code are known ones. Anything else counts as a missing answer: in doubt for writes and commits, retried for reads, an aborted transaction. Nothing is learned from it (load, positions). peer_answer_untrusted and its counters tell of it. The statement id is not repeated in the response: stream and frame Id already tie it to its call, and the owner would copy both from the same request, so it would add bytes between failure domains and no check. Old daemons send signatures with each success, so a rolling restart needs no exception.

--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -254,6 +254,9 @@
 	return "call to the connection owner failed: " + e.cause.Error()
 }
 
+// Unwrap returns the cause.
+func (e *ownerCallError) Unwrap() error { return e.cause }
+
 // failedCalls are the calls to connection owners that failed for one statement.
 type failedCalls struct {
 	vms []string
@@ -332,10 +335,16 @@
 	}
 	response := reply.GetWorkResponse()
 	o.proxy.loads.observePath(vm, o.proxy.boot.Now().Sub(sent), time.Duration(response.GetTookUs())*time.Microsecond)
+	result, err := decodeWorkResponse(request.GetKind(), response)
+	var untrusted *untrustedResponseError
+	if errors.As(err, &untrusted) {
+		o.proxy.observeUntrustedResponse(vm, request, untrusted.reason)
+		return result, err
+	}
 	completeLoad(response, o.proxy.cache.Snapshot().VMs[vm].Incarnation)
 	o.proxy.loads.learnResponse(response, upstream.Endpoint().ID)
 	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
-	return decodeWorkResponse(request.GetKind(), response)
+	return result, err
 }
 
 // isRepeatable reports whether a request that may have run may run again elsewhere.
--- a/internal/daemon/rattanproxy/untrusted.go
+++ b/internal/daemon/rattanproxy/untrusted.go
@@ -37,6 +37,14 @@
 	p.logger.Warn("peer_answer_untrusted", "peer", address, "reason", reasonMismatched, "request", request.String())
 }
 
+// observeUntrustedResponse counts and logs the response to a forwarded statement that does
+// not fit it.
+func (p *Proxy) observeUntrustedResponse(keeper string, request *rattanv1.WorkRequest, reason workMismatch) {
+	p.metrics.count(countPeerUntrusted + string(reason))
+	p.logger.Warn("peer_answer_untrusted", "keeper", keeper, "id", request.GetStatementId(), "transaction", request.GetTransaction(),
+		"request", request.GetKind().String(), "reason", string(reason))
+}
+
 // countUnsendable counts the statements that no message between daemons can hold.
 const countUnsendable = "statements_unsendable"
 
--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -113,7 +113,13 @@
 	return &rattanv1.WorkResponse{Failure: rattanv1.WorkFailure_WORK_FAILURE_SILENT, Detail: err.Error()}
 }
 
-func decodeWorkResponse(_ rattanv1.WorkKind, response *rattanv1.WorkResponse) (rattanstatement.Result, error) {
+// decodeWorkResponse returns the outcome of a request of a kind. A response that does not fit
+// the request counts as missing: it returns an *ownerCallError whose cause is an
+// *untrustedResponseError.
+func decodeWorkResponse(kind rattanv1.WorkKind, response *rattanv1.WorkResponse) (rattanstatement.Result, error) {
+	if reason := responseMismatch(kind, response); reason != "" {
+		return rattanstatement.Result{}, &ownerCallError{cause: &untrustedResponseError{reason: reason}}
+	}
 	if response.GetFailure() == rattanv1.WorkFailure_WORK_FAILURE_UNKNOWN {
 		return rattanstatement.Result{}, &ownerCallError{cause: errUnknownTarget, isNotRun: true}
 	}
