rattanproxy: leave the connection of a forwarded transaction that has ended

Cause: a commit, rollback or abort took the transaction out of the table but left it usable for whoever had found it before: a statement that waited for its turn, and endIdle, which looks at the time of the last use after it has waited for the commit. The statement needs a request that overtakes the one before it, as after a call that was given up; endIdle needs a commit, or a wait for it, above 12 s, 3 s for a daemon that is unregistered, and a check in that time. Change: the transaction is taken out under its lock before its end is sent; whoever comes later finds none, and the statement is answered as not run. The time of the last use is also set at the end of a statement, so that a long one does not count as idle.

--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -48,7 +48,7 @@
 }
 
 // A forwardedTransaction is an open transaction of another daemon. Its field
-// transaction is nil once it has been dropped.
+// transaction is nil once it has ended.
 type forwardedTransaction struct {
 	mu          sync.Mutex
 	transaction rattanupstream.Transaction
@@ -276,19 +276,29 @@
 		return unknownWorkResponse()
 	}
 	forwarded.lastUsed = f.proxy.clock.Now()
-	switch request.GetKind() {
-	case rattanv1.WorkKind_WORK_KIND_RUN:
-		result, err := forwarded.transaction.Run(statement, statement.Deadline)
-		if err != nil || !result.OK() {
-			f.drop(request.GetTransaction(), forwarded)
-		}
-		return encodeWorkResponse(result, err)
+	if isEnd {
+		// Once it has ended, its connection may serve another transaction.
+		transaction := forwarded.transaction
+		forwarded.transaction = nil
+		return endTransaction(transaction, request.GetKind(), statement)
+	}
+	result, err := forwarded.transaction.Run(statement, statement.Deadline)
+	forwarded.lastUsed = f.proxy.clock.Now()
+	if err != nil || !result.OK() {
+		f.drop(request.GetTransaction(), forwarded)
+	}
+	return encodeWorkResponse(result, err)
+}
+
+// endTransaction ends a transaction as a request asks for.
+func endTransaction(transaction rattanupstream.Transaction, kind rattanv1.WorkKind, statement rattanupstream.StatementRequest) *rattanv1.WorkResponse {
+	switch kind {
 	case rattanv1.WorkKind_WORK_KIND_COMMIT:
-		return encodeWorkResponse(forwarded.transaction.Commit(statement))
+		return encodeWorkResponse(transaction.Commit(statement))
 	case rattanv1.WorkKind_WORK_KIND_ROLLBACK:
-		forwarded.transaction.Rollback()
+		transaction.Rollback()
 	default:
-		forwarded.transaction.Abort()
+		transaction.Abort()
 	}
 	return encodeWorkResponse(rattanstatement.Result{}, nil)
 }
