rattanproxy: end a transaction whose statement failed without being sent

What callers saw: after EXECUTE of an unknown name in a transaction, the session told E, but the transaction stayed open at its endpoint with its connection. Cause: rattanstatemachine marks the transaction as failed, and the session learns only of failures at endpoints. Change: the session rolls its transaction back when the state machine says that it has failed; one function ends it in all places.

--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -55,7 +55,7 @@
 
 func (s *session) serve() {
 	defer s.conn.Close()
-	defer s.abortOpenTransaction()
+	defer s.abortTransaction()
 	if err := s.start(); err != nil {
 		return
 	}
@@ -73,9 +73,11 @@
 	}
 }
 
-func (s *session) abortOpenTransaction() {
+// abortTransaction rolls the open transaction back, if there is one.
+func (s *session) abortTransaction() {
 	if s.transaction != nil {
 		s.transaction.Abort()
+		s.transaction = nil
 	}
 }
 
@@ -145,6 +147,9 @@
 		s.proxy.logger.Info("message_line_break", "id", statement.ID, "database", s.database, "account", s.account)
 	}
 	decision := s.stateMachine.Decide(statement)
+	if s.stateMachine.TransactionStatus() == rattanstatement.FailedTransaction {
+		s.abortTransaction()
+	}
 	outcome := s.run(decision, arrived)
 	if outcome.OK() {
 		s.position = s.position.Max(outcome.Position)
@@ -237,8 +242,7 @@
 	default:
 		return rattandispatch.Outcome{}, false
 	}
-	s.transaction.Abort()
-	s.transaction = nil
+	s.abortTransaction()
 	return refusal(rattanstatement.Aborted, "the daemon stops; the transaction is rolled back"), true
 }
 
@@ -284,8 +288,7 @@
 		s.returnToken(outcome)
 	}
 	if !outcome.OK() {
-		s.transaction.Abort()
-		s.transaction = nil
+		s.abortTransaction()
 		s.stateMachine.TransactionFailed()
 	}
 	return outcome
@@ -299,8 +302,7 @@
 	if s.transaction.Route().IsOpen || ok && account == s.account {
 		return rattandispatch.Outcome{}, false
 	}
-	s.transaction.Abort()
-	s.transaction = nil
+	s.abortTransaction()
 	s.stateMachine.TransactionFailed()
 	return rattandispatch.Outcome{Result: rattanstatement.Refuse(rattanstatement.Unauthenticated, "the key has been withdrawn")}, true
 }
@@ -311,8 +313,7 @@
 		return refused
 	}
 	outcome := s.transaction.Commit(s.request(s.transaction.Route(), arrived), decision.Operation)
-	s.transaction.Abort()
-	s.transaction = nil
+	s.abortTransaction()
 	s.stateMachine.TransactionEnded()
 	return outcome
 }
--- a/internal/daemon/rattanproxy/sessionread.go
+++ b/internal/daemon/rattanproxy/sessionread.go
@@ -150,8 +150,7 @@
 	}
 	if isTimeout(err) && s.transaction != nil {
 		s.proxy.logger.Info("transaction_idle", "database", s.database, "account", s.account)
-		s.transaction.Abort()
-		s.transaction = nil
+		s.abortTransaction()
 		s.stateMachine.TransactionFailed()
 		return true
 	}
