rattanproxy: close a session whose message is cut by the idle limit

Cause: the class is text that one side takes as data and the other as structure. A read that times out drops what it has read of the message, and the session went on with the rest. Between two messages the idle limit fails the transaction as before.

--- a/internal/daemon/rattanproxy/sessionread.go
+++ b/internal/daemon/rattanproxy/sessionread.go
@@ -33,9 +33,16 @@
 	}
 	statement, err := s.conn.ReadStatement()
 	s.endMessage(statement.ID)
+	if isTimeout(err) {
+		return statement, errCutMessage
+	}
 	return statement, err
 }
 
+// errCutMessage says that the rest of a message did not arrive in time. What arrives later
+// is no message of its own, so the session is over.
+var errCutMessage = errors.New("the rest of the message did not arrive in time")
+
 // takesLastMessage reports whether a message has arrived in a session that is to close, and
 // limits the wait for its rest.
 func (s *session) takesLastMessage() bool {
@@ -145,6 +152,11 @@
 	if s.proxy.platform.IsTerminated(err) {
 		return false
 	}
+	if errors.Is(err, errCutMessage) {
+		s.proxy.metrics.count(countCutMessages)
+		s.proxy.logger.Info("message_cut", "database", s.database, "account", s.account)
+		return false
+	}
 	if isTimeout(err) && s.isLeaving() {
 		return false
 	}
--- a/internal/daemon/rattanproxy/untrusted.go
+++ b/internal/daemon/rattanproxy/untrusted.go
@@ -11,6 +11,9 @@
 // countLineBreaks counts callers' messages that hold a line break within.
 const countLineBreaks = "messages_line_break"
 
+// countCutMessages counts callers' messages whose rest did not arrive in time.
+const countCutMessages = "messages_cut"
+
 // countUntrusted begins the names of the counters of untrusted answers, which end with the
 // reason.
 const countUntrusted = "answers_untrusted_"
