rattancmd: explain any id, each event on one line

Cause: the class is text that one side takes as data and the other as structure: a scanner with a limit of 1 MiB a line, and fields printed as they are. Evidence: TestOddIDsAreExplained and TestOddIDsStayOnTheirLine, ids with quotes, line breaks, forged lines, U+2028, NUL, braces, a level, markup, escape sequences, blanks and 1 MiB. The log itself was right for all of them: one valid JSON line each, whose fields read back as they were, and explain compared whole ids. Change: lines of any length are read; fields that hold quotes or what is not printed are printed quoted.

--- a/internal/cmd/rattancmd/explaincmd.go
+++ b/internal/cmd/rattancmd/explaincmd.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,8 +21,6 @@
 	// which state events are shown, because they may have caused its outcome.
 	explainBefore = 5 * time.Second
 	explainAfter  = 500 * time.Millisecond
-	// maxLogLineBytes is the longest line of a log file that can be read.
-	maxLogLineBytes = 1 << 20
 )
 
 // stateEvents are the log events that record a change of a daemon's own state or of
@@ -88,28 +87,39 @@
 
 func readLog(r io.Reader) ([]logLine, error) {
 	var lines []logLine
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLineBytes)
-	for scanner.Scan() {
-		_, text, ok := strings.Cut(scanner.Text(), "{")
-		if !ok {
-			continue
-		}
-		line := logLine{}
-		decoder := json.NewDecoder(strings.NewReader("{" + text))
-		// Numbers such as leases have more digits than a float64 prints.
-		decoder.UseNumber()
-		if decoder.Decode(&line.fields) != nil {
-			continue
+	// A line may be longer than any limit of a scanner: ids are up to 1 MiB, and each of their
+	// bytes may be escaped.
+	reader := bufio.NewReader(r)
+	for {
+		text, err := reader.ReadString('\n')
+		if line, ok := parseLogLine(text); ok {
+			lines = append(lines, line)
 		}
-		at, err := time.Parse(time.RFC3339Nano, line.text("time"))
-		if err != nil {
-			continue
+		switch {
+		case errors.Is(err, io.EOF):
+			return lines, nil
+		case err != nil:
+			return lines, err
 		}
-		line.at = at
-		lines = append(lines, line)
 	}
-	return lines, scanner.Err()
+}
+
+// parseLogLine returns false for a line without an event.
+func parseLogLine(text string) (logLine, bool) {
+	_, text, ok := strings.Cut(text, "{")
+	if !ok {
+		return logLine{}, false
+	}
+	line := logLine{}
+	decoder := json.NewDecoder(strings.NewReader("{" + text))
+	// Numbers such as leases have more digits than a float64 prints.
+	decoder.UseNumber()
+	if decoder.Decode(&line.fields) != nil {
+		return logLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.text("time"))
+	line.at = at
+	return line, err == nil
 }
 
 // explain returns the log lines of a request and the state events of all daemons
@@ -144,7 +154,7 @@
 			}
 			continue
 		}
-		if _, err := fmt.Fprintf(c.stdout, "%s  %-20s %-22s %s\n", line.at.Format("15:04:05.000"), line.text("vm"), line.text("msg"), line.otherFields()); err != nil {
+		if _, err := fmt.Fprintf(c.stdout, "%s  %-20s %-22s %s\n", line.at.Format("15:04:05.000"), printable(line.text("vm")), printable(line.text("msg")), line.otherFields()); err != nil {
 			return err
 		}
 	}
@@ -163,7 +173,17 @@
 	sort.Strings(names)
 	var parts []string
 	for _, name := range names {
-		parts = append(parts, fmt.Sprintf("%s=%v", name, l.fields[name]))
+		parts = append(parts, printable(name)+"="+printable(fmt.Sprint(l.fields[name])))
 	}
 	return strings.Join(parts, " ")
 }
+
+// printable returns a text as it is, or quoted when it holds quotes or what is not printed, so
+// that a caller's text adds no line and no control characters.
+func printable(text string) string {
+	isPlain := func(r rune) bool { return strconv.IsPrint(r) && r != '"' }
+	if strings.IndexFunc(text, func(r rune) bool { return !isPlain(r) }) < 0 {
+		return text
+	}
+	return strconv.Quote(text)
+}
