rattanproxy: count a request by its account and id

Cause: attempts were told apart by the statement's id alone, which the callers choose. The counts themselves are kept by account in maps, without separators, so accounts share none. Change: the key has the account and the id as fields of their own.

--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -112,9 +112,9 @@
 // Read implements rattandispatch.Owners. After an owner that did not answer it goes to the
 // daemon that stands in for it, or to the endpoint.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement)
 	result, err := o.read(upstream, statement)
-	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	o.proxy.usage.recordAttempt(statement, result, err)
 	return result, err
 }
 
@@ -144,9 +144,9 @@
 
 // Write implements rattandispatch.Owners.
 func (o *owners) Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement)
 	result, err := o.write(upstream, statement)
-	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	o.proxy.usage.recordAttempt(statement, result, err)
 	return result, err
 }
 
@@ -172,9 +172,9 @@
 
 // Begin implements rattandispatch.Owners.
 func (o *owners) Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
-	begin.First.IsRepeat = o.proxy.usage.hasBegun(begin.First.StatementID)
+	begin.First.IsRepeat = o.proxy.usage.hasBegun(begin.First)
 	transaction, result, err := o.begin(upstream, begin)
-	o.proxy.usage.recordAttempt(begin.First.StatementID, result, err)
+	o.proxy.usage.recordAttempt(begin.First, result, err)
 	return transaction, result, err
 }
 
--- a/internal/daemon/rattanproxy/usage.go
+++ b/internal/daemon/rattanproxy/usage.go
@@ -58,22 +58,31 @@
 	// unusableUntil is until when each VM that did not take counts is not a collector.
 	unusableUntil map[string]time.Time
 
-	// begun holds the callers' requests with an attempt that ran and did not succeed, by
-	// the statement's id, with the time of the attempt. Another attempt is no other request.
-	begun map[string]time.Time
+	// begun holds the callers' requests with an attempt that ran and did not succeed, with
+	// the time of the attempt. Another attempt is no other request.
+	begun map[requestKey]time.Time
 
 	reports usageReports
 }
 
 var _ rattanupstream.RunCounter = (*usage)(nil)
 
+// A requestKey identifies a caller's request: the callers choose the ids of their statements,
+// so two accounts may choose the same one.
+type requestKey struct{ account, statementID string }
+
+// requestKeyOf returns the key of a statement.
+func requestKeyOf(statement rattanupstream.StatementRequest) requestKey {
+	return requestKey{account: statement.Account, statementID: statement.StatementID}
+}
+
 // newUsage returns nil unless the settings ask for usage reports.
 func newUsage(p *Proxy) *usage {
 	if p.settings.UsageWindow() == 0 {
 		return nil
 	}
 	u := &usage{
-		proxy: p, length: p.settings.UsageWindow(), begun: make(map[string]time.Time),
+		proxy: p, length: p.settings.UsageWindow(), begun: make(map[requestKey]time.Time),
 		ledger:  rattanusage.NewLedger(rattanusage.WindowAt(p.clock.Now(), p.settings.UsageWindow())),
 		relayed: make(map[string]time.Time), passed: make(map[string]uint64), unusableUntil: make(map[string]time.Time),
 	}
@@ -103,28 +112,28 @@
 	}
 }
 
-// hasBegun reports whether an attempt of a caller's request, by its statement's id, has
-// run at an endpoint. Without usage reports it returns false.
-func (u *usage) hasBegun(statementID string) bool {
+// hasBegun reports whether an attempt of a caller's request has run at an endpoint. Without
+// usage reports it returns false.
+func (u *usage) hasBegun(statement rattanupstream.StatementRequest) bool {
 	if u == nil {
 		return false
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	_, ok := u.begun[statementID]
+	_, ok := u.begun[requestKeyOf(statement)]
 	return ok
 }
 
 // recordAttempt records the outcome of an attempt of a caller's request. Without usage
 // reports it does nothing.
-func (u *usage) recordAttempt(statementID string, result rattanstatement.Result, err error) {
+func (u *usage) recordAttempt(statement rattanupstream.StatementRequest, result rattanstatement.Result, err error) {
 	hasRun := errors.Is(err, rattanupstream.ErrTimeout) || err == nil && !result.OK() && rattanupstream.HasRun(result.Code)
 	if u == nil || !hasRun {
 		return
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.begun[statementID] = u.proxy.clock.Now()
+	u.begun[requestKeyOf(statement)] = u.proxy.clock.Now()
 }
 
 // run exchanges counts until ctx ends.
@@ -150,7 +159,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now, local := u.now(), u.proxy.clock.Now()
-	maps.DeleteFunc(u.begun, func(_ string, at time.Time) bool { return local.Sub(at) > attemptMemory })
+	maps.DeleteFunc(u.begun, func(_ requestKey, at time.Time) bool { return local.Sub(at) > attemptMemory })
 	u.ledger.Forget(rattanusage.KeepFrom(now, u.length))
 	u.ledger.Complete(u.proxy.registration.incarnation, rattanusage.WindowAt(now.Add(-settle), u.length)-1)
 }
