--- a/internal/daemon/rattanproxy/owners.go
+++ b/internal/daemon/rattanproxy/owners.go
@@ -112,9 +112,9 @@
 // Read implements rattandispatch.Owners. After an owner that did not answer it goes to the
 // daemon that stands in for it, or to the endpoint.
 func (o *owners) Read(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement)
 	result, err := o.read(upstream, statement)
-	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	o.proxy.usage.recordAttempt(statement, result, err)
 	return result, err
 }
 
@@ -144,9 +144,9 @@
 
 // Write implements rattandispatch.Owners.
 func (o *owners) Write(upstream *rattanupstream.Upstream, statement rattanupstream.StatementRequest) (rattanstatement.Result, error) {
-	statement.IsRepeat = o.proxy.usage.hasBegun(statement.StatementID)
+	statement.IsRepeat = o.proxy.usage.hasBegun(statement)
 	result, err := o.write(upstream, statement)
-	o.proxy.usage.recordAttempt(statement.StatementID, result, err)
+	o.proxy.usage.recordAttempt(statement, result, err)
 	return result, err
 }
 
@@ -172,9 +172,9 @@
 
 // Begin implements rattandispatch.Owners.
 func (o *owners) Begin(upstream *rattanupstream.Upstream, begin rattanupstream.Begin) (rattanupstream.Transaction, rattanstatement.Result, error) {
-	begin.First.IsRepeat = o.proxy.usage.hasBegun(begin.First.StatementID)
+	begin.First.IsRepeat = o.proxy.usage.hasBegun(begin.First)
 	transaction, result, err := o.begin(upstream, begin)
-	o.proxy.usage.recordAttempt(begin.First.StatementID, result, err)
+	o.proxy.usage.recordAttempt(begin.First, result, err)
 	return transaction, result, err
 }
 
@@ -254,6 +254,9 @@
 	return "call to the connection owner failed: " + e.cause.Error()
 }
 
+// Unwrap returns the cause.
+func (e *ownerCallError) Unwrap() error { return e.cause }
+
 // failedCalls are the calls to connection owners that failed for one statement.
 type failedCalls struct {
 	vms []string
@@ -317,6 +320,10 @@
 	}
 	if err != nil {
 		callErr := &ownerCallError{cause: err, isNotRun: rattanlink.IsUnsent(err)}
+		if rattanlink.IsUnsendable(err) {
+			o.proxy.observeUnsendable(vm, request, err)
+			return rattanstatement.Result{}, callErr
+		}
 		if isOutside {
 			o.proxy.isolation.recordLate(vm, now)
 		}
@@ -328,10 +335,16 @@
 	}
 	response := reply.GetWorkResponse()
 	o.proxy.loads.observePath(vm, o.proxy.boot.Now().Sub(sent), time.Duration(response.GetTookUs())*time.Microsecond)
+	result, err := decodeWorkResponse(request.GetKind(), response)
+	var untrusted *untrustedResponseError
+	if errors.As(err, &untrusted) {
+		o.proxy.observeUntrustedResponse(vm, request, untrusted.reason)
+		return result, err
+	}
 	completeLoad(response, o.proxy.cache.Snapshot().VMs[vm].Incarnation)
 	o.proxy.loads.learnResponse(response, upstream.Endpoint().ID)
 	o.proxy.applyObservation(response, upstream.Endpoint().Group, sent)
-	return decodeWorkResponse(response)
+	return result, err
 }
 
 // isRepeatable reports whether a request that may have run may run again elsewhere.
--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -243,10 +243,12 @@
 		assertDialed(t, endpoint, 2)
 	})
 	t.Run("read", func(t *testing.T) {
-		upstream, endpoint := newStuttering(script{{busy}, {busy, row(1, idle)}}, script{{row(2, idle)}})
-		for range 2 {
-			if result, err := upstream.Read(stutterRequest("1")); err != nil || result.Code != rattanstatement.Busy {
-				t.Errorf("got %+v, %v", result, err)
+		first := busy
+		first.Position = rattanmodel.Position{Term: 1, Index: 1}
+		upstream, endpoint := newStuttering(script{{first}, {first, row(1, idle)}}, script{{row(2, idle)}})
+		for _, position := range []rattanmodel.Position{first.Position, {}} {
+			if result, err := upstream.Read(stutterRequest("1")); err != nil || result.Code != rattanstatement.Busy || result.Position != position {
+				t.Errorf("got %+v, %v, want busy at %s", result, err, position)
 			}
 		}
 		result, err := upstream.Read(stutterRequest("2"))
@@ -299,6 +301,16 @@
 		assertError(t, result, err, ErrOverloaded)
 		assertSent(t, endpoint, rattanstatement.Write, 1)
 	})
+	t.Run("commit", func(t *testing.T) {
+		upstream, endpoint := newStuttering(script{{begun}, {row(1, rattanstatement.InTransaction)}, {busy}})
+		transaction, result, err := upstream.Begin(Begin{First: stutterWrite("1"), AtPrimary: true})
+		assertRow(t, result, err, 1)
+		commit := withValue(stutterRequest("2"))
+		commit.IsCommit = true
+		result, err = transaction.Commit(commit)
+		assertError(t, result, err, ErrOverloaded)
+		assertSent(t, endpoint, rattanstatement.Commit, 0)
+	})
 	t.Run("empty value", func(t *testing.T) {
 		upstream, endpoint := newStuttering(script{{done}, {row(1, idle)}})
 		request := stutterRequest("1")
--- a/internal/endpoint/rattanupstream/statement.go
+++ b/internal/endpoint/rattanupstream/statement.go
@@ -121,15 +121,16 @@
 	}
 	setup, request := statement.wireRequests(pooled)
 	result, err := pooled.Run(setup, request, until)
-	// An error of an earlier read is as good an answer as its own one: a read changes nothing.
+	// An error of an earlier read is as good an answer as its own one, as a read changes
+	// nothing. Its position says nothing of now.
 	if uncertain, ok := asUncertain(err); ok {
-		result, err = uncertain.Result, nil
+		result, err = rattanstatement.Refuse(uncertain.Result.Code, uncertain.Result.Detail), nil
 	}
 	u.observeOutcome(result, err, true, sentAt)
 	if err != nil {
 		u.observeCost(pooled, false)
 		u.discardFailed(pooled, err)
-		if isUnsent(err) && isAnswered(err) {
+		if isUnsent(err) && !isWithoutAnswer(err) {
 			return rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
 		}
 		return rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
@@ -168,11 +169,11 @@
 	return result, nil
 }
 
-// discardFailed closes a connection after an error. Unless the endpoint has answered, it is
+// discardFailed closes a connection after an error. If the endpoint has not answered, it is
 // probed.
 func (u *Upstream) discardFailed(pooled *PooledConn, err error) {
 	u.Discard(pooled)
-	if !isAnswered(err) {
+	if isWithoutAnswer(err) {
 		u.ObserveTimeout()
 	}
 }
--- a/internal/peer/rattanlink/errors.go
+++ b/internal/peer/rattanlink/errors.go
@@ -16,7 +16,7 @@
 	// ErrMalformedFrame is returned for bytes that are not a PeerFrame.
 	ErrMalformedFrame = errors.New("malformed peer frame")
 	// ErrMismatchedFrame is returned when a response has the Id of another
-	// request.
+	// request, or is none to a request of the kind.
 	ErrMismatchedFrame = errors.New("response belongs to another request")
 )
 
@@ -72,3 +72,24 @@
 	var unsent *unsentError
 	return errors.As(err, &unsent)
 }
+
+// An EncodeError says that a frame cannot be encoded, as one with a string that is not UTF-8.
+type EncodeError struct {
+	cause error
+}
+
+// Error implements the error interface.
+func (e *EncodeError) Error() string { return "encode frame: " + e.cause.Error() }
+
+// IsUnsendable reports whether a call failed because its frame cannot be encoded or is too
+// large. Nothing of it was sent, and it says nothing of the peer.
+func IsUnsendable(err error) bool {
+	return IsUnsent(err) && isUnwritable(err)
+}
+
+// isUnwritable reports whether WriteFrame has written nothing because of the frame itself.
+func isUnwritable(err error) bool {
+	var encodeErr *EncodeError
+	var sizeErr *FrameSizeError
+	return errors.As(err, &encodeErr) || errors.As(err, &sizeErr)
+}
