rattansoak: awkward data for planned work as well; one reader of messages

Cause: RunPlanned took no options, and the soak had a reader of its own that did the same as the stand-in's.

Change: RunPlanned draws awkward data and ids.

--- a/internal/proof/rattansoak/answer.go
+++ b/internal/proof/rattansoak/answer.go
@@ -7,10 +7,9 @@
 	"strings"
 
 	"github.com/pkg/errors"
-)
 
-// lineEnd ends a message. A line feed or carriage return alone is data.
-const lineEnd = "\r\n"
+	"github.com/rattanstream/rattanstream/internal/standin/rattanlineserver"
+)
 
 // errNotWhole says that what a caller received is no whole answer.
 var errNotWhole = errors.New("not a whole answer")
@@ -40,24 +39,9 @@
 // isRefused reports whether the answer promises that nothing is kept.
 func (a answer) isRefused() bool { return slices.Contains(notRunCodes, a.code()) }
 
-// readMessage reads a message and returns it without its end.
-func readMessage(reader *bufio.Reader) (string, error) {
-	var message []byte
-	for {
-		part, err := reader.ReadBytes('\n')
-		if err != nil {
-			return "", err
-		}
-		message = append(message, part...)
-		if text, ok := strings.CutSuffix(string(message), lineEnd); ok {
-			return text, nil
-		}
-	}
-}
-
 // readGreeting reads the answer to START.
 func readGreeting(reader *bufio.Reader) error {
-	message, err := readMessage(reader)
+	message, err := rattanlineserver.ReadMessage(reader)
 	if err != nil {
 		return err
 	}
@@ -75,7 +59,7 @@
 func readAnswer(reader *bufio.Reader) (answer, error) {
 	var a answer
 	for {
-		message, err := readMessage(reader)
+		message, err := rattanlineserver.ReadMessage(reader)
 		if err != nil {
 			return answer{}, err
 		}
--- a/internal/proof/rattansoak/awkward.go
+++ b/internal/proof/rattansoak/awkward.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"strings"
+
+	"github.com/rattanstream/rattanstream/internal/standin/rattanlineserver"
 )
 
 // awkwardTexts are parts of data, names and values that a reader may take for something else.
@@ -37,8 +39,8 @@
 // dropLineEnds returns the text without ends of messages, which no message can hold. A
 // carriage return at the end stays: it is followed by the message's end or a blank.
 func dropLineEnds(text string) string {
-	for strings.Contains(text, lineEnd) {
-		text = strings.ReplaceAll(text, lineEnd, "\n")
+	for strings.Contains(text, rattanlineserver.LineEnd) {
+		text = strings.ReplaceAll(text, rattanlineserver.LineEnd, "\n")
 	}
 	return text
 }
--- a/internal/proof/rattansoak/caller.go
+++ b/internal/proof/rattansoak/caller.go
@@ -89,7 +89,7 @@
 		judge.report("MIXED: %s sent more than the answers before %q (%q)", c.daemon.name, text, id)
 	}
 	judge.recordSent(id, statement)
-	if err := c.send("QUERY " + id + " " + text + lineEnd); err != nil {
+	if err := c.send("QUERY " + id + " " + text + rattanlineserver.LineEnd); err != nil {
 		c.close()
 		return answer{}, err
 	}
@@ -149,7 +149,7 @@
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
 	c.variables, c.templates, c.transaction = make(map[string]string), make(map[string]string), ""
-	err = c.send("START " + c.database + " " + key + lineEnd)
+	err = c.send("START " + c.database + " " + key + rattanlineserver.LineEnd)
 	if err == nil {
 		err = readGreeting(c.reader)
 	}
--- a/internal/proof/rattansoak/judge.go
+++ b/internal/proof/rattansoak/judge.go
@@ -98,7 +98,7 @@
 	}
 	var rows strings.Builder
 	for _, row := range a.rows {
-		rows.WriteString(row + lineEnd)
+		rows.WriteString(row + rattanlineserver.LineEnd)
 	}
 	want := rattanlineserver.SignedAnswer{Statement: id, Rows: rows.String()}
 	if signed, ok := group.Signed(a.signature); !ok || signed != want {
--- a/internal/proof/rattansoak/rolling.go
+++ b/internal/proof/rattansoak/rolling.go
@@ -58,7 +58,8 @@
 
 // RunPlanned is Run with planned work only, in series that overlap. Each caller stays with
 // its daemon.
-func RunPlanned(fleet *Fleet, seed uint64, duration time.Duration) (Result, error) {
+func RunPlanned(fleet *Fleet, options Options) (Result, error) {
+	seed, duration := options.Seed, options.Duration
 	r, random := &run{fleet: fleet}, rand.New(rand.NewPCG(seed, callers+3))
 	if err := r.awaitService("start"); err != nil {
 		return r.result, err
@@ -72,7 +73,7 @@
 		// A slow link is that to a distant store, which is no trouble.
 		d.store.Set([]LinkState{Open, Open, Slow}[random.IntN(3)])
 		for i, kind := range [][]callerKind{steadyCallers, sparseCallers}[random.IntN(2)] {
-			own := rand.New(rand.NewPCG(random.Uint64(), 0))
+			own := awkward{random: rand.New(rand.NewPCG(random.Uint64(), 0)), isPlain: options.IsPlain}
 			calling.Go(func() { r.callPlanned(ctx, d, kind, fmt.Sprintf("%s.%d", d.name, i), own) })
 		}
 	}
@@ -154,11 +155,11 @@
 }
 
 // callPlanned runs one caller of a daemon until ctx ends.
-func (r *run) callPlanned(ctx context.Context, d *Daemon, kind callerKind, name string, random *rand.Rand) {
-	c := &client{fleet: r.fleet, daemon: d, database: []string{"checkout", "browse", "pick"}[random.IntN(3)]}
+func (r *run) callPlanned(ctx context.Context, d *Daemon, kind callerKind, name string, own awkward) {
+	c := &client{fleet: r.fleet, daemon: d, database: []string{"checkout", "browse", "pick"}[own.random.IntN(3)]}
 	defer c.close()
 	for n := 0; ctx.Err() == nil; n++ {
-		outcome := r.operate(c, kind, fmt.Sprintf("%s.%d", name, n), random)
+		outcome := r.operate(c, kind, fmt.Sprintf("%s.%d", name, n), own)
 		if slices.Contains(kind.texts, "WRITE item DATA") {
 			r.record(outcome)
 		} else if outcome.isAcknowledged {
@@ -171,11 +172,12 @@
 }
 
 // operate runs one operation until a statement fails.
-func (r *run) operate(c *client, kind callerKind, data string, random *rand.Rand) record {
+func (r *run) operate(c *client, kind callerKind, name string, own awkward) record {
+	data := own.text(name)
 	outcome := record{data: data}
 	for i, text := range kind.texts {
-		sleepUpTo(random, kind.pause)
-		got, err := c.query(fmt.Sprintf("%s-%d", data, i), strings.ReplaceAll(text, "DATA", data))
+		sleepUpTo(own.random, kind.pause)
+		got, err := c.query(own.word(fmt.Sprintf("%s-%d", name, i)), strings.ReplaceAll(text, "DATA", data))
 		outcome = outcomeOf(data, got, err)
 		if !outcome.isAcknowledged {
 			outcome.isUncommitted = text != "COMMIT" && slices.Contains(kind.texts, "COMMIT")
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -86,7 +86,9 @@
 
 func soakPlanned(t *testing.T, program string, seed uint64) {
 	t.Helper()
-	soakWith(t, program, fmt.Sprintf("planned-seed-%d", seed), func(fleet *Fleet) (Result, error) { return RunPlanned(fleet, seed, *planned) })
+	soakWith(t, program, fmt.Sprintf("planned-seed-%d", seed), func(fleet *Fleet) (Result, error) {
+		return RunPlanned(fleet, Options{Seed: seed, Duration: *planned, IsPlain: *plain})
+	})
 }
 
 func soak(t *testing.T, program string, seed uint64) {
--- a/internal/standin/rattanlineserver/message.go
+++ b/internal/standin/rattanlineserver/message.go
@@ -2,14 +2,14 @@
 
 import (
 	"bufio"
-	"strings"
+	"bytes"
 )
 
-// lineEnd ends a message. A line feed or carriage return alone is data.
-const lineEnd = "\r\n"
+// LineEnd ends a message. A line feed or carriage return alone is data.
+const LineEnd = "\r\n"
 
-// readMessage reads a message and returns it without its end.
-func readMessage(reader *bufio.Reader) (string, error) {
+// ReadMessage reads a message and returns it without its end.
+func ReadMessage(reader *bufio.Reader) (string, error) {
 	var message []byte
 	for {
 		part, err := reader.ReadBytes('\n')
@@ -17,8 +17,8 @@
 			return "", err
 		}
 		message = append(message, part...)
-		if text, ok := strings.CutSuffix(string(message), lineEnd); ok {
-			return text, nil
+		if text, ok := bytes.CutSuffix(message, []byte(LineEnd)); ok {
+			return string(text), nil
 		}
 	}
 }
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -44,7 +44,7 @@
 func (e *Endpoint) serveConn(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	message, err := readMessage(reader)
+	message, err := ReadMessage(reader)
 	if err != nil {
 		return
 	}
@@ -62,7 +62,7 @@
 		return
 	}
 	for {
-		message, err := readMessage(reader)
+		message, err := ReadMessage(reader)
 		if err != nil {
 			return
 		}
@@ -100,14 +100,14 @@
 	case e.isDown || len(fields) < 3:
 		return "", false
 	case fields[1] != e.group.name || len(fields) > 3 && fields[3] != e.id:
-		return "ERROR WRONGNODE " + e.id + lineEnd, false
+		return "ERROR WRONGNODE " + e.id + LineEnd, false
 	case len(e.conns) >= e.maxConns:
-		return "ERROR TOOMANY connections" + lineEnd, false
+		return "ERROR TOOMANY connections" + LineEnd, false
 	}
 	e.conns[s.conn] = struct{}{}
 	e.opened++
 	e.tenants[fields[2]]++
-	return "READY I " + e.positionText() + lineEnd, true
+	return "READY I " + e.positionText() + LineEnd, true
 }
 
 // run executes a statement and returns its response, false if that is lost.
--- a/internal/standin/rattanlineserver/session_test.go
+++ b/internal/standin/rattanlineserver/session_test.go
@@ -137,11 +137,11 @@
 		reader := bufio.NewReader(conn)
 		for _, text := range []string{"SET a b", "PREPARE p READ x", "BEGIN", "READ k"} {
 			send(t, conn, fmt.Sprintf("QUERY s %s\r\n", text))
-			refusal, err := readMessage(reader)
+			refusal, err := ReadMessage(reader)
 			if err != nil || refusal != "ERROR BUSY at random" && refusal != "ERROR FAILED at random" {
 				t.Errorf("%s: %q, %v", text, refusal, err)
 			}
-			if ready, err := readMessage(reader); err != nil || ready != "READY I 1.0" {
+			if ready, err := ReadMessage(reader); err != nil || ready != "READY I 1.0" {
 				t.Errorf("%s: %q, %v", text, ready, err)
 			}
 		}
