rattanproxy: delegate grants no longer than a lease lasts

Cause: the time left of a lease is encoded as an unsigned number after the lease was found to be held. If it ends in between, as when the daemon is frozen or waits for a lock there, the number wraps; the daemon that gets it takes any number. Change: an ended lease delegates nothing, and a delegation above the longest lease counts as none. One function each encodes and decodes it.

--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -170,11 +170,11 @@
 // acceptGrants accepts the grants that a response delegates, after its records have
 // been applied.
 func (f *follower) acceptGrants(response *rattanv1.StoreWatchResponse, sentAt time.Time) {
-	delegated := time.Duration(response.GetGrantMs()) * time.Millisecond
-	if delegated <= delegationMargin {
+	delegated := delegatedTime(response.GetGrantMs())
+	if delegated == 0 {
 		return
 	}
-	f.proxy.grants.AcceptDelegation(sentAt.Add(delegated - delegationMargin))
+	f.proxy.grants.AcceptDelegation(sentAt.Add(delegated))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fedAt = f.proxy.clock.Now()
@@ -204,7 +204,7 @@
 func (f *follower) fill(response *rattanv1.StoreWatchResponse, request *rattanv1.StoreWatchRequest) {
 	if until, ok := f.proxy.grants.LeaseExpiry(); ok {
 		f.proxy.relay.recordDelegation(request.GetVm(), request.GetAddress(), until)
-		response.GrantMs = uint32(until.Sub(f.proxy.boot.Now()).Milliseconds())
+		response.GrantMs = encodeGrantTime(until, f.proxy.boot.Now())
 	}
 	changes, isPartial := f.proxy.cache.ChangesSince(rattankv.Revision(request.GetRevision()))
 	response.AsOf, response.IsComplete = int64(changes.AsOf), !isPartial
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -33,9 +33,6 @@
 	// responseDecay is the weight of the counts of earlier rounds in the next
 	// round.
 	responseDecay = 0.75
-	// delegationMargin is subtracted from the time for which another daemon
-	// delegates grants.
-	delegationMargin = 20 * time.Millisecond
 )
 
 // A relay gets the contents of the store and delegated grants from other daemons
@@ -87,7 +84,7 @@
 	r.responses *= responseDecay
 	for _, address := range addresses[:min(len(addresses), relayPeers)] {
 		response, err := r.queryPeer(ctx, address)
-		if err == nil && delegatedTime(response) > 0 {
+		if err == nil && delegatedTime(response.GetGrantMs()) > 0 {
 			r.isOutageShared.Store(false)
 			r.requests, r.responses = 0, 0
 			return
@@ -134,11 +131,6 @@
 	}}
 }
 
-// delegatedTime returns for how long a response delegates grants.
-func delegatedTime(response *rattanv1.KnowledgeResponse) time.Duration {
-	return max(0, time.Duration(response.GetGrantMs())*time.Millisecond-delegationMargin)
-}
-
 // queryPeer applies what another daemon has cached of the store, and the grants that it
 // delegates.
 func (r *relay) queryPeer(ctx context.Context, address string) (*rattanv1.KnowledgeResponse, error) {
@@ -158,7 +150,7 @@
 	}
 	r.proxy.applyItems(ctx, page.Items)
 	r.proxy.observeNewerTerms(response.GetNewerTerms())
-	if delegated := delegatedTime(response); delegated > 0 {
+	if delegated := delegatedTime(response.GetGrantMs()); delegated > 0 {
 		r.proxy.grants.AcceptDelegation(sentAt.Add(delegated))
 	}
 	return response, nil
@@ -264,7 +256,7 @@
 	response := &rattanv1.KnowledgeResponse{KnowsRecords: r.proxy.knowsRecords.Load() && r.proxy.grants.IsHeld()}
 	if until, ok := r.proxy.grants.LeaseExpiry(); ok {
 		r.recordDelegation(request.GetVm(), request.GetAddress(), until)
-		response.GrantMs = uint32(until.Sub(r.proxy.boot.Now()).Milliseconds())
+		response.GrantMs = encodeGrantTime(until, r.proxy.boot.Now())
 	}
 	page := r.proxy.cache.Items()
 	response.AsOf = int64(page.AsOf)
