rattanupstream: test of a write told as busy after a shifted setup, failing

What callers saw: BUSY, a promise that nothing is kept, for a write that took effect (found in a review, no report of it).

Cause: an answer without a signature that has not come before clears the mark that the one before may be a repeat. It proves that it is no repeat itself, but it may be the own answer of the request before: the late copy of a SET counts for RESET, the answer to RESET for SET, and the error of SET, which arrives after the write was sent, for the write.

Evidence: TestErrorOfSetup fails.

Measured: go test ./internal/endpoint/rattanupstream -run TestErrorOfSetup: 1 of 1 fails, "Code:busy, want the error the endpoint did not answer in time".

--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -342,3 +342,24 @@
 		})
 	}
 }
+
+// TestErrorOfSetup guards against a write that ran and is told as refused, because the error
+// of its setup came after the late copy of an earlier answer had been taken for another one.
+func TestErrorOfSetup(t *testing.T) {
+	const idle = rattanstatement.Idle
+	at := func(index uint64) rattanstatement.Result {
+		return rattanstatement.Result{Position: rattanmodel.Position{Term: 1, Index: index}}
+	}
+	with := func(request StatementRequest, name, value string) StatementRequest {
+		request.SessionVars = map[string]string{name: value}
+		return request
+	}
+	t.Run("the copy counts for the request before", func(t *testing.T) {
+		upstream, _ := newStuttering(script{{at(1)}, {row(1, idle)}, {at(1), at(2)}, {}, {busy, row(2, idle)}})
+		result, err := upstream.Write(with(stutterWrite("1"), "zone", "a"))
+		assertRow(t, result, err, 1)
+		// RESET gets the copy, SET the answer to RESET.
+		result, err = upstream.Write(with(stutterWrite("2"), "unit", "a"))
+		assertError(t, result, err, ErrTimeout)
+	})
+}
