rattananswer: an answer that may be that to the request before proves nothing

What callers saw: BUSY for a write that took effect (found in a review, no report of it).

Cause: a new answer without a signature cleared the mark that the one before may be a repeat. It is no repeat itself, but it may be the own answer of the request before, so the answers may still be shifted by one, and the error of a setup request counted as that of the write behind it.

Change: only an answer that changes the transaction status, as that to a begin does, or one with a signature clears the mark: the request before cannot have got it. A write with an error while the mark is set is in doubt.

A setup of two requests was marked before as well wherever the position stands still.

--- a/internal/endpoint/rattananswer/history.go
+++ b/internal/endpoint/rattananswer/history.go
@@ -26,8 +26,9 @@
 	// signed has the answers with a signature, unsigned those without one, and errors the
 	// errors.
 	signed, unsigned, errors ring
-	// isTentative is true while the last answer may be a repeat, as it equals an earlier one
-	// and has no signature. The next answer that cannot be a repeat proves that it was none.
+	// isTentative is true while the last answer may not be that to the last request: it has no
+	// signature, and it or one before it equals an earlier one. The next answer that can belong
+	// to no earlier request proves that none was a repeat.
 	isTentative bool
 }
 
@@ -36,7 +37,7 @@
 	return &History{status: opened.TransactionStatus, greeting: opened.Position}
 }
 
-// IsTentative reports whether the last answer may be a repeat of an earlier one.
+// IsTentative reports whether the last answer may not be that to the last request.
 func (h *History) IsTentative() bool { return h.isTentative }
 
 // HasErrors reports whether a request was answered with an error. Nothing tells a repeat of
@@ -104,7 +105,8 @@
 		return Judgement{Verdict: Invalid, Reason: reason}
 	}
 	h.unsigned.add(entryOf(digest, digest), keptUnsigned)
-	h.isTentative = isKnown
+	// Unless it changes the status, a new one may be the own answer of the request before.
+	h.isTentative = isKnown || h.isTentative && result.TransactionStatus == h.status
 	return Judgement{Verdict: Own}
 }
 
--- a/internal/endpoint/rattananswer/history_test.go
+++ b/internal/endpoint/rattananswer/history_test.go
@@ -81,6 +81,8 @@
 		{"the same error with another position", []exchange{{write, busy, own}, {write, at(busy, 9), uncertain(ReasonRepeatedError)}}},
 		{"another error", []exchange{{write, busy, own}, {write, refused(rattanstatement.Failed), own}}},
 		{"error after an answer that may be a repeat", []exchange{{set, done, own}, {set, done, own}, {write, busy, uncertain(ReasonTentative)}}},
+		{"error after a new answer that may be that to the request before", []exchange{{set, done, own}, {set, done, own}, {set, at(done, 9), own}, {write, busy, uncertain(ReasonTentative)}}},
+		{"error after a new answer to a begin", []exchange{{set, done, own}, {set, done, own}, {begin, inTransaction(at(done, 9)), own}, {write, busy, own}}},
 		{"error that no setup request ends with", []exchange{{set, done, own}, {set, done, own}, {write, refused(rattanstatement.ReadOnly), own}}},
 		{"error after a signature", []exchange{{set, done, own}, {set, done, own}, {write, signed("1"), own}, {write, busy, own}}},
 		{"behind without a minimum position", []exchange{{read, behind, uncertain(ReasonCode)}}},
