rattanupstream: test of a write told as busy after a forgotten copy, failing

What callers saw: BUSY, a promise that nothing is kept, for a write that took effect (found in a review, no report of it).

Cause: a history keeps 16 answers without a signature. On a connection whose session variables change with each statement those are a few milliseconds, while the second copy may come 100 ms late. A copy that has been forgotten counts as new and marks nothing as uncertain, so the error of the SET counts as that of the write behind it.

Evidence: TestErrorOfSetup fails.

Measured: go test ./internal/endpoint/rattanupstream: "the copy has been forgotten" fails in 1 of 1 runs, "Code:busy, want the error the endpoint did not answer in time".

--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -362,4 +362,18 @@
 		result, err = upstream.Write(with(stutterWrite("2"), "unit", "a"))
 		assertError(t, result, err, ErrTimeout)
 	})
+	t.Run("the copy has been forgotten", func(t *testing.T) {
+		const writes = 30
+		var answers script
+		for n := 1; n <= writes; n++ {
+			answers = append(answers, []rattanstatement.Result{at(uint64(n))}, []rattanstatement.Result{row(n, idle)})
+		}
+		upstream, _ := newStuttering(append(answers, []rattanstatement.Result{at(1)}, []rattanstatement.Result{busy, row(writes+1, idle)}))
+		for n := 1; n <= writes; n++ {
+			result, err := upstream.Write(with(stutterWrite(strconv.Itoa(n)), "zone", strconv.Itoa(n)))
+			assertRow(t, result, err, n)
+		}
+		result, err := upstream.Write(with(stutterWrite("last"), "zone", "last"))
+		assertError(t, result, err, ErrTimeout)
+	})
 }
