rattananswer: keep as many answers without a signature as signed ones

What callers saw: BUSY for a write that took effect (found in a review, no report of it).

Cause: only 16 answers without a signature were kept, so the copy of an earlier one counted as new.

Errors stay at 16: only reads follow one, and their repeat says no more than the first. A copy that comes later than 256 answers is still not recognised.

--- a/internal/endpoint/rattananswer/history.go
+++ b/internal/endpoint/rattananswer/history.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// keptSigned and keptUnsigned are how many answers with and without a signature a
-	// history keeps to recognise their repeats.
-	keptSigned, keptUnsigned = 256, 16
+	// keptSigned, keptUnsigned and keptErrors are how many answers with a signature, without
+	// one, and errors a history keeps to recognise their repeats.
+	keptSigned, keptUnsigned, keptErrors = 256, 256, 16
 )
 
 // A History holds the answers on one connection. Requests are answered in the order in
@@ -137,7 +137,7 @@
 	case h.isTentative && !isOnlyOf(request, result.Code):
 		return Judgement{Verdict: Uncertain, Reason: ReasonTentative}
 	}
-	h.errors.add(entryOf(digest, digest), keptUnsigned)
+	h.errors.add(entryOf(digest, digest), keptErrors)
 	h.isTentative = false
 	return Judgement{Verdict: Own}
 }
--- a/internal/endpoint/rattananswer/history_test.go
+++ b/internal/endpoint/rattananswer/history_test.go
@@ -112,7 +112,7 @@
 	}
 	assertSize(t, history.signed, keptSigned)
 	assertSize(t, history.unsigned, keptUnsigned)
-	assertSize(t, history.errors, keptUnsigned)
+	assertSize(t, history.errors, keptErrors)
 	newest := signed(strconv.Itoa(4*keptSigned - 1))
 	if got := history.Judge(request(rattanstatement.Read), newest); got != repeated {
 		t.Errorf("the newest answer once more: got %+v, want %+v", got, repeated)
