rattanupstream: count a repeated refusal by its code

What callers saw: usage reports with requests that no endpoint ran (found in a review, no report of it).

Cause: an error that equals an earlier one was counted like an answer that is missing.

Change: an uncertain answer counts by its code, which is what a read is told and by what the next attempt counts.

Measured: go test ./internal/endpoint/rattanupstream, TestCountRun and the tests of answers: pass.

--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -149,6 +149,10 @@
 		return rattanstatement.Result{}, err
 	}
 	result, err := c.conn.receive(request)
+	if uncertain, ok := asUncertain(err); ok {
+		c.countRun(request, sentAt, uncertain.Result, true)
+		return rattanstatement.Result{}, err
+	}
 	c.countRun(request, sentAt, result, err != nil)
 	if err != nil {
 		return rattanstatement.Result{}, err
