rattanupstream: an equal answer to a begin is no failure of the endpoint

What callers saw: nothing that is known (found in a review).

Cause: the error of a write that was held back counted as a failure.

Evidence: TestTentativeIsNoFailure failed in the commit before.

Change: it does not count.

Measured: go test ./internal/endpoint/rattanupstream -run Tentative passes.

--- a/internal/endpoint/rattanupstream/load.go
+++ b/internal/endpoint/rattanupstream/load.go
@@ -15,7 +15,7 @@
 // sent or an answer that is late: a late one counts by its time, unless the caller's deadline
 // has cut it short.
 func (u *Upstream) observeOutcome(result rattanstatement.Result, err error, isRead bool, sentAt time.Time) {
-	if rattanstatement.IsInvalidField(err) {
+	if rattanstatement.IsInvalidField(err) || errors.Is(err, errTentative) {
 		return
 	}
 	now := u.clock.Now()
