rattanproxy: take the commit of an older daemon for a commit

What callers saw: INDOUBT for commits that ran, in a rolling restart (found in a review).

Cause: the kind of the request was not used.

Change: a request of the kind COMMIT is a commit. The commit of a transaction without statements, which an older daemon sends as BEGIN, still counts as a read and ends without an answer: nothing in the message tells it apart but its text.

Measured: go test ./internal/daemon/rattanproxy -run 'OlderDaemon|ResponseIsNo' passes; a rolling restart of real daemons was not run.

--- a/internal/daemon/rattanproxy/workcodec.go
+++ b/internal/daemon/rattanproxy/workcodec.go
@@ -54,7 +54,8 @@
 		},
 		SessionVars: request.GetValues(), StatementID: request.GetStatementId(), Text: request.GetText(),
 		Argument: request.GetArgument(), IsWrite: request.GetWrites(), IsRepeat: request.GetIsRepeat(),
-		IsCommit:    request.GetIsCommit(),
+		// Older daemons set only the kind.
+		IsCommit:    request.GetIsCommit() || request.GetKind() == rattanv1.WorkKind_WORK_KIND_COMMIT,
 		MinPosition: rattanmodel.PositionFromWire(request.GetFloor()),
 	}
 	if request.GetShape() != "" {
