rattanupstream: no first statement behind a begin that may not have begun

Cause: behind a begin whose answer equals an earlier one, only a write was held back, and it was refused though nothing had been sent. Change: no first statement is sent then; the transaction begins once more at once, on another connection.

--- a/internal/endpoint/rattanupstream/transaction.go
+++ b/internal/endpoint/rattanupstream/transaction.go
@@ -47,6 +47,19 @@
 // Begin begins a transaction and runs its first statement. Unless both succeed, the
 // transaction is nil and has been rolled back. The errors are those of Write.
 func (u *Upstream) Begin(begin Begin) (Transaction, rattanstatement.Result, error) {
+	transaction, result, err := u.tryBegin(begin)
+	if errors.Is(err, errTentative) {
+		transaction, result, err = u.tryBegin(begin)
+	}
+	if isUnsent(err) {
+		return nil, rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
+	}
+	return transaction, result, err
+}
+
+// tryBegin is Begin on one connection. After an *UnsentError the first statement has not
+// been sent.
+func (u *Upstream) tryBegin(begin Begin) (Transaction, rattanstatement.Result, error) {
 	pooled, err := u.acquire(begin.First.AcquireRequest)
 	if err != nil {
 		return nil, rattanstatement.Result{}, err
@@ -67,7 +80,7 @@
 	if err != nil {
 		transaction.fail(err)
 		if isUnsent(err) {
-			return nil, rattanstatement.Result{}, errors.Wrap(ErrOverloaded, err.Error())
+			return nil, rattanstatement.Result{}, err
 		}
 		return nil, rattanstatement.Result{}, errors.Wrap(ErrTimeout, err.Error())
 	}
@@ -133,7 +146,7 @@
 	if err != nil || !result.OK() {
 		return result, err
 	}
-	if statement.IsWrite && t.conn.conn.answers.IsTentative() {
+	if t.conn.conn.answers.IsTentative() {
 		return rattanstatement.Result{}, &UnsentError{Cause: errTentative}
 	}
 	t.hasWritten = statement.IsWrite
