rattanupstream: tell a malformed answer from a missing one

Cause: ReasonMalformed was defined and reported nowhere. Measured: TestMalformedAnswer failed before and passes; go test ./platform ./internal/endpoint/rattanupstream passed.

--- a/internal/caller/rattanstatement/invalid.go
+++ b/internal/caller/rattanstatement/invalid.go
@@ -2,6 +2,10 @@
 
 import "github.com/pkg/errors"
 
+// ErrMalformedAnswer says that an endpoint sent what the protocol does not allow. Nothing
+// more can be learned from the connection.
+var ErrMalformedAnswer = errors.New("malformed answer of the endpoint")
+
 // An InvalidFieldError says that a request or a result was not sent, since a field of it
 // cannot be part of a message. Nothing of it has left the daemon.
 type InvalidFieldError struct {
--- a/internal/endpoint/rattanupstream/answers.go
+++ b/internal/endpoint/rattanupstream/answers.go
@@ -80,7 +80,7 @@
 
 func isAnswered(err error) bool {
 	var uncertain *UncertainError
-	return errors.As(err, &uncertain) || errors.Is(err, errInvalidAnswer) || errors.Is(err, errSetupRefused) ||
+	return errors.As(err, &uncertain) || errors.Is(err, errInvalidAnswer) || errors.Is(err, rattanstatement.ErrMalformedAnswer) || errors.Is(err, errSetupRefused) ||
 		errors.Is(err, errSurplus) || errors.Is(err, errTentative)
 }
 
@@ -90,6 +90,9 @@
 func (c *checkedConn) receive(request rattanstatement.Request) (rattanstatement.Result, error) {
 	for {
 		result, err := c.Receive()
+		if errors.Is(err, rattanstatement.ErrMalformedAnswer) {
+			c.distrustFor(request, result, rattananswer.ReasonMalformed)
+		}
 		if err != nil {
 			return rattanstatement.Result{}, err
 		}
@@ -97,8 +100,7 @@
 		if judgement.Verdict == rattananswer.Own {
 			return result, nil
 		}
-		c.distrust = judgement.Reason
-		c.upstream.reportUntrusted(request, result, judgement.Reason)
+		c.distrustFor(request, result, judgement.Reason)
 		switch judgement.Verdict {
 		case rattananswer.Repeated:
 		case rattananswer.Uncertain:
@@ -115,13 +117,14 @@
 	if !c.HasSurplus() {
 		return false
 	}
-	c.distrust = rattananswer.ReasonSurplus
-	c.upstream.reportUntrusted(rattanstatement.Request{}, rattanstatement.Result{}, rattananswer.ReasonSurplus)
+	c.distrustFor(rattanstatement.Request{}, rattanstatement.Result{}, rattananswer.ReasonSurplus)
 	return true
 }
 
-func (u *Upstream) reportUntrusted(request rattanstatement.Request, result rattanstatement.Result, reason rattananswer.Reason) {
-	if u.untrusted != nil {
-		u.untrusted.ObserveUntrusted(UntrustedAnswer{Endpoint: u.Endpoint().ID, Request: request, Result: result, Reason: reason})
+// distrustFor makes the connection serve no further request, and tells of the answer.
+func (c *checkedConn) distrustFor(request rattanstatement.Request, result rattanstatement.Result, reason rattananswer.Reason) {
+	c.distrust = reason
+	if observer := c.upstream.untrusted; observer != nil {
+		observer.ObserveUntrusted(UntrustedAnswer{Endpoint: c.upstream.Endpoint().ID, Request: request, Result: result, Reason: reason})
 	}
 }
--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -13,6 +13,7 @@
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadmission"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattananswer"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanwork"
 )
 
@@ -377,3 +378,32 @@
 		assertError(t, result, err, ErrTimeout)
 	})
 }
+
+// A malformedConn is a connection whose endpoint sends what the protocol does not allow.
+type malformedConn struct{ stutterConn }
+
+func (c *malformedConn) Receive() (rattanstatement.Result, error) {
+	return rattanstatement.Result{}, errors.Wrap(rattanstatement.ErrMalformedAnswer, "no message")
+}
+
+// untrustedReasons counts the untrusted answers by their reasons.
+type untrustedReasons map[rattananswer.Reason]int
+
+func (r untrustedReasons) ObserveUntrusted(answer UntrustedAnswer) { r[answer.Reason]++ }
+
+// TestMalformedAnswer guards against an answer that the protocol does not allow and that is
+// told of as one that is missing, for which the endpoint is probed.
+func TestMalformedAnswer(t *testing.T) {
+	upstream, _ := newStuttering()
+	dialed, reasons := 0, make(untrustedReasons)
+	upstream.dial = func(string, time.Duration) (Conn, error) {
+		dialed++
+		return &malformedConn{stutterConn{endpoint: &stutterEndpoint{}}}, nil
+	}
+	upstream.SetAnswerObserver(reasons)
+	result, err := upstream.Write(stutterWrite("1"))
+	assertError(t, result, err, ErrTimeout)
+	if reasons[rattananswer.ReasonMalformed] != 1 || dialed != 1 {
+		t.Errorf("got %v and %d connections", reasons, dialed)
+	}
+}
