rattanupstream: restore the case of a read that is refused as behind without a position

What callers saw: nothing; a test became weaker.

Cause: TestCountRun had a case of a read without a minimum position that is refused as behind and counts for nothing.

--- a/internal/endpoint/rattanupstream/runs_test.go
+++ b/internal/endpoint/rattanupstream/runs_test.go
@@ -68,6 +68,7 @@
 	}{
 		{"statements", []rattanstatement.Request{statement, statement}, []rattanstatement.Result{idle, idle}, 2},
 		{"refused", []rattanstatement.Request{statement, atPosition}, []rattanstatement.Result{refused(rattanstatement.Busy), refused(rattanstatement.Behind)}, 0},
+		{"refused without a minimum position", []rattanstatement.Request{statement, statement}, []rattanstatement.Result{refused(rattanstatement.Busy), refused(rattanstatement.Behind)}, 0},
 		{"refused twice alike", []rattanstatement.Request{atPosition, atPosition}, []rattanstatement.Result{refused(rattanstatement.Behind), refused(rattanstatement.Behind)}, 0},
 		{"failed", []rattanstatement.Request{statement}, []rattanstatement.Result{refused(rattanstatement.Failed)}, 1},
 		{"repeated", []rattanstatement.Request{statement, repeat}, []rattanstatement.Result{refused(rattanstatement.Failed), idle}, 1},
