rattanproxy: adopt a failover leadership whose answer was lost

Cause: the class is an outcome that is unknown and counts as a failure. The store took the write, its answer was lost, and neither the writer nor anybody else compared the record with what the writer believes of itself. Change: a daemon that finds the record with its own incarnation and its present lease, and with the newest token, leads.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -146,7 +146,9 @@
 			}
 		} else {
 			freeSince = time.Time{}
-			p.checkLeader(ctx, runner, snapshot, era, held)
+			if !p.adoptLeadership(held) {
+				p.checkLeader(ctx, runner, snapshot, era, held)
+			}
 		}
 		if _, isHeld := held.Token(); isHeld && !wasHeld {
 			continue
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -42,6 +42,8 @@
 	lastLease      int64
 	isDown         bool
 	refusedClients map[string]bool
+	// lostAnswers has the keys of which the answer to the next write is lost.
+	lostAnswers map[string]bool
 	// pageSize is the largest number of items in a response to a read.
 	pageSize int
 	// calls counts the calls by the first part of their path.
@@ -59,7 +61,7 @@
 func New(promote func(group, endpoint string) bool) *Server {
 	return &Server{
 		promote: promote, items: make(map[string]item), leases: make(map[int64]*lease),
-		revision: 1, era: 1, refusedClients: make(map[string]bool), pageSize: smallPage, calls: make(map[string]int), changed: make(chan struct{}),
+		revision: 1, era: 1, refusedClients: make(map[string]bool), lostAnswers: make(map[string]bool), pageSize: smallPage, calls: make(map[string]int), changed: make(chan struct{}),
 	}
 }
 
@@ -345,6 +347,7 @@
 		s.remove(key)
 	}
 	s.notifyWatches()
+	s.loseAnswer(request)
 	respond(w, http.StatusOK, map[string]any{"revision": s.revision})
 }
 
