rattanproxy: run only whole requests of other daemons

Cause: whatever is absent or unknown counted as a case of its own: no kind as an abort, no shape as a text. Change: a statement is either a text or the execution of a prepared one, all but reads and writes name a transaction, and the kind is known; anything else is answered as not run, with peer_request_untrusted and its counter.

--- a/internal/daemon/rattanproxy/forwardedwork.go
+++ b/internal/daemon/rattanproxy/forwardedwork.go
@@ -159,6 +159,10 @@
 }
 
 func (f *forwardedWork) run(request *rattanv1.WorkRequest) *rattanv1.WorkResponse {
+	if !isWholeRequest(request) {
+		f.proxy.observeUntrustedRequest(request)
+		return unknownWorkResponse()
+	}
 	now, schedule := f.proxy.clock.Now(), f.proxy.stopSchedule.Load()
 	statement := decodeWorkRequest(request, now)
 	statement.Deadline = schedule.LimitDeadline(statement.Deadline)
--- a/internal/daemon/rattanproxy/untrusted.go
+++ b/internal/daemon/rattanproxy/untrusted.go
@@ -48,6 +48,16 @@
 		"request", request.GetKind().String(), "reason", string(reason))
 }
 
+// countPeerRequests counts the requests of other daemons that are not whole.
+const countPeerRequests = "peer_requests_untrusted"
+
+// observeUntrustedRequest counts and logs a request of another daemon that is not whole.
+func (p *Proxy) observeUntrustedRequest(request *rattanv1.WorkRequest) {
+	p.metrics.count(countPeerRequests)
+	p.logger.Warn("peer_request_untrusted", "id", request.GetStatementId(), "transaction", request.GetTransaction(),
+		"request", request.GetKind().String())
+}
+
 // countUnsendable counts the statements that no message between daemons can hold.
 const countUnsendable = "statements_unsendable"
 
--- a/internal/daemon/rattanproxy/workmismatch.go
+++ b/internal/daemon/rattanproxy/workmismatch.go
@@ -65,3 +65,20 @@
 func isSigned(kind rattanv1.WorkKind) bool {
 	return kind != rattanv1.WorkKind_WORK_KIND_ROLLBACK && kind != rattanv1.WorkKind_WORK_KIND_ABORT
 }
+
+// isWholeRequest reports whether a request says all that a request of its kind needs. A
+// statement is either a text or the execution of a prepared one.
+func isWholeRequest(request *rattanv1.WorkRequest) bool {
+	isStatement := (request.GetText() == "") != (request.GetShape() == "")
+	hasTransaction := request.GetTransaction() != ""
+	switch request.GetKind() {
+	case rattanv1.WorkKind_WORK_KIND_READ, rattanv1.WorkKind_WORK_KIND_WRITE:
+		return isStatement
+	case rattanv1.WorkKind_WORK_KIND_BEGIN, rattanv1.WorkKind_WORK_KIND_RUN, rattanv1.WorkKind_WORK_KIND_COMMIT:
+		return isStatement && hasTransaction
+	case rattanv1.WorkKind_WORK_KIND_ROLLBACK, rattanv1.WorkKind_WORK_KIND_ABORT:
+		return hasTransaction
+	default:
+		return false
+	}
+}
