rattantransaction: tests of one number for two statements, failing

Cause: the recorded answer is found by the number alone; nothing compares the statement that it answers. Evidence: both tests fail on this code. Measured: go test ./internal/caller/rattantransaction: 5 of 5 subtests of TestNumberOfAnotherStatement and TestStatementAfterRefusedOne fail.

--- a/internal/caller/rattantransaction/registry_test.go
+++ b/internal/caller/rattantransaction/registry_test.go
@@ -19,6 +19,8 @@
 	running    atomic.Int32
 	overlapped atomic.Bool
 	done       chan struct{}
+	// refusal is the error of the first statement.
+	refusal error
 	// rollbackTime is how long a rollback takes.
 	rollbackTime time.Duration
 }
@@ -29,7 +31,11 @@
 	}
 	time.Sleep(10 * time.Millisecond)
 	c.running.Add(-1)
-	return &rattanv1.Result{Affected: int64(c.executed.Add(1))}, nil
+	executed := c.executed.Add(1)
+	if executed == 1 && c.refusal != nil {
+		return nil, c.refusal
+	}
+	return &rattanv1.Result{Affected: int64(executed)}, nil
 }
 
 func (c *fakeConnection) Commit(context.Context, string) (rattanmodel.Position, error) {
@@ -174,3 +180,60 @@
 		}
 	})
 }
+
+// TestNumberOfAnotherStatement guards against a statement that gets the recorded
+// answer of another one because both have the same number.
+func TestNumberOfAnotherStatement(t *testing.T) {
+	text := func(value string) *rattanv1.Value { return &rattanv1.Value{Kind: &rattanv1.Value_Text{Text: value}} }
+	first := &rattanv1.Statement{Text: "SELECT amount FROM stock WHERE sku = ?", Arguments: []*rattanv1.Value{text("a"), text("b")}}
+	for _, tc := range []struct {
+		name  string
+		other *rattanv1.Statement
+	}{
+		{"other text", &rattanv1.Statement{Text: "SELECT 1", Arguments: first.GetArguments()}},
+		{"other argument", &rattanv1.Statement{Text: first.GetText(), Arguments: []*rattanv1.Value{text("a"), text("c")}}},
+		{"arguments that are joined", &rattanv1.Statement{Text: first.GetText(), Arguments: []*rattanv1.Value{text("ab")}}},
+		{"argument of another type", &rattanv1.Statement{
+			Text: first.GetText(), Arguments: []*rattanv1.Value{text("a"), {Kind: &rattanv1.Value_Blob{Blob: []byte("b")}}},
+		}},
+		{"no arguments", &rattanv1.Statement{Text: first.GetText()}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r := New(rattanclock.System(), "vm-1", 1, Limits{MaxOpen: 1, IdleTimeout: time.Minute})
+				id, connection := begin(ctx, t, r)
+				if _, err := r.Execute(ctx, id, owner, 1, first); err != nil {
+					t.Fatal(err)
+				}
+				_, err := r.Execute(ctx, id, owner, 1, tc.other)
+				assertReason(t, err, rattanv1.Reason_REASON_BAD_REQUEST)
+				if _, err := r.Execute(ctx, id, owner, 1, first); err != nil || connection.executed.Load() != 1 {
+					t.Errorf("repeated statement: error %v, executed %d times, want the recorded answer", err, connection.executed.Load())
+				}
+			})
+		})
+	}
+}
+
+// TestStatementAfterRefusedOne guards against a statement that gets the recorded
+// refusal of another one: a caller uses the number of a statement that did not run
+// again.
+func TestStatementAfterRefusedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := New(rattanclock.System(), "vm-1", 1, Limits{MaxOpen: 1, IdleTimeout: time.Minute})
+		id, connection := begin(ctx, t, r)
+		connection.refusal = rattanerr.NewNotRun(rattanv1.Reason_REASON_CONFLICT, 0, "row is locked")
+		for range 2 {
+			_, err := r.Execute(ctx, id, owner, 1, &rattanv1.Statement{Text: "first"})
+			assertReason(t, err, rattanv1.Reason_REASON_CONFLICT)
+		}
+		result, err := r.Execute(ctx, id, owner, 1, &rattanv1.Statement{Text: "second"})
+		if err != nil || result.GetAffected() != 2 {
+			t.Errorf("second statement: result %v, error %v, want a result of its own", result, err)
+		}
+	})
+}
