rattantransaction: a recorded answer answers its own statement only

Cause: the class is an answer that is taken for that to the request sent last. The recorded answer was found by the number of the statement alone. Change: the registry keeps a digest of the last statement's text and arguments. Another statement under its number is refused with bad_request; after a refusal, which has no effect, it runs.

--- a/internal/caller/rattantransaction/transaction.go
+++ b/internal/caller/rattantransaction/transaction.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rattanstream/rattanstream/internal/base/rattanerr"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
@@ -34,8 +37,9 @@
 	end chan struct{}
 
 	// Only the call that holds the value of available may access the fields
-	// below: the number, result and refusal of the last statement.
+	// below: the number, digest, result and refusal of the last statement.
 	sequence uint32
+	digest   [sha256.Size]byte
 	result   *rattanv1.Result
 	refusal  error
 }
@@ -82,22 +86,36 @@
 	t.available <- struct{}{}
 }
 
-// execute runs the statement with number sequence. A repetition of the last number
-// does not run again and gets the recorded result, so that callers can retry a
-// statement whose answer was lost.
+// execute runs the statement with number sequence. A repetition of the last statement
+// under its number does not run again and gets the recorded answer, so that callers can
+// retry a statement whose answer was lost. Another statement may use the number only if
+// the last one was refused, since no refused statement has an effect.
 func (t *Transaction) execute(ctx context.Context, sequence uint32, statement *rattanv1.Statement) (*rattanv1.Result, error) {
-	if sequence != 0 && sequence == t.sequence {
+	digest := digestOf(statement)
+	isLast := sequence != 0 && sequence == t.sequence
+	switch {
+	case isLast && digest == t.digest:
 		return t.result, t.refusal
-	}
-	if sequence != t.sequence+1 {
+	case isLast && t.refusal == nil:
+		return nil, rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0,
+			"statement number %d was used for another statement", sequence)
+	case !isLast && sequence != t.sequence+1:
 		return nil, rattanerr.NewNotRun(rattanv1.Reason_REASON_BAD_REQUEST, 0,
 			"statement number %d is out of order, want %d", sequence, t.sequence+1)
 	}
-	t.sequence = sequence
+	t.sequence, t.digest = sequence, digest
 	t.result, t.refusal = t.connection.Execute(ctx, statement)
 	return t.result, t.refusal
 }
 
+// digestOf returns the SHA-256 over the text and the arguments of a statement.
+func digestOf(statement *rattanv1.Statement) [sha256.Size]byte {
+	// The error is always nil: protobuf fails only on text that is not UTF-8, which no
+	// decoded message holds.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(statement)
+	return sha256.Sum256(data)
+}
+
 // finish marks the transaction as ended. It returns false when the transaction had
 // ended before.
 func (t *Transaction) finish() bool {
