rattanadapter: number every call and take only its own answer

Cause: the class is an answer that is taken for that to the request sent last because it arrives first. HTTP/1.1 has no request numbers, and of the endpoint's answers only the successes of RunStatements repeated one. Change: each call has the header Rattanstream-Call, which the answer and also an error repeats. An answer to another call is an error whose request may have run, and its network connection is closed, since later answers on it are shifted as well. The price in time was not measured.

--- a/internal/endpoint/rattanadapter/client_test.go
+++ b/internal/endpoint/rattanadapter/client_test.go
@@ -23,6 +23,14 @@
 	goleak.VerifyTestMain(m)
 }
 
+// repeatCalls returns next with the header that repeats the number of each call.
+func repeatCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(CallHeader, r.Header.Get(CallHeader))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // handler is an endpoint that answers RunStatements with the function run.
 type handler struct {
 	rattanv1connect.UnimplementedEndpointServiceHandler
@@ -80,7 +88,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			_, service := rattanv1connect.NewEndpointServiceHandler(&handler{run: tc.run})
-			server := httptest.NewServer(service)
+			server := httptest.NewServer(repeatCalls(service))
 			defer server.Close()
 			client := Dial(server.Client(), server.Listener.Addr().String(), "vm-1", 4096)
 			conn, err := client.Open(t.Context())
--- a/internal/endpoint/rattanadapter/repeated_test.go
+++ b/internal/endpoint/rattanadapter/repeated_test.go
@@ -178,7 +178,7 @@
 func newRepeatingClient(t *testing.T) (*Client, *repeatingServer) {
 	t.Helper()
 	_, service := rattanv1connect.NewEndpointServiceHandler(&orderedEndpoint{})
-	server := startRepeatingServer(t, service)
+	server := startRepeatingServer(t, repeatCalls(service))
 	httpClient := NewHTTPClient((&net.Dialer{}).DialContext)
 	t.Cleanup(httpClient.CloseIdleConnections)
 	return Dial(httpClient, server.listener.Addr().String(), "vm-1", 0), server
--- a/internal/standin/rattanendpoint/instance.go
+++ b/internal/standin/rattanendpoint/instance.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanadapter"
 	"github.com/rattanstream/rattanstream/internal/standin/rattansql"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
@@ -77,7 +78,17 @@
 	mux := http.NewServeMux()
 	mux.Handle(rattanv1connect.NewEndpointServiceHandler(i, connect.WithInterceptors(connect.UnaryInterceptorFunc(i.intercept))))
 	mux.HandleFunc("/control", i.serveControl)
-	return i.recordRequests(mux)
+	return i.recordRequests(repeatCalls(mux))
+}
+
+// repeatCalls returns next with the header that repeats the number of each call.
+func repeatCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if number := r.Header.Get(rattanadapter.CallHeader); number != "" {
+			w.Header().Set(rattanadapter.CallHeader, number)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Run replicates the log, sends status queries and closes connections with idle
