rattanadapter: take a success only with what proves it

Cause: the class is an answer that is not whole and passes as a success; what an answer proves was inferred from the absence of an error. Change: package rattanadapter checks each success against its request: position, term and promise of a wait, promise and coordinator of a fence, role and term of a promotion, run state and record of an outcome, position of a write, and the minimum position of a read. What lacks its proof is an error whose request may have run: a write is repeated under its identifier, a read goes on.

--- a/internal/endpoint/rattanadapter/client.go
+++ b/internal/endpoint/rattanadapter/client.go
@@ -14,9 +14,9 @@
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1/rattanv1connect"
 )
 
-// A Client calls one endpoint. Its errors are *Fault, Connect errors or errors of a
-// request that was not sent. RunState reports which of them prove that the request
-// has not run. A Client is safe for concurrent use.
+// A Client calls one endpoint. Its errors are *Fault, *UnprovenAnswerError, Connect
+// errors or errors of a request that was not sent. RunState reports which of them prove
+// that the request has not run. A Client is safe for concurrent use.
 type Client struct {
 	wire   rattanv1connect.EndpointServiceClient
 	daemon string
@@ -53,19 +53,35 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := proven(response.GetConnection() != "", "the name of the connection"); err != nil {
+		return nil, err
+	}
 	return newConn(c, response.GetConnection()), nil
 }
 
 // FindOutcome looks up the record of a request at the primary of the request's term.
 // An identifier without a record is cancelled there, so that it cannot run later.
 func (c *Client) FindOutcome(ctx context.Context, request *rattanv1.FindOutcomeRequest) (*rattanv1.FindOutcomeResponse, error) {
-	return invoke(ctx, c.wire.FindOutcome, connect.NewRequest(request))
+	response, err := invoke(ctx, c.wire.FindOutcome, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkOutcome(response); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // Status returns the endpoint's own status.
 func (c *Client) Status(ctx context.Context) (*rattanv1.EndpointStatus, error) {
 	response, err := invoke(ctx, c.wire.GetStatus, connect.NewRequest(&rattanv1.GetStatusRequest{}))
-	return response.GetStatus(), err
+	if err != nil {
+		return nil, err
+	}
+	if err := proven(response.GetStatus() != nil, "the status"); err != nil {
+		return nil, err
+	}
+	return response.GetStatus(), nil
 }
 
 // WaitPosition returns when the endpoint holds position in the position's own
@@ -79,14 +95,26 @@
 		MaxWaitMs: remainingMilliseconds(ctx),
 	}
 	response, err := invoke(ctx, c.wire.WaitPosition, connect.NewRequest(request))
-	return response.GetStatus(), err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkReached(response.GetStatus(), position); err != nil {
+		return nil, err
+	}
+	return response.GetStatus(), nil
 }
 
 // Fence asks the endpoint to promise term to coordinator.
 func (c *Client) Fence(ctx context.Context, term uint64, coordinator string) (*rattanv1.EndpointStatus, error) {
 	request := &rattanv1.FenceRequest{Term: term, Coordinator: coordinator}
 	response, err := invoke(ctx, c.wire.Fence, connect.NewRequest(request))
-	return response.GetStatus(), err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkPromised(response.GetStatus(), term, coordinator); err != nil {
+		return nil, err
+	}
+	return response.GetStatus(), nil
 }
 
 // Promote makes the endpoint the primary of term. The fenced endpoints are those that
@@ -94,5 +122,11 @@
 func (c *Client) Promote(ctx context.Context, term uint64, coordinator string, fenced []string) (*rattanv1.EndpointStatus, error) {
 	request := &rattanv1.PromoteRequest{Term: term, Coordinator: coordinator, Fenced: fenced}
 	response, err := invoke(ctx, c.wire.Promote, connect.NewRequest(request))
-	return response.GetStatus(), err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkPromoted(response.GetStatus(), term); err != nil {
+		return nil, err
+	}
+	return response.GetStatus(), nil
 }
--- a/internal/endpoint/rattanadapter/conn.go
+++ b/internal/endpoint/rattanadapter/conn.go
@@ -83,8 +83,8 @@
 	return connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeNotFound
 }
 
-// checkResponse returns an error unless the response belongs to the request's call and
-// has a result for every statement. A rollback has no results.
+// checkResponse returns an error unless the response belongs to the request's call, has
+// a result for every statement and proves its position. A rollback has no results.
 func (c *Conn) checkResponse(request *rattanv1.RunStatementsRequest, response *rattanv1.RunStatementsResponse) error {
 	if response.GetCall() != request.GetCall() {
 		return &CrossedAnswerError{Connection: c.name, Want: request.GetCall(), Got: response.GetCall()}
@@ -96,7 +96,7 @@
 	if want != got {
 		return &PartialAnswerError{Connection: c.name, Want: want, Got: got}
 	}
-	return nil
+	return checkPosition(request, response)
 }
 
 func (c *Conn) beforeStep(step rattanv1.TransactionStep) {
