rattancmd: explain quotes text that could be taken for fields or lines

Cause: the class is text that one side takes as data and the other as structure; the table of explain wrote fields as they are. Change: a field with an equals sign, a quotation mark or a character that is not printable is quoted, as strconv does. JSON output was right already.

--- a/internal/cmd/rattancmd/explaincmd.go
+++ b/internal/cmd/rattancmd/explaincmd.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -144,7 +145,7 @@
 			}
 			continue
 		}
-		if _, err := fmt.Fprintf(c.stdout, "%s  %-20s %-22s %s\n", line.at.Format("15:04:05.000"), line.text("vm"), line.text("msg"), line.otherFields()); err != nil {
+		if _, err := fmt.Fprintf(c.stdout, "%s  %-20s %-22s %s\n", line.at.Format("15:04:05.000"), quoteOdd(line.text("vm")), quoteOdd(line.text("msg")), line.otherFields()); err != nil {
 			return err
 		}
 	}
@@ -163,7 +164,16 @@
 	sort.Strings(names)
 	var parts []string
 	for _, name := range names {
-		parts = append(parts, fmt.Sprintf("%s=%v", name, l.fields[name]))
+		parts = append(parts, quoteOdd(name)+"="+quoteOdd(fmt.Sprint(l.fields[name])))
 	}
 	return strings.Join(parts, " ")
 }
+
+// quoteOdd returns text in quotes if it could be taken for several fields or lines.
+func quoteOdd(text string) string {
+	isOdd := func(r rune) bool { return r == '=' || r == '"' || !strconv.IsPrint(r) }
+	if strings.ContainsFunc(text, isOdd) {
+		return strconv.Quote(text)
+	}
+	return text
+}
