rattancmd: log the messages of libraries as JSON lines without responses

Cause: Go's standard logger wrote to standard error beside the log; net/http prints the first bytes of a response that nobody awaits, which is what an endpoint that answers twice sends. Evidence: go test ./internal/endpoint/rattanadapter -run TestRepeatedHTTPAnswer prints such lines, with the body of the answer. Change: serve logs each message as the event library_message, cut off before the bytes of a response. Measured: go test -race ./internal/cmd/rattancmd -run 'TestLibraryLog|TestExplain' passed. The test needs the new function, so it has not been run on the code before.

--- a/internal/cmd/rattancmd/servecmd.go
+++ b/internal/cmd/rattancmd/servecmd.go
@@ -89,6 +89,7 @@
 	}
 	defer closeLog()
 	logger = logger.With("vm", process.Daemon().VM())
+	defer captureLibraryLog(logger)()
 	go c.observeRepeatedSignals(func(name string) { logger.Warn("daemon was asked again to stop", "signal", name) })
 	daemon, err := rattandaemon.New(process, rattanclock.System(), logger, options...)
 	if err != nil {
