rattandaemon: take a forwarded answer only with what proves it

Cause: the class is an answer that is not whole and passes as a success; the kind of the frame and its parts were not looked at. Change: a forwarded statement needs its result, a commit its own request identifier with group and position, a rollback neither. Any other answer is refused with the run state unknown, and a commit's refusal names the identifier for GetOutcome.

--- a/internal/daemon/rattandaemon/peer_link.go
+++ b/internal/daemon/rattandaemon/peer_link.go
@@ -85,9 +85,24 @@
 	if response.GetRefusal() != nil {
 		return nil, rattanerr.RefusalFromWire(response.GetRefusal())
 	}
+	if !answersForward(request, response) {
+		return nil, rattanerr.NewUnknown(rattanv1.Reason_REASON_TRANSACTION_LOST, request.GetRequestId(),
+			"VM %s, which owns the transaction, sent an answer that is not whole", vm)
+	}
 	return response, nil
 }
 
+// answersForward reports whether response is a whole answer to the forwarded call: a
+// statement has a result, a commit its request identifier and its position.
+func answersForward(request *rattanv1.ForwardRequest, response *rattanv1.ForwardResponse) bool {
+	hasResult := response.GetResult() != nil
+	isCommitted := response.GetGroup() != "" && response.GetPosition().GetIndex() > 0
+	return response != nil &&
+		hasResult == (request.GetStatement() != nil) &&
+		isCommitted == (request.GetRequestId() != "") &&
+		response.GetRequestId() == request.GetRequestId()
+}
+
 // forwardRefusal returns the refusal for a forwarded call of a transaction that
 // failed. A call that was never sent has certainly not run; of any other it is
 // unknown.
