client: test of answers that are not whole, failing

Cause: an answer that decodes counts as whole, and an empty body decodes. The fake daemon of the tests now answers statements and commits as the daemon does.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -37,6 +37,15 @@
 	return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 }
 
+// shortenAnswer runs the request and takes everything out of the body of its answer.
+func shortenAnswer(_ *system, run func() (*http.Response, error)) (*http.Response, error) {
+	response, err := run()
+	if err == nil {
+		response.Body, response.ContentLength = http.NoBody, 0
+	}
+	return response, err
+}
+
 func refuse(refusal *rattanerr.Refusal) fault {
 	return func(s *system, run func() (*http.Response, error)) (*http.Response, error) {
 		s.refusal = refusal
@@ -123,11 +132,11 @@
 }
 
 func (s *system) ExecuteInTransaction(_ context.Context, request *connect.Request[rattanv1.ExecuteInTransactionRequest]) (*connect.Response[rattanv1.ExecuteInTransactionResponse], error) {
-	return answer(s, request.Header(), &rattanv1.ExecuteInTransactionResponse{}, "statement "+strconv.Itoa(int(request.Msg.GetSequence())))
+	return answer(s, request.Header(), &rattanv1.ExecuteInTransactionResponse{Result: &rattanv1.Result{Affected: 1}}, "statement "+strconv.Itoa(int(request.Msg.GetSequence())))
 }
 
 func (s *system) Commit(_ context.Context, request *connect.Request[rattanv1.CommitRequest]) (*connect.Response[rattanv1.CommitResponse], error) {
-	return answer(s, request.Header(), &rattanv1.CommitResponse{}, request.Msg.GetRequestId())
+	return answer(s, request.Header(), &rattanv1.CommitResponse{RequestId: request.Msg.GetRequestId()}, request.Msg.GetRequestId())
 }
 
 func (s *system) GetOutcome(_ context.Context, request *connect.Request[rattanv1.GetOutcomeRequest]) (*connect.Response[rattanv1.GetOutcomeResponse], error) {
@@ -363,3 +372,57 @@
 		}
 	})
 }
+
+// TestShortenedAnswer guards against an answer that is not whole and is returned as a
+// success without its result.
+func TestShortenedAnswer(t *testing.T) {
+	begin := func(t *testing.T, c *Client) *Tx {
+		t.Helper()
+		tx, err := c.Begin(t.Context(), "orders")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return tx
+	}
+	for _, tc := range []struct {
+		name string
+		call func(t *testing.T, s *system, c *Client) (int64, error)
+	}{
+		{"write", func(t *testing.T, s *system, c *Client) (int64, error) {
+			s.faults = []fault{shortenAnswer}
+			answer, err := c.Execute(t.Context(), "orders", insert)
+			return answer.Affected, err
+		}},
+		{"read", func(t *testing.T, s *system, c *Client) (int64, error) {
+			s.faults = []fault{shortenAnswer}
+			answer, err := c.Query(t.Context(), "orders", Statement{Text: "select"})
+			return answer.Affected, err
+		}},
+		{"statement of a transaction", func(t *testing.T, s *system, c *Client) (int64, error) {
+			tx := begin(t, c)
+			s.faults = []fault{shortenAnswer}
+			result, err := tx.Execute(t.Context(), insert)
+			return result.Affected, err
+		}},
+		{"commit", func(t *testing.T, s *system, c *Client) (int64, error) {
+			tx := begin(t, c)
+			s.faults = []fault{shortenAnswer, shortenAnswer}
+			err := tx.Commit(t.Context(), WithRequestID("c1"))
+			return int64(len(s.hosts) - 3), err // the commit and two outcomes follow Begin
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, func(t *testing.T, s *system, c *Client) {
+				if affected, err := tc.call(t, s, c); err != nil || affected != 1 {
+					t.Errorf("got %d, %v, want 1 from the whole answer", affected, err)
+				}
+			})
+		})
+	}
+	t.Run("begin", func(t *testing.T) {
+		run(t, func(t *testing.T, _ *system, c *Client) {
+			_, err := c.Begin(t.Context(), "orders")
+			assertState(t, err, Unknown)
+		}, shortenAnswer)
+	})
+}
