client: take an answer only if it is whole and its own

Cause: the class is an answer that is not whole and passes as a success; the client looked neither for the result nor at the identifier that the answers to writes and commits repeat. Change: Execute, Query and a statement of a transaction need their result, Batch one for each statement, Begin its transaction, and a write or commit its own request identifier. Any other answer is an error with the run state unknown: a read is sent again, the outcome of a write is looked up.

--- a/client/execute.go
+++ b/client/execute.go
@@ -85,7 +85,7 @@
 	}
 	first, cancel := leaveTimeForOutcome(ctx, o.idempotent)
 	defer cancel()
-	response, err := call(first, c, rattanv1connect.CallerServiceClient.Execute, request, o.idempotent)
+	response, err := call(first, c, whole(rattanv1connect.CallerServiceClient.Execute, isWholeExecute(o.requestID)), request, o.idempotent)
 	if err == nil {
 		return answerFromWire(response), nil
 	}
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	request := &rattanv1.ExecuteRequest{Service: service, Route: o.route, Statement: wire, ReadOnly: true, Idempotent: true}
-	response, err := call(ctx, c, rattanv1connect.CallerServiceClient.Execute, request, true)
+	response, err := call(ctx, c, whole(rattanv1connect.CallerServiceClient.Execute, isWholeExecute("")), request, true)
 	if err != nil {
 		return nil, err
 	}
@@ -126,7 +126,7 @@
 	request := &rattanv1.ExecuteBatchRequest{Service: service, Route: o.route, Statements: wire, RequestId: o.requestID}
 	first, cancel := leaveTimeForOutcome(ctx, false)
 	defer cancel()
-	response, err := call(first, c, rattanv1connect.CallerServiceClient.ExecuteBatch, request, false)
+	response, err := call(first, c, whole(rattanv1connect.CallerServiceClient.ExecuteBatch, isWholeBatch(o.requestID, len(wire))), request, false)
 	if err == nil {
 		return &BatchAnswer{
 			Results:   resultsFromWire(response.GetResults()),
--- a/client/tx.go
+++ b/client/tx.go
@@ -27,7 +27,7 @@
 func (c *Client) Begin(ctx context.Context, service string, options ...CallOption) (*Tx, error) {
 	o := newCallOptions(options)
 	request := &rattanv1.BeginRequest{Service: service, Route: o.route}
-	response, err := call(ctx, c, rattanv1connect.CallerServiceClient.Begin, request, false)
+	response, err := call(ctx, c, whole(rattanv1connect.CallerServiceClient.Begin, isWholeBegin), request, false)
 	if err != nil {
 		return nil, err
 	}
@@ -46,7 +46,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	request := &rattanv1.ExecuteInTransactionRequest{Transaction: t.id, Sequence: t.sequence + 1, Statement: wire}
-	response, err := call(ctx, t.client, rattanv1connect.CallerServiceClient.ExecuteInTransaction, request, true)
+	response, err := call(ctx, t.client, whole(rattanv1connect.CallerServiceClient.ExecuteInTransaction, isWholeStatement), request, true)
 	if err != nil {
 		if e := newError(ctx, err); e.RunState != NotRun {
 			t.sequence++
@@ -68,7 +68,7 @@
 	first, cancel := leaveTimeForOutcome(ctx, false)
 	defer cancel()
 	request := &rattanv1.CommitRequest{Transaction: t.id, RequestId: o.requestID}
-	if _, err := call(first, t.client, rattanv1connect.CallerServiceClient.Commit, request, false); err != nil {
+	if _, err := call(first, t.client, whole(rattanv1connect.CallerServiceClient.Commit, isWholeCommit(o.requestID)), request, false); err != nil {
 		_, err = t.client.findOutcome(ctx, t.service, o.requestID, err)
 		return err
 	}
