--- a/internal/cmd/rattancmd/explaincmd.go
+++ b/internal/cmd/rattancmd/explaincmd.go
@@ -154,7 +154,7 @@
 			}
 			continue
 		}
-		if _, err := fmt.Fprintf(c.stdout, "%s  %-20s %-22s %s\n", line.at.Format("15:04:05.000"), printable(line.text("vm")), printable(line.text("msg")), line.otherFields()); err != nil {
+		if _, err := fmt.Fprintf(c.stdout, "%s  %-20s %-22s %s\n", line.at.Format("15:04:05.000"), quoteOdd(line.text("vm")), quoteOdd(line.text("msg")), line.otherFields()); err != nil {
 			return err
 		}
 	}
@@ -173,17 +173,16 @@
 	sort.Strings(names)
 	var parts []string
 	for _, name := range names {
-		parts = append(parts, printable(name)+"="+printable(fmt.Sprint(l.fields[name])))
+		parts = append(parts, quoteOdd(name)+"="+quoteOdd(fmt.Sprint(l.fields[name])))
 	}
 	return strings.Join(parts, " ")
 }
 
-// printable returns a text as it is, or quoted when it holds quotes or what is not printed, so
-// that a caller's text adds no line and no control characters.
-func printable(text string) string {
-	isPlain := func(r rune) bool { return strconv.IsPrint(r) && r != '"' }
-	if strings.IndexFunc(text, func(r rune) bool { return !isPlain(r) }) < 0 {
-		return text
+// quoteOdd returns text in quotes if it could be taken for several fields or lines.
+func quoteOdd(text string) string {
+	isOdd := func(r rune) bool { return r == '=' || r == '"' || !strconv.IsPrint(r) }
+	if strings.ContainsFunc(text, isOdd) {
+		return strconv.Quote(text)
 	}
-	return strconv.Quote(text)
+	return text
 }
