rattanupstream: confirm a setup whose answer may be that to an earlier one

Cause: a SET or RESET whose answer equals an earlier one may have been refused, with the error still to come, and the statement was sent all the same.

Change: if the last answer of a setup may be that to an earlier request, its SET or RESET is sent once more, and the statement only after the answer to that: the error of a refused one arrives now, and nothing has run. It costs a round trip to the endpoint, no slot and no connection. Two copies in these round trips still hide the refusal. A PREPARE is not repeated: without it the name is unknown. TestErrorOfSetup: its writes are not sent any more, so it asks for ErrOverloaded and counts what was sent; a case with two copies keeps the old demand, that the write is in doubt.

--- a/internal/endpoint/rattanupstream/answers_test.go
+++ b/internal/endpoint/rattanupstream/answers_test.go
@@ -355,11 +355,19 @@
 		return request
 	}
 	t.Run("the copy counts for the request before", func(t *testing.T) {
-		upstream, _ := newStuttering(script{{at(1)}, {row(1, idle)}, {at(1), at(2)}, {}, {busy, row(2, idle)}})
+		upstream, endpoint := newStuttering(script{{at(1)}, {row(1, idle)}, {at(1), at(2)}, {}, {busy, row(2, idle)}})
 		result, err := upstream.Write(with(stutterWrite("1"), "zone", "a"))
 		assertRow(t, result, err, 1)
 		// RESET gets the copy, SET the answer to RESET.
 		result, err = upstream.Write(with(stutterWrite("2"), "unit", "a"))
+		assertError(t, result, err, ErrOverloaded)
+		assertSent(t, endpoint, rattanstatement.Write, 1)
+	})
+	t.Run("two copies", func(t *testing.T) {
+		upstream, _ := newStuttering(script{{at(1)}, {row(1, idle)}, {at(1), at(2)}, {}, {at(1)}, {busy, row(2, idle)}})
+		result, err := upstream.Write(with(stutterWrite("1"), "zone", "a"))
+		assertRow(t, result, err, 1)
+		result, err = upstream.Write(with(stutterWrite("2"), "unit", "a"))
 		assertError(t, result, err, ErrTimeout)
 	})
 	t.Run("the copy has been forgotten", func(t *testing.T) {
@@ -368,12 +376,13 @@
 		for n := 1; n <= writes; n++ {
 			answers = append(answers, []rattanstatement.Result{at(uint64(n))}, []rattanstatement.Result{row(n, idle)})
 		}
-		upstream, _ := newStuttering(append(answers, []rattanstatement.Result{at(1)}, []rattanstatement.Result{busy, row(writes+1, idle)}))
+		upstream, endpoint := newStuttering(append(answers, []rattanstatement.Result{at(1)}, []rattanstatement.Result{busy, row(writes+1, idle)}))
 		for n := 1; n <= writes; n++ {
 			result, err := upstream.Write(with(stutterWrite(strconv.Itoa(n)), "zone", strconv.Itoa(n)))
 			assertRow(t, result, err, n)
 		}
 		result, err := upstream.Write(with(stutterWrite("last"), "zone", "last"))
-		assertError(t, result, err, ErrTimeout)
+		assertError(t, result, err, ErrOverloaded)
+		assertSent(t, endpoint, rattanstatement.Write, writes)
 	})
 }
--- a/internal/endpoint/rattanupstream/pooled_conn.go
+++ b/internal/endpoint/rattanupstream/pooled_conn.go
@@ -199,12 +199,27 @@
 	if err := c.receiveSetup(setup); err != nil {
 		return err
 	}
+	if err := c.confirmSetup(setup[len(setup)-1]); err != nil {
+		return err
+	}
 	if c.conn.hasSurplus() {
 		return errSurplus
 	}
 	return nil
 }
 
+// confirmSetup sends the last setup request once more if its answer may be that to an earlier
+// one: the error of a refused one arrives now. A refused PREPARE shows itself.
+func (c *PooledConn) confirmSetup(last rattanstatement.Request) error {
+	if !c.conn.answers.IsTentative() || last.Kind == rattanstatement.Prepare {
+		return nil
+	}
+	if err := c.conn.Send(last); err != nil {
+		return err
+	}
+	return c.receiveSetup([]rattanstatement.Request{last})
+}
+
 func (c *PooledConn) receiveSetup(setup []rattanstatement.Request) error {
 	for _, request := range setup {
 		result, err := c.conn.receive(request)
