rattansoak: more wrong answers, and slow endpoints

Cause: 2 to 12% of the answers of one endpoint went wrong at a time, and a repeat is only taken for another answer if a request waits when it arrives.

Change: 10 to 50% go wrong while a fault lasts, and slow endpoints are one more kind, so that more requests wait.

--- a/internal/proof/rattansoak/faults.go
+++ b/internal/proof/rattansoak/faults.go
@@ -78,17 +78,27 @@
 	}
 }
 
-// minAnswerShare and answerSpread are the smallest share of an endpoint's answers that go wrong
-// while a fault lasts, and what is added at most.
-const minAnswerShare, answerSpread = 0.02, 0.1
+const (
+	// minAnswerShare and answerSpread are the smallest share of an endpoint's answers that go
+	// wrong while a fault lasts, and what is added at most.
+	minAnswerShare, answerSpread = 0.1, 0.4
+	// slowSpread is the longest time that a statement takes at a slow endpoint.
+	slowSpread = 50 * time.Millisecond
+)
 
-// answerFaults returns the kinds of wrong answers of endpoints.
+// answerFaults returns the kinds of wrong answers of endpoints. At a slow one, a repeated answer
+// more often arrives while a later request waits.
 func answerFaults() []fault {
 	return []fault{
 		answerFault("endpoint repeats answers", false, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Repeated }),
 		answerFault("endpoint cuts answers off", false, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Cut }),
 		answerFault("endpoint splits answers", true, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Split }),
 		answerFault("endpoint refuses requests", false, func(f *rattanlineserver.AnswerFaults) *float64 { return &f.Refused }),
+		{"endpoint is slow", true, func(f *Fleet, r *rand.Rand) (func() error, error) {
+			endpoint := f.endpoints[f.randomEndpoint(r)]
+			endpoint.SetDelay(time.Duration(r.Int64N(int64(slowSpread))))
+			return func() error { endpoint.SetDelay(0); return nil }, nil
+		}},
 	}
 }
 
