rattanadapter: take the answers of endpoints that never number them

Cause: the header is new, and endpoints that run today do not know it. Change: an answer without the header is taken until the endpoint has repeated it once. Such an endpoint stays open to its own repeats. Measured: TestEndpointWithoutCallNumbers/never_numbered fails without the change and passes with it; go test ./internal/endpoint/rattanadapter ./internal/standin/rattanendpoint passed.

--- a/internal/endpoint/rattanadapter/client.go
+++ b/internal/endpoint/rattanadapter/client.go
@@ -35,7 +35,7 @@
 
 // Dial returns a Client of the endpoint at address ("host:port"). It opens no
 // connection yet. A response of more than messageBytes bytes is an error, 0 means no
-// limit; so is one that does not repeat CallHeader.
+// limit; so is one that does not repeat CallHeader, unless the endpoint has never repeated it.
 func Dial(httpClient connect.HTTPClient, address, daemon string, messageBytes int) *Client {
 	wire := rattanv1connect.NewEndpointServiceClient(newNumberedClient(httpClient), "http://"+address,
 		connect.WithReadMaxBytes(messageBytes),
--- a/internal/endpoint/rattanadapter/numbered_client.go
+++ b/internal/endpoint/rattanadapter/numbered_client.go
@@ -35,6 +35,9 @@
 	// calls is the number of the last call. It starts at a random number, as
 	// Client.calls does.
 	calls atomic.Uint64
+	// isNumbered is true once the endpoint has repeated a number. Before, an answer without one
+	// is taken, as endpoints of the first version of the protocol repeat none.
+	isNumbered atomic.Bool
 }
 
 func newNumberedClient(client connect.HTTPClient) *numberedClient {
@@ -59,6 +62,10 @@
 	}
 	got := response.Header.Get(CallHeader)
 	if got == number {
+		n.isNumbered.Store(true)
+		return response, nil
+	}
+	if got == "" && !n.isNumbered.Load() {
 		return response, nil
 	}
 	if info := conn.Load(); info != nil {
--- a/internal/endpoint/rattanadapter/repeated_test.go
+++ b/internal/endpoint/rattanadapter/repeated_test.go
@@ -221,3 +221,53 @@
 		return err
 	}
 }
+
+// answerWithNumbers answers calls with the numbers of a list, where the empty one stands for
+// none and "own" for that of the call.
+type answerWithNumbers []string
+
+func (a *answerWithNumbers) Do(request *http.Request) (*http.Response, error) {
+	header := make(http.Header)
+	switch number := (*a)[0]; number {
+	case "":
+	case "own":
+		header.Set(CallHeader, request.Header.Get(CallHeader))
+	default:
+		header.Set(CallHeader, number)
+	}
+	*a = (*a)[1:]
+	return &http.Response{Header: header, Body: http.NoBody}, nil
+}
+
+// TestEndpointWithoutCallNumbers guards against an endpoint of the first version of the
+// protocol whose answers are all refused, and against one of this version whose answer to
+// another call is taken as it lacks a number.
+func TestEndpointWithoutCallNumbers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		numbers answerWithNumbers
+		isTaken bool
+	}{
+		{"never numbered", answerWithNumbers{"", ""}, true},
+		{"numbered before", answerWithNumbers{"own", ""}, false},
+		{"another number", answerWithNumbers{"", "other"}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client := newNumberedClient(&test.numbers)
+			var err error
+			for range 2 {
+				var request *http.Request
+				if request, err = http.NewRequestWithContext(t.Context(), http.MethodPost, "http://127.0.0.1/", http.NoBody); err != nil {
+					t.Fatal(err)
+				}
+				var response *http.Response
+				if response, err = client.Do(request); err == nil {
+					_ = response.Body.Close()
+				}
+			}
+			if isTaken := err == nil; isTaken != test.isTaken {
+				t.Errorf("got %v, want taken: %t", err, test.isTaken)
+			}
+		})
+	}
+}
