rattanlineserver: compare session values without quoting them

Cause: each statement quoted all session values under the group's lock, with 2.7 MB of them in TestLargeSessionValues. Change: names and values with their lengths in place of quotes.

--- a/internal/standin/rattanlineserver/arrivals.go
+++ b/internal/standin/rattanlineserver/arrivals.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
+	"strings"
 )
 
 // An Arrival is a statement as it has reached an endpoint.
@@ -19,7 +21,13 @@
 }
 
 // FormatVariables returns a text that is the same for equal session variables only.
-func FormatVariables(variables map[string]string) string { return fmt.Sprintf("%q", variables) }
+func FormatVariables(variables map[string]string) string {
+	var text strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(variables)) {
+		fmt.Fprintf(&text, "%d:%s=%d:%s;", len(name), name, len(variables[name]), variables[name])
+	}
+	return text.String()
+}
 
 // Arrivals returns how often each statement has reached an endpoint, by the statement's id.
 func (g *Group) Arrivals() map[string]map[Arrival]int {
