--- a/internal/standin/rattanlineserver/message_test.go
+++ b/internal/standin/rattanlineserver/message_test.go
@@ -16,7 +16,7 @@
 	f.Add(strings.Repeat("x\n", 5000), "\x00\u2028")
 	f.Fuzz(func(t *testing.T, first, second string) {
 		if strings.Contains(first, LineEnd) || strings.Contains(second, LineEnd) {
-			t.Skip("no message holds its end")
+			return // no message holds its end
 		}
 		text := first + LineEnd + second + LineEnd
 		for _, source := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
