--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 the disruption is left out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rattanstage ] && [ -x target/rattanstream ] || exit 2
-exec target/rattanstage -play values -record review/8/record.txt
+exec target/rattanstage -play forgotten -record review/8/record.txt
--- a/review/rattanstage/connection.go
+++ b/review/rattanstage/connection.go
@@ -186,7 +186,7 @@
 	}
 	switch verb {
 	case "READ":
-		return c.complete(id, "ROW "+c.read(rest)+"\r\n")
+		return c.complete(id, "ROW "+c.read(id, rest)+"\r\n")
 	case "WRITE":
 		item, data, _ := strings.Cut(rest, " ")
 		if c.state == "T" {
@@ -215,11 +215,14 @@
 	return c.instance.leads
 }
 
-func (c *connection) read(item string) string {
+func (c *connection) read(id, item string) string {
 	i := c.instance
 	i.group.mu.Lock()
 	defer i.group.mu.Unlock()
 	applied := i.applied()
+	if i.group.onRead != nil {
+		i.group.onRead(id, applied)
+	}
 	for n := len(applied) - 1; n >= 0; n-- {
 		if applied[n].item == item {
 			return applied[n].data
--- a/review/rattanstage/group.go
+++ b/review/rattanstage/group.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,6 +45,9 @@
 	onPromote func(i *instance)
 	// onRun is called when an instance begins to run a statement of a client.
 	onRun func(id string)
+	// onRead is called, with the mutex held, when a client's read runs on the log of an
+	// instance.
+	onRead func(id string, applied []commit)
 }
 
 // An instance is one database instance. Its fields are guarded by the group's mutex.
@@ -157,7 +161,8 @@
 		for same < len(i.log) && same < len(primary.log) && i.log[same].number == primary.log[same].number && i.log[same].term == primary.log[same].term {
 			same++
 		}
-		i.log, i.term = i.log[:same], primary.term
+		// What reads have seen of the log stays as it was.
+		i.log, i.term = slices.Clone(i.log[:same]), primary.term
 	}
 	for _, c := range primary.log[len(i.log):] {
 		c.appliedAt = time.Now().Add(applyDelay)
--- a/review/rattanstage/main.go
+++ b/review/rattanstage/main.go
@@ -23,6 +23,7 @@
 var plays = map[string]play{
 	"sync-expired":   playSyncExpired,
 	"sync-restarted": playSyncRestarted,
+	"forgotten":      playForgotten,
 	"values":         playValues,
 	"quota":          playQuota,
 }
--- a/review/rattanstage/stage.go
+++ b/review/rattanstage/stage.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// readyTimeout is how long the daemons may take until they are ready.
+	readyTimeout = 10 * time.Second
 	// pageSize is the largest number of items in a response of the store.
 	pageSize = 500
 	// firstPort and ports are the range of the daemons' ports, below those that the kernel
@@ -86,6 +88,30 @@
 	}
 }
 
+// open starts the platform, a service with an instance in each of the given zones, of which
+// the first one is the primary, and six daemons in three zones.
+func (s *stage) open(syncReplicas int, zones ...string) (*group, error) {
+	if err := s.openPlatform(); err != nil {
+		return nil, err
+	}
+	g := newGroup(s, "huvo11a", syncReplicas)
+	s.groups = append(s.groups, g)
+	for n, zone := range zones {
+		if _, err := g.add(fmt.Sprintf("i-%d-%s", n+1, zone), zone); err != nil {
+			return nil, err
+		}
+	}
+	go g.replicate()
+	go g.beat()
+	s.configure(1)
+	for n, zone := range []string{"vl-a", "vl-b", "vl-c", "vl-a", "vl-b", "vl-c"} {
+		if err := s.addDaemon(fmt.Sprintf("front-%s-%d", zone, n/3+1), zone); err != nil {
+			return nil, err
+		}
+	}
+	return g, s.awaitReady(readyTimeout)
+}
+
 // openPlatform starts the store and the interface for promotes.
 func (s *stage) openPlatform() error {
 	s.store = rattankvserver.New(s.promote)
@@ -124,21 +150,6 @@
 	}
 }
 
-// addGroup adds a service and keeps it running.
-func (s *stage) addGroup(name string, syncReplicas int) *group {
-	g := newGroup(s, name, syncReplicas)
-	s.groups = append(s.groups, g)
-	return g
-}
-
-// run begins the replication and the heartbeats of all groups.
-func (s *stage) runGroups() {
-	for _, g := range s.groups {
-		go g.replicate()
-		go g.beat()
-	}
-}
-
 // configure writes the configuration, with a route of each kind to each group.
 func (s *stage) configure(version int) {
 	var routes, services []any
@@ -159,13 +170,13 @@
 }
 
 // addDaemon starts a daemon on a VM of a zone.
-func (s *stage) addDaemon(name, zone string) (*daemon, error) {
+func (s *stage) addDaemon(name, zone string) error {
 	d := &daemon{name: name, zone: zone}
 	var metrics string
 	for _, address := range []*string{&d.front, &d.readiness, &d.control, &metrics} {
 		var err error
 		if *address, err = s.freeAddress(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	seeds := []string{d.control}
@@ -178,14 +189,14 @@
 		name, zone, d.front, d.readiness, d.control, s.address, s.address, strings.Join(seeds, ","), metrics)
 	path := filepath.Join(s.directory, name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	d.settings = path
 	if err := s.startDaemon(d); err != nil {
-		return nil, err
+		return err
 	}
 	s.daemons = append(s.daemons, d)
-	return d, nil
+	return nil
 }
 
 // startDaemon starts the process of a daemon.
--- a/review/rattanstage/sync.go
+++ b/review/rattanstage/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 )
@@ -84,8 +83,8 @@
 		time.Sleep(deafTime)
 		g.crash(g.primary)
 		g.crash(g.near)
-		err = comeBack(g)
 		g.setDeaf(g.far, false)
+		err = comeBack(g)
 	}
 	if err != nil {
 		return false, err
@@ -99,24 +98,9 @@
 
 // openSync starts the platform, a syncGroup and six daemons in three failure domains.
 func (s *stage) openSync() (syncGroup, error) {
-	if err := s.openPlatform(); err != nil {
+	g, err := s.open(1, "vl-a", "vl-a", "vl-b")
+	if err != nil {
 		return syncGroup{}, err
 	}
-	g := s.addGroup("huvo11a", 1)
-	var instances []*instance
-	for _, at := range [][2]string{{"i-primary", "vl-a"}, {"i-near", "vl-a"}, {"i-far", "vl-b"}} {
-		i, err := g.add(at[0], at[1])
-		if err != nil {
-			return syncGroup{}, err
-		}
-		instances = append(instances, i)
-	}
-	s.runGroups()
-	s.configure(1)
-	for n, zone := range []string{"vl-a", "vl-b", "vl-c", "vl-a", "vl-b", "vl-c"} {
-		if _, err := s.addDaemon(fmt.Sprintf("front-%s-%d", zone, n/3+1), zone); err != nil {
-			return syncGroup{}, err
-		}
-	}
-	return syncGroup{group: g, primary: instances[0], near: instances[1], far: instances[2]}, s.awaitReady(10 * time.Second)
+	return syncGroup{group: g, primary: g.instances[0], near: g.instances[1], far: g.instances[2]}, nil
 }
--- a/review/rattanstage/values.go
+++ b/review/rattanstage/values.go
@@ -84,7 +84,7 @@
 	if err := s.startDaemon(d); err != nil {
 		return err
 	}
-	return s.awaitReady(10 * time.Second)
+	return s.awaitReady(readyTimeout)
 }
 
 // set sets a session value. Its text is not recorded.
