--- a/review/rattanstage/forgotten.go
+++ b/review/rattanstage/forgotten.go
@@ -72,8 +72,8 @@
 	reads := &readLog{sent: make(map[string]time.Time), logs: make(map[string][]commit)}
 	g.onRead = reads.noteRead
 	for range 4 {
-		go s.writeOn("p"+g.name, writes, 20*time.Millisecond)
-		go s.readOn("p"+g.name, reads, 20*time.Millisecond)
+		go s.writeOn(primaryDatabase, writes, 20*time.Millisecond)
+		go s.readOn(primaryDatabase, reads, 20*time.Millisecond)
 	}
 	time.Sleep(warmUp)
 	if writes.count() == 0 {
--- a/review/rattanstage/quota.go
+++ b/review/rattanstage/quota.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// hotRate and hotBurst are the limit of the tenant whose clients send many times as much,
+	// hotRate is the rate and the burst of the tenant whose clients send many times as much,
 	// in hotSessions sessions.
-	hotRate, hotBurst = 60, 60
-	hotSessions       = 240
+	hotRate     = 60
+	hotSessions = 240
 	// hotPause separates two operations of a session.
 	hotPause = 20 * time.Millisecond
 	// quotaWindow, quotaOverage and quotaSlack are the bounds of the rule.
@@ -69,7 +69,7 @@
 // playQuota plays a tenant that sends many times its limit, while all instances of its
 // service are down for a while.
 func playQuota(s *stage) (bool, error) {
-	s.rate, s.burst = hotRate, hotBurst
+	s.rate = hotRate
 	g, err := s.openSync()
 	if err != nil {
 		return false, err
@@ -77,7 +77,7 @@
 	log := &runLog{sent: make(map[string]time.Time), ran: make(map[string]time.Time)}
 	g.onRun = log.noteRun
 	for n := range hotSessions {
-		go s.press(n, "p"+g.name, log)
+		go s.press(n, primaryDatabase, log)
 	}
 	time.Sleep(quotaWarmUp)
 	if s.hasTrouble {
@@ -93,7 +93,7 @@
 	}
 	time.Sleep(2 * aftermath)
 	most, when := log.most()
-	bound := int((hotRate*quotaWindow.Seconds()+hotBurst)*(1+quotaOverage)) + quotaSlack
+	bound := int((hotRate*quotaWindow.Seconds()+hotRate)*(1+quotaOverage)) + quotaSlack
 	s.record("judge: at most %d operations in a window, the one that ends at %.3f; the bound is %d", most, when.Sub(s.started).Seconds(), bound)
 	return most <= bound, nil
 }
--- a/review/rattanstage/stage.go
+++ b/review/rattanstage/stage.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/standin/rattankvserver"
+	"github.com/rattanstream/rattanstream/platform/platformtest"
 )
 
 const (
@@ -30,6 +31,13 @@
 	firstPort, ports = 20_000, 10_000
 	// key and tenant are those of all clients.
 	key, tenant = "u3f1", "lepu"
+	// service is the service of the configuration that platformtest builds, primaryDatabase
+	// the database of its route to the primary.
+	service, primaryDatabase = "orders", "checkout"
+	// usualRate is the rate of a tenant that stays within it.
+	usualRate = 1000
+	// The terms of the routes.
+	routeTimeout, routeObjective, routeStaleness = time.Second, 200 * time.Millisecond, 1500 * time.Millisecond
 )
 
 // A stage holds the stand-ins and the processes of one case.
@@ -39,16 +47,16 @@
 	host string
 	// hasTrouble is false when the case is played without its disruption.
 	hasTrouble bool
-	// rate and burst are those of the tenant.
-	rate, burst int
-	started     time.Time
-	store       *rattankvserver.Server
-	platform    *http.Server
-	address     string
-	groups      []*group
-	daemons     []*daemon
-	closing     context.Context
-	beginClose  context.CancelFunc
+	// rate is that of the tenant, and its burst.
+	rate       float64
+	started    time.Time
+	store      *rattankvserver.Server
+	platform   *http.Server
+	address    string
+	groups     []*group
+	daemons    []*daemon
+	closing    context.Context
+	beginClose context.CancelFunc
 
 	recordMu sync.Mutex
 	file     io.Writer
@@ -65,7 +73,7 @@
 }
 
 func newStage(program, directory string, file io.Writer, hasTrouble bool) *stage {
-	s := &stage{program: program, directory: directory, file: file, hasTrouble: hasTrouble, rate: 1000, burst: 1000, started: time.Now()}
+	s := &stage{program: program, directory: directory, file: file, hasTrouble: hasTrouble, rate: usualRate, started: time.Now()}
 	s.host = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()>>16&63, os.Getpid()>>8&255, os.Getpid()&255)
 	s.closing, s.beginClose = context.WithCancel(context.Background())
 	return s
@@ -94,7 +102,7 @@
 	if err := s.openPlatform(); err != nil {
 		return nil, err
 	}
-	g := newGroup(s, "huvo11a", syncReplicas)
+	g := newGroup(s, service, syncReplicas)
 	s.groups = append(s.groups, g)
 	for n, zone := range zones {
 		if _, err := g.add(fmt.Sprintf("i-%d-%s", n+1, zone), zone); err != nil {
@@ -103,7 +111,7 @@
 	}
 	go g.replicate()
 	go g.beat()
-	s.configure(1)
+	s.configure(1, g)
 	for n, zone := range []string{"vl-a", "vl-b", "vl-c", "vl-a", "vl-b", "vl-c"} {
 		if err := s.addDaemon(fmt.Sprintf("front-%s-%d", zone, n/3+1), zone); err != nil {
 			return nil, err
@@ -150,23 +158,15 @@
 	}
 }
 
-// configure writes the configuration, with a route of each kind to each group.
-func (s *stage) configure(version int) {
-	var routes, services []any
-	for _, g := range s.groups {
-		services = append(services, map[string]any{"name": g.name, "max_conns": maxConnections, "sync_replicas": g.syncReplicas})
-		for kind, database := range map[string]string{"primary": "p", "bounded_staleness": "b", "read_your_writes": "r"} {
-			routes = append(routes, map[string]any{
-				"name": database + g.name, "database_name": database + g.name, "service": g.name, "route_type": kind, "priority": 1,
-				"timeout_ms": 1000, "target_latency_ms": 200, "max_staleness_ms": 1500,
-			})
-		}
-	}
-	s.record("operator: configuration %d", version)
-	s.put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 3000},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": []string{key}, "rate_per_s": s.rate, "burst": s.burst}},
-	})
+// configure writes the configuration of the service, with a route of each kind.
+func (s *stage) configure(version int, g *group) {
+	config := platformtest.Config{
+		Version: version, Account: tenant, Keys: []string{key}, Rate: s.rate, Connections: maxConnections,
+		Timeout: routeTimeout, Objective: routeObjective, Staleness: routeStaleness,
+	}.Entry()
+	config["services"] = []any{map[string]any{"name": g.name, "max_conns": maxConnections, "sync_replicas": g.syncReplicas}}
+	s.record("operator: configuration %d: %v", version, config)
+	s.put(platformtest.ConfigKey, config)
 }
 
 // addDaemon starts a daemon on a VM of a zone.
--- a/review/rattanstage/sync.go
+++ b/review/rattanstage/sync.go
@@ -63,7 +63,7 @@
 	}
 	writes := newLedger()
 	for range 4 {
-		go s.writeOn("p"+g.name, writes, 20*time.Millisecond)
+		go s.writeOn(primaryDatabase, writes, 20*time.Millisecond)
 	}
 	var mu sync.Mutex
 	lost := 0
--- a/review/rattanstage/values.go
+++ b/review/rattanstage/values.go
@@ -57,7 +57,7 @@
 	value := strings.Repeat("x", length)
 	answered, sessions := 0, []*client{}
 	for len(sessions) < idleSessions {
-		c, err := s.connect(d.front, "phuvo11a")
+		c, err := s.connect(d.front, primaryDatabase)
 		if err != nil {
 			break
 		}
