--- a/review/rattanstage/stage.go
+++ b/review/rattanstage/stage.go
@@ -28,7 +28,7 @@
 	pageSize = 500
 	// firstPort and ports are the range of the daemons' ports, below those that the kernel
 	// gives to outgoing connections.
-	firstPort, ports = 20_000, 10_000
+	firstPort, ports = 20_000, 5_000
 	// key and tenant are those of all clients.
 	key, tenant = "u3f1", "lepu"
 	// service is the service of the configuration that platformtest builds, primaryDatabase
@@ -43,8 +43,10 @@
 // A stage holds the stand-ins and the processes of one case.
 type stage struct {
 	program, directory string
-	// host is a loopback address that no other case has at the same time.
-	host string
+	// host is a loopback address that no other case has at the same time, lastPort the last
+	// of its ports that a daemon has got.
+	host     string
+	lastPort int
 	// hasTrouble is false when the case is played without its disruption.
 	hasTrouble bool
 	// rate is that of the tenant, and its burst.
@@ -73,7 +75,7 @@
 }
 
 func newStage(program, directory string, file io.Writer, hasTrouble bool) *stage {
-	s := &stage{program: program, directory: directory, file: file, hasTrouble: hasTrouble, rate: usualRate, started: time.Now()}
+	s := &stage{program: program, directory: directory, file: file, hasTrouble: hasTrouble, rate: usualRate, started: time.Now(), lastPort: firstPort + rand.IntN(ports)}
 	s.host = fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()>>16&63, os.Getpid()>>8&255, os.Getpid()&255)
 	s.closing, s.beginClose = context.WithCancel(context.Background())
 	return s
@@ -210,9 +212,12 @@
 	return d.process.Start()
 }
 
+// freeAddress returns an address that no other daemon of the case has and on which nothing
+// listens.
 func (s *stage) freeAddress() (string, error) {
-	for range 200 {
-		address := fmt.Sprintf("%s:%d", s.host, firstPort+rand.IntN(ports))
+	for range ports {
+		s.lastPort++
+		address := fmt.Sprintf("%s:%d", s.host, s.lastPort)
 		if listener, err := net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
 		}
