rattanswitchover: remember who may hold a group's log

Cause: who may hold a log was asked of the entries in the store, and of what one process had seen vanish within missingGrace (2.5 s). After that an endpoint had never existed, and the rest of the group was judged as if it were the whole. That an endpoint gets no work and that nobody holds a commit any more was one thing.

Change: the group's record in the store names the holders of the log: id, address, start, newest term in which it was seen, draining. The failover leader writes it when it changes, and every decision on a successor counts the holders, also after a restart or in a store that came back. Silence takes nobody out. What does: another endpoint at the same address that started later (the log was transferred), without synchronous replicas a drained endpoint that has left, a new term of a holder that was seen neither in it nor in the one before, and an operator (rattanstream/abandoned/ID). An endpoint that was started again under its id, or whose log is empty beside those of others, is no witness, and its log comes after those of the history. With synchronous replicas a candidate also holds all that the earlier terms have left to the newest one. While logs are missing the record says which endpoints are awaited: daemons refuse at once what only a primary can run, the leader asks again without writing, and the watchdog does not count it. The answers to status queries are logged.

--- a/internal/config/rattancache/cache.go
+++ b/internal/config/rattancache/cache.go
@@ -48,6 +48,8 @@
 	EndpointRevisions map[string]rattankv.Revision
 	// Evacuated holds the failure domains that are taken out of service.
 	Evacuated map[string]bool
+	// Abandoned holds the endpoints that operators have declared lost for good.
+	Abandoned map[string]bool
 	VMs       map[string]VMRecord
 	// Members holds the newest daemon of each VM in the membership, including VMs
 	// whose lease has ended.
@@ -283,6 +285,7 @@
 		Catalog:   c.snapshot.Catalog,
 		Endpoints: make(map[string]rattancatalog.Endpoint),
 		Evacuated: make(map[string]bool),
+		Abandoned: make(map[string]bool),
 		VMs:       make(map[string]VMRecord),
 		Members:   make(map[string]MemberRecord),
 		Groups:    make(map[string]GroupEntry),
@@ -337,6 +340,10 @@
 		}
 		return nil
 	}
+	if id, ok := abandonedID(key); ok {
+		snapshot.Abandoned[id] = true
+		return nil
+	}
 	if name, ok := vmName(key); ok {
 		record, err := decodeVM(item)
 		if err != nil {
--- a/internal/config/rattancache/decode.go
+++ b/internal/config/rattancache/decode.go
@@ -72,6 +72,11 @@
 	if record.Version < 1 || record.Version > maxNumber || record.FencingToken < 0 || record.FencingToken > maxNumber {
 		return rattangrant.PrimaryRecord{}, errors.Errorf("version %d or fencing token %d is out of range", record.Version, record.FencingToken)
 	}
+	for _, holder := range record.Holders {
+		if holder.ID == "" || holder.Address == "" {
+			return rattangrant.PrimaryRecord{}, errors.Errorf("holder %q has the address %q, want an id and an address", holder.ID, holder.Address)
+		}
+	}
 	return record, nil
 }
 
--- a/internal/config/rattancache/records.go
+++ b/internal/config/rattancache/records.go
@@ -17,6 +17,9 @@
 	MemberPrefix = KeyPrefix + "roll/"
 	// GroupPrefix is the prefix of the keys of the groups' primaries.
 	GroupPrefix = KeyPrefix + "groups/"
+	// AbandonedPrefix is the prefix of the keys by which operators declare that an endpoint
+	// is lost for good, so that no switchover waits for it. The value does not matter.
+	AbandonedPrefix = KeyPrefix + "abandoned/"
 	// LeaderKey holds the record of the failover leader; it is bound to a lease.
 	LeaderKey = KeyPrefix + "duty"
 	// SettledKey holds the era of the store for which the failover leader has written all
@@ -78,5 +81,8 @@
 // memberName returns the VM whose membership record the key holds.
 func memberName(key string) (string, bool) { return strings.CutPrefix(key, MemberPrefix) }
 
+// abandonedID returns the endpoint that the key declares lost for good.
+func abandonedID(key string) (string, bool) { return strings.CutPrefix(key, AbandonedPrefix) }
+
 // groupName returns the group whose primary the key holds.
 func groupName(key string) (string, bool) { return strings.CutPrefix(key, GroupPrefix) }
--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -119,8 +119,9 @@
 		lastEnd: make(map[string]time.Time),
 		blocked: make(map[string]rattanswitchover.Reason),
 
-		termChecks: make(map[string]termCheck),
-		watchdog:   rattanswitchover.NewWatchdog(),
+		termChecks:   make(map[string]termCheck),
+		holderWrites: make(map[string]holderWrite),
+		watchdog:     rattanswitchover.NewWatchdog(),
 		coordinator: rattanswitchover.New(p.boot, p.platform.Store, &endpointControl{proxy: p}, p.platform.Promoter,
 			daemons, held, p.grants.Lifetime()),
 	}
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -60,6 +60,10 @@
 	stopTimeout time.Duration
 	// platform connects a daemon to the platform at an address.
 	platform func(address string) rattanproxy.Platform
+	// syncReplicas is how many replicas receive a commit before it is acknowledged.
+	syncReplicas int
+	// unlisted are the endpoints that write no entries to the store.
+	unlisted map[string]bool
 	// hasMetrics is true when the daemons serve metrics and dumps.
 	hasMetrics bool
 }
@@ -139,7 +143,10 @@
 // register writes the endpoints' entries to the store.
 func (f *fleet) register() {
 	for id, endpoint := range f.endpoints {
-		domain := map[string]string{"e1": "a", "e2": "b", "e3": "b"}[id]
+		if f.isUnlisted(id) {
+			continue
+		}
+		domain := map[string]string{"e1": "a", "e2": "b", "e3": "b", "e4": "b"}[id]
 		if err := f.store.Put("servers/"+id, endpoint.Entry(domain, "ready")); err != nil {
 			f.t.Error(err)
 		}
@@ -157,6 +164,7 @@
 	config := platformtest.Config{
 		Version: version, Account: testAccount, Keys: keys, MoreAccounts: more, Rate: rate, Connections: 30,
 		Timeout: 2 * time.Second, Objective: 250 * time.Millisecond, Staleness: 1500 * time.Millisecond,
+		SyncReplicas: f.syncReplicas,
 	}
 	if err := f.store.Put(platformtest.ConfigKey, config.Entry()); err != nil {
 		f.t.Fatal(err)
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
@@ -35,6 +37,8 @@
 	blocked map[string]rattanswitchover.Reason
 	// termChecks holds the last status queries of groups whose record is in doubt.
 	termChecks map[string]termCheck
+	// holderWrites are the last writes of groups' holders. Only checkGroups uses it.
+	holderWrites map[string]holderWrite
 	// settledEra is the last era that this daemon has recorded as settled. Only
 	// checkGroups uses it.
 	settledEra int64
@@ -57,21 +61,23 @@
 			r.startRestore(ctx, group, state.Record, snapshot.Groups[group].Revision)
 			continue
 		}
+		state.Holders = observedHolders(snapshot, state)
 		r.logBlocked(group, state)
 		reason := rattanswitchover.Decide(state)
 		request := rattanswitchover.Request{
 			Group: group, Key: rattancache.GroupPrefix + group, Reason: reason,
 			Record: state.Record, Revision: snapshot.Groups[group].Revision, Term: r.proxy.grants.NewestTerm(group),
-			Endpoints: state.Candidates(), Unlisted: state.Unlisted, SyncReplicas: state.SyncReplicas,
+			Endpoints: state.Candidates(), Unlisted: state.Unlisted, Holders: state.Holders, SyncReplicas: state.SyncReplicas,
 			Evacuated: snapshot.Evacuated, Era: era,
 		}
 		if reason == rattanswitchover.ReasonNone && isDoubted(snapshot, group, state) {
 			r.startTermCheck(request)
 		}
-		if reason != rattanswitchover.ReasonNone && r.tryStart(group) {
-			r.proxy.logger.Info("switch_begin", "group", group, "reason", string(reason), "primary", request.Record.Primary,
-				"reporters", state.Reporters, "daemons", state.Daemons, "revision", request.Revision.String())
-			go r.run(ctx, request)
+		switch {
+		case reason == rattanswitchover.ReasonNone:
+			r.startRecordHolders(ctx, request)
+		case r.tryStart(group):
+			go r.run(ctx, request, state)
 		}
 	}
 	if isSettled && max(snapshot.SettledEra, r.settledEra) < era && r.proxy.settleEra(ctx, era) {
@@ -138,7 +144,11 @@
 	}
 	now, isOverdue := r.proxy.clock.Now(), false
 	for _, group := range snapshot.Catalog.Groups() {
-		isOverdue = r.watchdog.Check(now, group, r.groupState(snapshot, group, era), snapshot.Leader.Token, timeout) || isOverdue
+		state := r.groupState(snapshot, group, era)
+		if len(state.Record.Awaited) > 0 {
+			state.Holders = observedHolders(snapshot, state)
+		}
+		isOverdue = r.watchdog.Check(now, group, state, snapshot.Leader.Token, timeout) || isOverdue
 	}
 	return isOverdue
 }
@@ -197,13 +207,23 @@
 	return true
 }
 
-func (r *switchoverRunner) run(ctx context.Context, request rattanswitchover.Request) {
+func (r *switchoverRunner) run(ctx context.Context, request rattanswitchover.Request, state rattanswitchover.GroupState) {
+	defer r.end(request.Group)
+	if len(request.Record.Awaited) > 0 && r.coordinator.IsAwaiting(request) {
+		return
+	}
+	r.proxy.logger.Info("switch_begin", "group", request.Group, "reason", string(request.Reason), "primary", request.Record.Primary,
+		"reporters", state.Reporters, "daemons", state.Daemons, "revision", request.Revision.String())
 	report, err := r.coordinator.Run(ctx, request)
-	r.end(request.Group)
 	fields := []any{
 		"group", request.Group, "reason", string(request.Reason), "from", report.From, "to", report.To, "missing", report.Unconfirmed,
 		"stopped_ms", report.StoppedAfter.Milliseconds(), "chosen_ms", report.ChosenAfter.Milliseconds(),
 		"promoted_ms", report.PromotedAfter.Milliseconds(), "position", report.Position.String(), "term", report.Term,
+		"answers", describeAnswers(report.Answers), "silent", report.Silent,
+	}
+	if errors.Is(err, rattansuccessor.ErrLogsMissing) {
+		r.proxy.logger.Warn("switch_awaits", append(fields, "error", err)...)
+		return
 	}
 	if err != nil {
 		r.proxy.logger.Warn("switch_failed", append(fields, "error", err)...)
--- a/internal/endpoint/rattandispatch/dispatcher.go
+++ b/internal/endpoint/rattandispatch/dispatcher.go
@@ -238,8 +238,12 @@
 
 // primaryWaitDeadline returns until when a request waits for a primary. During a
 // switchover that is expected to end before the request's deadline, it is that
-// deadline. During one that is expected to end later, the request does not wait.
+// deadline. During one that is expected to end later, or that waits for endpoints, the
+// request does not wait.
 func (d *Dispatcher) primaryWaitDeadline(request Request) time.Time {
+	if d.switchovers.IsAwaiting(request.Route.Group) {
+		return request.Arrived
+	}
 	end, ok := d.switchovers.ExpectedEnd(request.Route.Group)
 	switch {
 	case !ok:
--- a/internal/endpoint/rattandispatch/read.go
+++ b/internal/endpoint/rattandispatch/read.go
@@ -26,9 +26,11 @@
 	})
 }
 
-// noPrimaryDetail is the detail of the refusal of a statement that only a primary
-// can run.
-const noPrimaryDetail = "the group has no primary now; come back in 100 ms"
+// The details of the refusal of a statement that only a primary can run.
+const (
+	noPrimaryDetail       = "the group has no primary now; come back in 100 ms"
+	awaitingPrimaryDetail = "the group has no primary until an endpoint is back that may hold acknowledged commits; come back in 1000 ms"
+)
 
 // atPrimary repeats an attempt at the group's primary until its outcome is final or
 // the request's time for further attempts has passed.
@@ -37,7 +39,7 @@
 	for {
 		upstream, err := d.primary(request)
 		if err != nil {
-			return runner.refuse(rattanstatement.Busy, noPrimaryDetail, err)
+			return runner.refuse(rattanstatement.Busy, d.noPrimaryDetail(request), err)
 		}
 		if runner.try([]*rattanupstream.Upstream{upstream}, rattanmodel.Position{}, attempt) {
 			return runner.last
@@ -52,6 +54,14 @@
 	}
 }
 
+// noPrimaryDetail returns why there is no primary, and when to come back.
+func (d *Dispatcher) noPrimaryDetail(request Request) string {
+	if d.switchovers.IsAwaiting(request.Route.Group) {
+		return awaitingPrimaryDetail
+	}
+	return noPrimaryDetail
+}
+
 // readPrimary runs a read at the primary, under a grant.
 func (d *Dispatcher) readPrimary(request Request, operation rattanstatemachine.Operation) Outcome {
 	return d.atPrimary(request, func(upstream *rattanupstream.Upstream) (Outcome, bool) {
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -17,6 +17,7 @@
 	"github.com/rattanstream/rattanstream/internal/base/rattanclock"
 	"github.com/rattanstream/rattanstream/internal/base/rattanmodel"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanholder"
 )
 
 // A PrimaryRecord is the stored record of a group's primary.
@@ -27,6 +28,12 @@
 	Term uint64 `json:"term,omitempty"`
 	// TermHistory holds the newest terms whose start is known.
 	TermHistory rattanmodel.TermHistory `json:"terms,omitempty"`
+	// Holders are the endpoints that may hold a part of the group's log, with and without an
+	// entry in the store.
+	Holders rattanholder.Holders `json:"holders,omitempty"`
+	// Awaited are the endpoints that a switchover waits for, since they may hold commits that
+	// the others lack.
+	Awaited []string `json:"awaited,omitempty"`
 	// Version rises with each change of the record.
 	Version int64 `json:"number"`
 	// IsSwitching is true from the beginning of a switchover until its end.
--- a/internal/endpoint/rattangrant/switchover_estimator.go
+++ b/internal/endpoint/rattangrant/switchover_estimator.go
@@ -31,6 +31,8 @@
 type ongoingSwitchover struct {
 	startedAt time.Time
 	isPlanned bool
+	// isAwaiting is true while it waits for endpoints that may never come back.
+	isAwaiting bool
 }
 
 // NewSwitchoverEstimator returns an estimator that has observed no switchover.
@@ -46,15 +48,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ongoing, isOngoing := s.ongoing[group]
+	isAwaiting := len(record.Awaited) > 0
 	switch {
-	case record.IsSwitching && !isOngoing:
-		s.ongoing[group] = ongoingSwitchover{startedAt: s.clock.Now(), isPlanned: record.IsPlanned}
+	case record.IsSwitching && (!isOngoing || ongoing.isAwaiting || isAwaiting):
+		s.ongoing[group] = ongoingSwitchover{startedAt: s.clock.Now(), isPlanned: record.IsPlanned, isAwaiting: isAwaiting}
 	case !record.IsSwitching && isOngoing:
 		s.durations[ongoing.isPlanned] = s.clock.Now().Sub(ongoing.startedAt)
 		delete(s.ongoing, group)
 	}
 }
 
+// IsAwaiting reports whether the switchover of a group waits for endpoints that may hold
+// commits which the others lack. It has no time limit.
+func (s *SwitchoverEstimator) IsAwaiting(group string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ongoing[group].isAwaiting
+}
+
 // ExpectedEnd returns when the ongoing switchover of a group is expected to end. It
 // returns false when there is none or it is overdue by more than the grace period.
 func (s *SwitchoverEstimator) ExpectedEnd(group string) (time.Time, bool) {
--- a/internal/endpoint/rattansuccessor/successor.go
+++ b/internal/endpoint/rattansuccessor/successor.go
@@ -23,7 +23,8 @@
 
 // A Group is what is known of a group without asking its endpoints.
 type Group struct {
-	// Endpoints are those that may have a part of the log.
+	// Endpoints are those that may have a part of the log, with and without an entry in the
+	// store.
 	Endpoints []rattancatalog.Endpoint
 	// Primary is the recorded primary.
 	Primary string
@@ -31,6 +32,12 @@
 	SyncReplicas int
 	// Evacuated are the failure domains out of service.
 	Evacuated map[string]bool
+	// Unusable are the endpoints that get no work: they are past their limit after they went
+	// out of service, or the store no longer knows them.
+	Unusable map[string]bool
+	// Restarted are the endpoints whose process was started again since their log was
+	// remembered. Such a process holds nothing of before.
+	Restarted map[string]bool
 	// Term is the newest known term, 0 if none is.
 	Term uint64
 	// TermHistory holds the terms whose start is known.
@@ -47,13 +54,22 @@
 func New(group Group, statuses []Status) View { return View{group: group, statuses: statuses} }
 
 // IsComplete reports whether all endpoints of the group have answered.
-func (v View) IsComplete() bool {
-	return !slices.ContainsFunc(v.group.Endpoints, func(e rattancatalog.Endpoint) bool {
-		_, ok := v.status(e.ID)
-		return !ok
-	})
+func (v View) IsComplete() bool { return len(v.Silent()) == 0 }
+
+// Silent returns the ids of the endpoints of the group that have not answered.
+func (v View) Silent() []string {
+	var ids []string
+	for _, endpoint := range v.group.Endpoints {
+		if _, ok := v.status(endpoint.ID); !ok {
+			ids = append(ids, endpoint.ID)
+		}
+	}
+	return ids
 }
 
+// Statuses returns the answers of the endpoints.
+func (v View) Statuses() []Status { return slices.Clone(v.statuses) }
+
 // NewestTerm returns the newest known term of the group.
 func (v View) NewestTerm() uint64 {
 	term := v.group.Term
--- a/internal/endpoint/rattanswitchover/coordinator.go
+++ b/internal/endpoint/rattanswitchover/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanholder"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattansuccessor"
 )
 
@@ -94,14 +95,17 @@
 // those of the group's record in the store; Evacuated are the failure domains out of
 // service.
 type Request struct {
-	Group     string
-	Key       string
-	Reason    Reason
-	Record    rattangrant.PrimaryRecord
-	Revision  rattankv.Revision
+	Group    string
+	Key      string
+	Reason   Reason
+	Record   rattangrant.PrimaryRecord
+	Revision rattankv.Revision
+	// Endpoints are those that may be promoted.
 	Endpoints []rattancatalog.Endpoint
 	// Unlisted are endpoints whose entry has disappeared from the store a short while ago.
-	Unlisted  []rattancatalog.Endpoint
+	Unlisted []rattancatalog.Endpoint
+	// Holders are all endpoints that may hold a part of the group's log.
+	Holders   rattanholder.Holders
 	Evacuated map[string]bool
 	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
 	SyncReplicas int
@@ -113,23 +117,44 @@
 
 // group returns what the request knows of the group.
 func (r Request) group() rattansuccessor.Group {
-	return rattansuccessor.Group{
+	group := rattansuccessor.Group{
 		Endpoints: r.endpoints(), Primary: r.Record.Primary, SyncReplicas: r.SyncReplicas,
-		Evacuated: r.Evacuated, Term: max(r.Term, r.Record.Term), TermHistory: r.Record.TermHistory,
+		Evacuated: r.Evacuated, Unusable: make(map[string]bool), Restarted: make(map[string]bool),
+		Term: max(r.Term, r.Record.Term), TermHistory: r.Record.TermHistory,
 	}
+	known := append(slices.Clone(r.Endpoints), r.Unlisted...)
+	for _, endpoint := range group.Endpoints {
+		group.Unusable[endpoint.ID] = !contains(known, endpoint.ID)
+		group.Restarted[endpoint.ID] = r.Holders.IsRestarted(endpoint)
+	}
+	return group
+}
+
+func contains(endpoints []rattancatalog.Endpoint, id string) bool {
+	return slices.ContainsFunc(endpoints, func(e rattancatalog.Endpoint) bool { return e.ID == id })
 }
 
-// endpoints returns all endpoints that may have a part of the group's log.
+// endpoints returns all endpoints that may have a part of the group's log: those that are
+// known to the store, and those that only the group's record names.
 func (r Request) endpoints() []rattancatalog.Endpoint {
-	return append(slices.Clone(r.Endpoints), r.Unlisted...)
+	known := append(slices.Clone(r.Endpoints), r.Unlisted...)
+	endpoints := slices.DeleteFunc(slices.Clone(known), func(e rattancatalog.Endpoint) bool {
+		return len(r.Holders) > 0 && !r.Holders.Contains(e.ID)
+	})
+	for _, holder := range r.Holders {
+		if !contains(known, holder.ID) {
+			endpoints = append(endpoints, holder.Endpoint(r.Group))
+		}
+	}
+	return endpoints
 }
 
-// doubtful returns the endpoints that probably do not answer. The primary is one if
-// isUnreachable is true.
+// doubtful returns the endpoints that probably do not answer: those that may not be promoted
+// or have no entry, and the primary if isUnreachable is true.
 func (r Request) doubtful(isUnreachable bool) map[string]bool {
 	ids := make(map[string]bool)
-	for _, endpoint := range r.Unlisted {
-		ids[endpoint.ID] = true
+	for _, endpoint := range r.endpoints() {
+		ids[endpoint.ID] = !contains(r.Endpoints, endpoint.ID)
 	}
 	if isUnreachable {
 		ids[r.Record.Primary] = true
@@ -150,6 +175,10 @@
 	Position                                 rattanmodel.Position
 	// Term is the one that the new primary leads.
 	Term uint64
+	// Answers are what the endpoints that may hold a part of the log have said, Silent those
+	// that have not answered.
+	Answers []rattansuccessor.Status
+	Silent  []string
 }
 
 // A Coordinator runs switchovers.
@@ -187,7 +216,11 @@
 	report.StoppedAfter = c.clock.Now().Sub(start)
 	view := c.handOver(request)
 	report.ChosenAfter = c.clock.Now().Sub(start)
+	report.Answers, report.Silent = view.Statuses(), view.Silent()
 	successor, err := c.promote(ctx, request, view)
+	if errors.Is(err, rattansuccessor.ErrLogsMissing) {
+		return report, c.recordAwaited(ctx, request, record, revision, view)
+	}
 	if err != nil {
 		return report, err
 	}
@@ -196,6 +229,7 @@
 	record.Primary, record.Term, record.IsSwitching = successor.Endpoint.ID, successor.Term, false
 	if isNewTerm := request.Reason == ReasonResume || !view.IsLeader(successor); isNewTerm {
 		record.TermHistory = rattansuccessor.ExtendHistory(record.TermHistory, successor)
+		record.Holders = record.Holders.BeginTerm(request.present(view), request.Record.Term, successor.Term)
 	}
 	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	_, err = c.write(ctx, request.Key, record, revision)
@@ -218,9 +252,13 @@
 	}
 	record := rattangrant.PrimaryRecord{
 		Primary: leader.Endpoint.ID, Term: leader.Term, Version: rattankv.NextNumber(request.Record.Version, request.Era),
+		Holders: request.Holders.BeginTerm(request.present(view), 0, leader.Term),
+	}
+	if !ok {
+		record.TermHistory = rattansuccessor.ExtendHistory(nil, leader)
 	}
 	_, err := c.write(ctx, request.Key, record, request.Revision)
-	return Report{To: record.Primary, Term: record.Term}, errors.Wrap(err, "record the initial primary")
+	return Report{To: record.Primary, Term: record.Term, Answers: view.Statuses(), Silent: view.Silent()}, errors.Wrap(err, "record the initial primary")
 }
 
 // begin writes the switching record. Daemons that have read it hold no grant for the
@@ -228,6 +266,7 @@
 func (c *Coordinator) begin(ctx context.Context, request Request) (rattangrant.PrimaryRecord, rattankv.Revision, error) {
 	record := request.Record
 	record.IsSwitching, record.IsPlanned = true, request.Reason != ReasonUnreachable
+	record.Holders, record.Awaited = request.Holders, nil
 	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	revision, err := c.write(ctx, request.Key, record, request.Revision)
 	return record, revision, err
--- a/internal/endpoint/rattanswitchover/decide.go
+++ b/internal/endpoint/rattanswitchover/decide.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanholder"
 )
 
 // A Reason says why a group needs another primary.
@@ -44,6 +45,8 @@
 	// Unlisted are the endpoints of the group whose entry has disappeared from the store a
 	// short while ago.
 	Unlisted []rattancatalog.Endpoint
+	// Holders are all endpoints that may hold a part of the group's log.
+	Holders rattanholder.Holders
 	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
 	SyncReplicas int
 	// Evacuated are the failure domains out of service.
--- a/internal/endpoint/rattanswitchover/watchdog.go
+++ b/internal/endpoint/rattanswitchover/watchdog.go
@@ -1,6 +1,11 @@
 package rattanswitchover
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanholder"
+)
 
 // ongoingTimeout is added for a switchover that the failover leader has begun, since
 // the leader then waits for other daemons and for the platform. A leader that crashes
@@ -27,12 +32,20 @@
 // so that this time does not count.
 func (w *Watchdog) Reset() { clear(w.pending) }
 
+// isAwaiting reports whether a switchover waits for endpoints of which some have no entry:
+// no leader can end it.
+func (s GroupState) isAwaiting() bool {
+	return len(s.Record.Awaited) > 0 && slices.ContainsFunc(s.Holders, func(h rattanholder.Holder) bool {
+		return !contains(s.Endpoints, h.ID)
+	})
+}
+
 // Check reports whether the failover leader with the given fencing token is overdue: a
 // group has needed a switchover for at least timeout, or ongoingTimeout longer if the
 // leader has begun it. The time starts anew when the group's record or the leader
 // changes.
 func (w *Watchdog) Check(now time.Time, group string, s GroupState, token int64, timeout time.Duration) bool {
-	if len(s.Endpoints) == 0 || Decide(s) == ReasonNone {
+	if len(s.Endpoints) == 0 || Decide(s) == ReasonNone || s.isAwaiting() {
 		delete(w.pending, group)
 		return false
 	}
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -39,6 +39,10 @@
 	deposedWrites int
 	// transactions counts the transactions that were begun.
 	transactions int
+	// syncReplicas is how many replicas receive a commit before it is acknowledged.
+	syncReplicas int
+	// promotes has the logs of the promoted endpoints, in order.
+	promotes []PromotedLog
 }
 
 // NewGroup returns a group whose replicas apply each commit after lag.
@@ -62,8 +66,11 @@
 	isDown bool
 	// delay is how long a statement takes.
 	delay time.Duration
-	// isCut is true while the endpoint is partitioned from everything.
-	isCut bool
+	// isCut is true while the endpoint is partitioned from everything, isDeaf while it
+	// receives no commits.
+	isCut, isDeaf bool
+	// startedUnixMS is the start of its process, as it reports it.
+	startedUnixMS int64
 	// deposedTerm is the ended term that a deposed primary goes on to lead, 0 for all other
 	// endpoints.
 	deposedTerm uint64
@@ -91,7 +98,7 @@
 	}
 	e := &Endpoint{
 		group: g, id: id, maxConns: maxConns, listener: listener,
-		conns: make(map[net.Conn]struct{}), tenants: make(map[string]int),
+		conns: make(map[net.Conn]struct{}), tenants: make(map[string]int), startedUnixMS: 1,
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -117,7 +124,7 @@
 	e.reports++
 	return map[string]any{
 		"service": e.group.name, "address": e.Address(), "zone": domain, "version": "v1", "slots": 3,
-		"state": state, "cold_left_ms": 0, "db_role": role, "born": 1, "seq": e.reports,
+		"state": state, "cold_left_ms": 0, "db_role": role, "born": e.startedUnixMS, "seq": e.reports,
 	}
 }
 
@@ -227,10 +234,11 @@
 	g.term++
 	g.primary, e.deposedTerm = id, 0
 	for _, other := range g.endpoints {
-		if !other.isCut {
+		if !other.isCut && !other.isDown && !other.isDeaf {
 			other.follow()
 		}
 	}
+	g.promotes = append(g.promotes, PromotedLog{Endpoint: id, Data: dataOf(e.log), At: time.Now()})
 	return true
 }
 
@@ -248,9 +256,10 @@
 	return g.writeCounts[data]
 }
 
-// write commits at a primary and sends the commit to the replicas. The caller holds the
+// write commits at a primary and sends the commit to the replicas. It returns false when
+// fewer replicas than are needed for an acknowledgement have received it. The caller holds the
 // group's mutex.
-func (e *Endpoint) write(item, data string) {
+func (e *Endpoint) write(item, data string) bool {
 	next := commit{term: e.term(), number: 1, item: item, data: data, at: time.Now()}
 	if n := len(e.log); n > 0 {
 		next.number = e.log[n-1].number + 1
@@ -259,13 +268,16 @@
 	if e.deposedTerm != 0 {
 		e.group.deposedWrites++
 		e.log = append(e.log, next)
-		return
+		return e.group.syncReplicas == 0
 	}
+	received := 0
 	for _, other := range e.group.endpoints {
-		if !other.isDown && !other.isCut && other.deposedTerm == 0 {
+		if other == e || !other.isDown && !other.isCut && !other.isDeaf && other.deposedTerm == 0 {
 			other.log = append(other.log, next)
+			received++
 		}
 	}
+	return received > e.group.syncReplicas
 }
 
 // applied returns the commits that the endpoint has applied: all on the primary, on
--- a/internal/standin/rattanlineserver/session.go
+++ b/internal/standin/rattanlineserver/session.go
@@ -225,7 +225,9 @@
 		s.writes = append(s.writes, [2]string{item, data})
 		return s.respond("")
 	}
-	s.endpoint.write(item, data)
+	if !s.endpoint.write(item, data) {
+		return "", false
+	}
 	return s.respond("")
 }
 
@@ -239,10 +241,14 @@
 		s.state, s.writes = "I", nil
 		return s.fail("READONLY " + s.endpoint.id)
 	}
+	isReceived := true
 	for _, w := range s.writes {
-		s.endpoint.write(w[0], w[1])
+		isReceived = s.endpoint.write(w[0], w[1]) && isReceived
 	}
 	s.state, s.writes = "I", nil
+	if !isReceived {
+		return "", false
+	}
 	return s.respond("")
 }
 
