rattansuccessor: a term that starts sooner leaves out more

A log with entries that a term had left out counted as one of the history, and its promotion would bring back writes that reads had lacked (STALE).

Cause: TermHistory.Resolve took the first later term's start. A later term whose primary lacked more starts sooner. The start of a term older than the newest eight was dropped, and with it what it had left out.

Change: the lowest start of all later terms counts, and the start of a dropped term becomes that of the next one if it is lower. For the histories of serve, whose starts rise, nothing changes.

--- a/internal/base/rattanmodel/term_history.go
+++ b/internal/base/rattanmodel/term_history.go
@@ -33,21 +33,23 @@
 // Resolve returns the index up to which a log with this term history must hold
 // entries to contain all acknowledged entries up to p. When the term of p has ended,
 // entries past the end of that term were never acknowledged, so the index is at most
-// the last one before the next term. The second result is false when the term of p is
-// newer than all terms of the history: the log cannot contain p.
+// the last one before the next term, or before a later one that starts sooner: its primary
+// had not received all that the terms before had left. The second result is false when the
+// term of p is newer than all terms of the history: the log cannot contain p.
 func (h TermHistory) Resolve(p Position) (uint64, bool) {
 	if p.Term == 0 {
 		return 0, true
 	}
+	if h.Term() < p.Term {
+		return 0, false
+	}
+	index := p.Index
 	for _, start := range h {
 		if start.Term > p.Term {
-			return min(p.Index, start.StartIndex-1), true
+			index = min(index, start.StartIndex-1)
 		}
 	}
-	if len(h) == 0 || h[len(h)-1].Term < p.Term {
-		return 0, false
-	}
-	return p.Index, true
+	return index, true
 }
 
 // Term returns the newest term of h, or 0 when h is empty.
--- a/internal/endpoint/rattansuccessor/candidates.go
+++ b/internal/endpoint/rattansuccessor/candidates.go
@@ -164,13 +164,19 @@
 const maxTerms = 8
 
 // ExtendHistory returns a history with the term of an endpoint that has just been promoted
-// and has not run a write in it, unless that term is there already.
+// and has not run a write in it, unless that term is there already. The start of a term that
+// is too old becomes that of the next one if it is lower, so that what it left out stays left
+// out.
 func ExtendHistory(history rattanmodel.TermHistory, promoted Status) rattanmodel.TermHistory {
 	if promoted.Term <= history.Term() {
 		return history
 	}
 	extended := append(slices.Clone(history), rattanmodel.TermStart{Term: promoted.Term, StartIndex: promoted.Received.Index + 1})
-	return extended[max(0, len(extended)-maxTerms):]
+	for len(extended) > maxTerms {
+		extended[1].StartIndex = min(extended[0].StartIndex, extended[1].StartIndex)
+		extended = extended[1:]
+	}
+	return extended
 }
 
 // IsLeaving reports whether an endpoint goes out of service.
--- a/internal/endpoint/rattansuccessor/candidates_test.go
+++ b/internal/endpoint/rattansuccessor/candidates_test.go
@@ -63,6 +63,18 @@
 	t.Run("a term between has left entries out", func(t *testing.T) {
 		assertCandidates(t, New(group, []Status{replica("e1", 1, 63), replica("e2", 2, 80), replica("e3", 2, 70)}), "e2", "e3", "e1")
 	})
+	t.Run("a later term starts before an earlier one", func(t *testing.T) {
+		shortened := group
+		shortened.TermHistory = rattanmodel.TermHistory{{Term: 2, StartIndex: 59}, {Term: 3, StartIndex: 41}}
+		assertCandidates(t, New(shortened, []Status{replica("e1", 1, 50), replica("e2", 1, 40)}), "e2", "e1")
+	})
+	t.Run("a term that is no longer recorded has left entries out", func(t *testing.T) {
+		long := group
+		for term := uint64(4); term <= 12; term++ {
+			long.TermHistory = ExtendHistory(long.TermHistory, primary("e2", term, 20*term))
+		}
+		assertCandidates(t, New(long, []Status{replica("e1", 1, 63), replica("e2", 1, 58)}), "e2", "e1")
+	})
 	t.Run("no other endpoint answers", func(t *testing.T) {
 		if _, err := New(group, []Status{deposed}).Candidates(); !errors.Is(err, ErrLogsMissing) {
 			t.Errorf("error %v, want %v", err, ErrLogsMissing)
