rattanswitchover: the primary confirms who holds what was acknowledged

Cause: who held a commit when it was acknowledged was asked of today's members and today's setting.

Change: that a log was lost is kept in the record until a new term begins or the endpoint has been seen to hold all that the primary holds, asked in that order. A drained endpoint without an entry is taken out once the primary and as many replicas as hold each commit have all; before, at no synchronous replica, it went at once, also when it had crashed. The record keeps how many replicas are known to hold each commit: it follows the setting down at once, and up when that many hold all that the primary does. The failover leader writes holders also while a switchover waits.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -120,8 +120,8 @@
 		blocked: make(map[string]rattanswitchover.Reason),
 
 		termChecks:   make(map[string]termCheck),
-		holderWrites: make(map[string]holderWrite),
-		watchdog:     rattanswitchover.NewWatchdog(),
+		holderWrites: make(map[string]holderWrite), confirmations: make(map[string]confirmation),
+		watchdog: rattanswitchover.NewWatchdog(),
 		coordinator: rattanswitchover.New(p.boot, p.platform.Store, &endpointControl{proxy: p}, p.platform.Promoter,
 			daemons, held, p.grants.Lifetime()),
 	}
--- a/internal/daemon/rattanproxy/holders_test.go
+++ b/internal/daemon/rattanproxy/holders_test.go
@@ -265,3 +265,53 @@
 	f.assertWritesResume(f.dial(f.daemons[0], "checkout", testKey))
 	f.assertNoneLost(acknowledged)
 }
+
+// TestDrainedHolder guards against a group that cannot replace its primary any more, because a
+// synchronous replica has left in order.
+func TestDrainedHolder(t *testing.T) {
+	t.Parallel()
+	f, _ := newSyncFleet(t)
+	f.endpoints["e3"].SetDeaf(false)
+	if err := f.store.Put("servers/e2", f.endpoints["e2"].Entry("b", "draining")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(settleTime)
+	f.lose("e2")
+	f.await("e2 is no longer among the holders", func() bool { return !strings.Contains(f.storedRecord(), `"e2"`) })
+	acknowledged := f.dial(f.daemons[2], "checkout", testKey).writeAll("later", 3)
+	f.lose("e1")
+	f.await("e3 is promoted", func() bool { return f.group.Primary() == "e3" })
+	f.assertPromoted("e3", acknowledged)
+}
+
+// TestSettingRaised guards against the loss of commits that were acknowledged before the number
+// of synchronous replicas was raised.
+func TestSettingRaised(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.dial(f.daemons[0], "checkout", testKey).writeAll("before", 3)
+	time.Sleep(settleTime)
+	for _, id := range []string{"e2", "e3"} {
+		f.endpoints[id].SetDeaf(true)
+	}
+	acknowledged := f.dial(f.daemons[1], "checkout", testKey).writeAll("kept", 2)
+	f.syncReplicas = 1
+	f.configure(2, 1000, testKey)
+	f.group.SetSyncReplicas(1)
+	time.Sleep(settleTime)
+	f.lose("e1")
+	for _, id := range []string{"e2", "e3"} {
+		f.endpoints[id].SetDeaf(false)
+	}
+	time.Sleep(forgetTime)
+	if promotes := f.group.Promotes(); len(promotes) > 0 {
+		t.Errorf("%s was promoted although only e1 holds acknowledged commits", promotes[0].Endpoint)
+	}
+	f.returnWith(f.withLog, "e1")
+	f.assertWritesResume(f.dial(f.daemons[0], "checkout", testKey))
+	f.assertNoneLost(acknowledged)
+	f.await("the setting is confirmed", func() bool { return strings.Contains(f.storedRecord(), `"sync_replicas":1`) })
+	f.lose("e1")
+	f.await("another endpoint is promoted", func() bool { return f.group.Primary() != "e1" })
+	f.assertNoneLost(acknowledged)
+}
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -37,7 +37,10 @@
 	blocked map[string]rattanswitchover.Reason
 	// termChecks holds the last status queries of groups whose record is in doubt.
 	termChecks map[string]termCheck
-	// holderWrites are the last writes of groups' holders. Only checkGroups uses it.
+	// confirmations are when the groups' endpoints may be asked who holds all commits. Only
+	// checkGroups uses it.
+	confirmations map[string]confirmation
+	// holderWrites are the last writes of groups' holders.
 	holderWrites map[string]holderWrite
 	// settledEra is the last era that this daemon has recorded as settled. Only
 	// checkGroups uses it.
@@ -210,6 +213,9 @@
 func (r *switchoverRunner) run(ctx context.Context, request rattanswitchover.Request, state rattanswitchover.GroupState) {
 	defer r.end(request.Group)
 	if len(request.Record.Awaited) > 0 && r.coordinator.IsAwaiting(request) {
+		if request.HasNewHolders() {
+			r.recordHolders(ctx, request)
+		}
 		return
 	}
 	r.proxy.logger.Info("switch_begin", "group", request.Group, "reason", string(request.Reason), "primary", request.Record.Primary,
--- a/internal/endpoint/rattangrant/grant.go
+++ b/internal/endpoint/rattangrant/grant.go
@@ -31,6 +31,9 @@
 	// Holders are the endpoints that may hold a part of the group's log, with and without an
 	// entry in the store.
 	Holders rattanholder.Holders `json:"holders,omitempty"`
+	// SyncReplicas is how many replicas are known to hold each acknowledged commit. It rises
+	// some time after the setting.
+	SyncReplicas int `json:"sync_replicas,omitempty"`
 	// Awaited are the endpoints that a switchover waits for, since they may hold commits that
 	// the others lack.
 	Awaited []string `json:"awaited,omitempty"`
--- a/internal/endpoint/rattanholder/holders.go
+++ b/internal/endpoint/rattanholder/holders.go
@@ -15,9 +15,11 @@
 type Holder struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
-	// StartedUnixMS is the start of the process whose log counts, in Unix milliseconds. A
-	// process that was started again later under the same id has lost that log.
+	// StartedUnixMS is the start of its process in Unix milliseconds.
 	StartedUnixMS int64 `json:"started_unix_ms,omitempty"`
+	// HasLostLog is true when it was started again under its id, and has not been seen since
+	// to hold all acknowledged commits.
+	HasLostLog bool `json:"lost_log,omitempty"`
 	// Term is the newest term of the group in which the endpoint was seen.
 	Term uint64 `json:"term,omitempty"`
 	// IsDraining is true once the endpoint has announced that it will shut down.
@@ -42,8 +44,6 @@
 	Unlisted []rattancatalog.Endpoint
 	// Term is that of the group's record.
 	Term uint64
-	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
-	SyncReplicas int
 	// Abandoned are the endpoints that operators have declared lost for good.
 	Abandoned map[string]bool
 }
@@ -51,7 +51,6 @@
 // Observe returns the holders after an observation. Only these leave them:
 //   - an endpoint whose address belongs to another one that started later, to which its
 //     log was transferred;
-//   - without synchronous replicas, a draining endpoint that has left;
 //   - an endpoint that an operator has declared lost and that has no entry.
 func (h Holders) Observe(o Observation) Holders {
 	observed := slices.Clone(h)
@@ -62,14 +61,7 @@
 		observed = observed.add(endpoint, 0)
 	}
 	return slices.DeleteFunc(observed, func(holder Holder) bool {
-		switch {
-		case contains(o.Listed, holder.ID):
-			return false
-		case o.Abandoned[holder.ID]:
-			return true
-		default:
-			return holder.IsDraining && o.SyncReplicas == 0 && !contains(o.Unlisted, holder.ID)
-		}
+		return o.Abandoned[holder.ID] && !contains(o.Listed, holder.ID)
 	})
 }
 
@@ -79,50 +71,62 @@
 		ID: endpoint.ID, Address: endpoint.Address, StartedUnixMS: endpoint.StartedUnixMS, Term: term, IsDraining: endpoint.IsDraining,
 	}
 	at := h.index(endpoint.ID)
-	if at < 0 {
+	isReplacement := at < 0
+	if isReplacement {
 		at = slices.IndexFunc(h, func(holder Holder) bool { return holder.Address == endpoint.Address && endpoint.Address != "" })
-		if at >= 0 && h[at].StartedUnixMS >= endpoint.StartedUnixMS {
-			// It has left the address to the holder.
-			return h
-		}
-		if at < 0 {
-			return append(h, seen)
-		}
-		h[at] = seen
-		return h
 	}
-	if endpoint.StartedUnixMS < h[at].StartedUnixMS {
+	if at < 0 {
+		return append(h, seen)
+	}
+	known := h[at]
+	isLater := endpoint.StartedUnixMS > known.StartedUnixMS
+	if endpoint.StartedUnixMS < known.StartedUnixMS || isReplacement && !isLater {
+		// The entry is older than what is known of the holder or of its address.
 		return h
 	}
-	if h[at].StartedUnixMS != 0 {
-		seen.StartedUnixMS = h[at].StartedUnixMS
+	seen.HasLostLog = known.HasLostLog
+	if !isReplacement {
+		seen.Term = max(term, known.Term)
+		seen.HasLostLog = known.HasLostLog || isLater && known.StartedUnixMS != 0
 	}
-	seen.Term = max(term, h[at].Term)
 	h[at] = seen
 	return h
 }
 
-// IsRestarted reports whether an endpoint was started again since its log was remembered,
-// under the same id: it then holds nothing of before.
-func (h Holders) IsRestarted(endpoint rattancatalog.Endpoint) bool {
-	at := h.index(endpoint.ID)
-	return at >= 0 && h[at].StartedUnixMS != 0 && endpoint.StartedUnixMS > h[at].StartedUnixMS
+// HasLostLog reports whether an endpoint has lost what its process held before.
+func (h Holders) HasLostLog(id string) bool {
+	at := h.index(id)
+	return at >= 0 && h[at].HasLostLog
+}
+
+// WithLogs returns the holders after some were seen to hold all acknowledged commits.
+func (h Holders) WithLogs(ids []string) Holders {
+	seen := slices.Clone(h)
+	for i := range seen {
+		seen[i].HasLostLog = seen[i].HasLostLog && !slices.Contains(ids, seen[i].ID)
+	}
+	return seen
+}
+
+// Without returns the holders but those with the given ids.
+func (h Holders) Without(ids []string) Holders {
+	return slices.DeleteFunc(slices.Clone(h), func(holder Holder) bool { return slices.Contains(ids, holder.ID) })
 }
 
 // Contains reports whether an endpoint is among the holders.
 func (h Holders) Contains(id string) bool { return h.index(id) >= 0 }
 
 // BeginTerm returns the holders after a promote that began a new term with all acknowledged
-// commits. Present are the endpoints that have an entry or have answered, and their present
-// processes count from then on. One that was seen neither now nor in the term which has
-// ended holds nothing that the new term lacks.
+// commits, so that a log which was lost before does not matter any more. Present are the
+// endpoints that have an entry or have answered. One that was seen neither now nor in the term
+// which has ended holds nothing that the new term lacks.
 func (h Holders) BeginTerm(present []rattancatalog.Endpoint, ended, begun uint64) Holders {
 	var remaining Holders
 	for _, holder := range h {
 		at := slices.IndexFunc(present, func(e rattancatalog.Endpoint) bool { return e.ID == holder.ID })
 		switch {
 		case at >= 0:
-			holder.Term, holder.StartedUnixMS = begun, max(holder.StartedUnixMS, present[at].StartedUnixMS)
+			holder.Term, holder.HasLostLog = begun, false
 		case holder.Term < ended:
 			continue
 		}
--- a/internal/endpoint/rattanholder/holders_test.go
+++ b/internal/endpoint/rattanholder/holders_test.go
@@ -57,12 +57,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) { assertHolders(t, all.Observe(test.observation), test.want...) })
 	}
-	t.Run("a drained endpoint has left", func(t *testing.T) {
+	t.Run("a drained endpoint has no entry", func(t *testing.T) {
 		drained := all.Observe(Observation{Listed: []rattancatalog.Endpoint{draining(e1)}})
-		assertHolders(t, drained.Observe(Observation{Unlisted: []rattancatalog.Endpoint{draining(e1)}}), "e1", "e2", "e3")
-		assertHolders(t, drained.Observe(Observation{}), "e2", "e3")
-		// With synchronous replicas its log may be the only one with an acknowledged commit.
-		assertHolders(t, drained.Observe(Observation{SyncReplicas: 1}), "e1", "e2", "e3")
+		assertHolders(t, drained.Observe(Observation{}), "e1", "e2", "e3")
 	})
 	t.Run("the argument stays as it is", func(t *testing.T) {
 		before := slices.Clone(all)
@@ -73,17 +70,29 @@
 	})
 }
 
-// TestIsRestarted guards against an endpoint that counts as a witness of what it held before
-// it was started again under its id (review/6).
-func TestIsRestarted(t *testing.T) {
-	holders := Holders{}.Observe(Observation{Listed: []rattancatalog.Endpoint{endpoint("e1", 5)}, Term: 1})
-	again := holders.Observe(Observation{Listed: []rattancatalog.Endpoint{endpoint("e1", 8)}, Term: 1})
-	if again.IsRestarted(endpoint("e1", 5)) || !again.IsRestarted(endpoint("e1", 8)) {
-		t.Errorf("holders %v, want e1 to be restarted at 8 only", again)
-	}
-	begun := again.BeginTerm([]rattancatalog.Endpoint{endpoint("e1", 8)}, 1, 2)
-	if begun.IsRestarted(endpoint("e1", 8)) {
-		t.Error("the endpoint is restarted in a term that it was there to begin")
+// TestHasLostLog guards against an endpoint that counts as a witness of what it held before
+// it was started again under its id (review/6), or before another one took over its address.
+func TestHasLostLog(t *testing.T) {
+	before := Holders{}.Observe(Observation{Listed: []rattancatalog.Endpoint{endpoint("e1", 5)}, Term: 1})
+	again := before.Observe(Observation{Listed: []rattancatalog.Endpoint{endpoint("e1", 8)}, Term: 1})
+	replaced := again.Observe(Observation{Listed: []rattancatalog.Endpoint{at(endpoint("e2", 9), endpoint("e1", 8).Address)}, Term: 1})
+	for _, test := range []struct {
+		name    string
+		holders Holders
+		id      string
+		want    bool
+	}{
+		{"the same process", before.Observe(Observation{Listed: []rattancatalog.Endpoint{endpoint("e1", 5)}, Term: 1}), "e1", false},
+		{"started again", again, "e1", true},
+		{"an entry of the earlier process", again.Observe(Observation{Listed: []rattancatalog.Endpoint{endpoint("e1", 5)}, Term: 1}), "e1", true},
+		{"another endpoint at its address", replaced, "e2", true},
+		{"a new term has begun", again.BeginTerm([]rattancatalog.Endpoint{endpoint("e1", 8)}, 1, 2), "e1", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.holders.HasLostLog(test.id); got != test.want {
+				t.Errorf("has lost its log: %t, want %t", got, test.want)
+			}
+		})
 	}
 }
 
--- a/internal/endpoint/rattansuccessor/candidates.go
+++ b/internal/endpoint/rattansuccessor/candidates.go
@@ -80,7 +80,7 @@
 	if v.group.SyncReplicas == 0 {
 		return rattanmodel.Position{}, nil
 	}
-	holders := v.group.SyncReplicas
+	holders := v.group.SyncReplicas - v.group.Unconfirmed
 	var received []rattanmodel.Position
 	for _, endpoint := range v.group.Endpoints {
 		switch status, ok := v.status(endpoint.ID); {
@@ -126,7 +126,7 @@
 
 // hasLostLog reports whether an endpoint lacks what its process held before: it was started
 // again, or its log is empty while there are commits in the group.
-func (v View) hasLostLog(s Status) bool { return v.group.Restarted[s.Endpoint.ID] || v.isEmptied(s) }
+func (v View) hasLostLog(s Status) bool { return v.group.LostLogs[s.Endpoint.ID] || v.isEmptied(s) }
 
 // isEmptied reports whether the log of an endpoint is empty while there are commits in the
 // group, or were before the endpoint was started again.
@@ -136,7 +136,7 @@
 	}
 	hasCommits := slices.ContainsFunc(v.statuses, func(other Status) bool { return other.Received.Index > 0 }) ||
 		slices.ContainsFunc(v.group.TermHistory, func(start rattanmodel.TermStart) bool { return start.StartIndex > 1 })
-	return hasCommits || v.group.Restarted[s.Endpoint.ID]
+	return hasCommits || v.group.LostLogs[s.Endpoint.ID]
 }
 
 // rank returns the rank of the log of an endpoint.
--- a/internal/endpoint/rattansuccessor/successor.go
+++ b/internal/endpoint/rattansuccessor/successor.go
@@ -30,14 +30,16 @@
 	Primary string
 	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
 	SyncReplicas int
+	// Unconfirmed is how many fewer replicas may hold commits that were acknowledged before
+	// SyncReplicas was raised.
+	Unconfirmed int
 	// Evacuated are the failure domains out of service.
 	Evacuated map[string]bool
 	// Unusable are the endpoints that get no work: they are past their limit after they went
 	// out of service, or the store no longer knows them.
 	Unusable map[string]bool
-	// Restarted are the endpoints whose process was started again since their log was
-	// remembered. Such a process holds nothing of before.
-	Restarted map[string]bool
+	// LostLogs are the endpoints that were started again without what they held before.
+	LostLogs map[string]bool
 	// Term is the newest known term, 0 if none is.
 	Term uint64
 	// TermHistory holds the terms whose start is known.
--- a/internal/endpoint/rattanswitchover/coordinator.go
+++ b/internal/endpoint/rattanswitchover/coordinator.go
@@ -119,13 +119,13 @@
 func (r Request) group() rattansuccessor.Group {
 	group := rattansuccessor.Group{
 		Endpoints: r.endpoints(), Primary: r.Record.Primary, SyncReplicas: r.SyncReplicas,
-		Evacuated: r.Evacuated, Unusable: make(map[string]bool), Restarted: make(map[string]bool),
+		Unconfirmed: r.unconfirmedReplicas(), Evacuated: r.Evacuated, Unusable: make(map[string]bool), LostLogs: make(map[string]bool),
 		Term: max(r.Term, r.Record.Term), TermHistory: r.Record.TermHistory,
 	}
 	known := append(slices.Clone(r.Endpoints), r.Unlisted...)
 	for _, endpoint := range group.Endpoints {
 		group.Unusable[endpoint.ID] = !contains(known, endpoint.ID)
-		group.Restarted[endpoint.ID] = r.Holders.IsRestarted(endpoint)
+		group.LostLogs[endpoint.ID] = r.Holders.HasLostLog(endpoint.ID)
 	}
 	return group
 }
@@ -252,7 +252,7 @@
 	}
 	record := rattangrant.PrimaryRecord{
 		Primary: leader.Endpoint.ID, Term: leader.Term, Version: rattankv.NextNumber(request.Record.Version, request.Era),
-		Holders: request.Holders.BeginTerm(request.present(view), 0, leader.Term),
+		Holders: request.Holders.BeginTerm(request.present(view), 0, leader.Term), SyncReplicas: request.SyncReplicas,
 	}
 	if !ok {
 		record.TermHistory = rattansuccessor.ExtendHistory(nil, leader)
@@ -266,7 +266,7 @@
 func (c *Coordinator) begin(ctx context.Context, request Request) (rattangrant.PrimaryRecord, rattankv.Revision, error) {
 	record := request.Record
 	record.IsSwitching, record.IsPlanned = true, request.Reason != ReasonUnreachable
-	record.Holders, record.Awaited = request.Holders, nil
+	record.Holders, record.SyncReplicas, record.Awaited = request.Holders, request.confirmedReplicas(), nil
 	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	revision, err := c.write(ctx, request.Key, record, request.Revision)
 	return record, revision, err
--- a/internal/endpoint/rattanswitchover/holders.go
+++ b/internal/endpoint/rattanswitchover/holders.go
@@ -9,6 +9,7 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancatalog"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanholder"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattansuccessor"
 )
 
@@ -43,10 +44,81 @@
 	return errors.Is(err, rattansuccessor.ErrLogsMissing)
 }
 
+// confirmedReplicas returns how many replicas are known to hold each acknowledged commit.
+// Records without holders are older than the setting's own record.
+func (r Request) confirmedReplicas() int {
+	if len(r.Record.Holders) == 0 {
+		return r.SyncReplicas
+	}
+	return min(r.SyncReplicas, r.Record.SyncReplicas)
+}
+
+func (r Request) unconfirmedReplicas() int { return r.SyncReplicas - r.confirmedReplicas() }
+
+// HasNewHolders reports whether the group's record lacks what is known of the holders.
+func (r Request) HasNewHolders() bool {
+	return !r.Holders.IsEqual(r.Record.Holders) || r.confirmedReplicas() != r.Record.SyncReplicas
+}
+
+// IsUnconfirmed reports whether the primary has to be asked which endpoints hold all
+// acknowledged commits: one has lost its log, one has left, or the number of replicas that
+// hold each commit was raised.
+func (r Request) IsUnconfirmed() bool {
+	return r.unconfirmedReplicas() > 0 || len(r.left()) > 0 || slices.ContainsFunc(r.Holders, func(h rattanholder.Holder) bool {
+		return h.HasLostLog && contains(r.Endpoints, h.ID)
+	})
+}
+
+// left returns the endpoints that have left after they had announced it.
+func (r Request) left() []string {
+	known := append(slices.Clone(r.Endpoints), r.Unlisted...)
+	var ids []string
+	for _, holder := range r.Holders {
+		if holder.IsDraining && !contains(known, holder.ID) {
+			ids = append(ids, holder.ID)
+		}
+	}
+	return ids
+}
+
+// Confirm asks the primary for its position and then the other endpoints for theirs. Those
+// that hold all of it have no lost log any more. When they are as many as hold each commit,
+// endpoints that have left hold nothing that the others lack, and the request returned counts
+// on that number. It reports whether the request has changed.
+func (c *Coordinator) Confirm(request Request) (Request, bool) {
+	confirmed := c.confirm(request)
+	return confirmed, !confirmed.Holders.IsEqual(request.Holders) || confirmed.Record.SyncReplicas != request.Record.SyncReplicas
+}
+
+func (c *Coordinator) confirm(request Request) Request {
+	at := slices.IndexFunc(request.Endpoints, func(e rattancatalog.Endpoint) bool { return e.ID == request.Record.Primary })
+	if at < 0 {
+		return request
+	}
+	primary, err := c.control.Status(request.Endpoints[at], statusTimeout)
+	if err != nil || !primary.IsPrimary || primary.Term != request.Record.Term || request.Holders.HasLostLog(primary.Endpoint.ID) {
+		return request
+	}
+	var caughtUp, answering []string
+	for _, status := range c.View(request).Statuses() {
+		answering = append(answering, status.Endpoint.ID)
+		if status.Endpoint.ID != request.Record.Primary && status.Received.Compare(primary.Received) >= 0 {
+			caughtUp = append(caughtUp, status.Endpoint.ID)
+		}
+	}
+	request.Holders = request.Holders.WithLogs(caughtUp)
+	if len(caughtUp) >= request.SyncReplicas {
+		gone := slices.DeleteFunc(request.left(), func(id string) bool { return slices.Contains(answering, id) })
+		request.Holders = request.Holders.Without(gone)
+		request.Record.SyncReplicas = request.SyncReplicas
+	}
+	return request
+}
+
 // RecordHolders writes the group's record with the holders of the request.
 func (c *Coordinator) RecordHolders(ctx context.Context, request Request) error {
 	record := request.Record
-	record.Holders = request.Holders
+	record.Holders, record.SyncReplicas = request.Holders, request.confirmedReplicas()
 	record.Version = rattankv.NextNumber(record.Version, request.Era)
 	_, err := c.write(ctx, request.Key, record, request.Revision)
 	return err
--- a/internal/endpoint/rattanswitchover/watchdog_test.go
+++ b/internal/endpoint/rattanswitchover/watchdog_test.go
@@ -21,6 +21,10 @@
 	abandoned.Record.FencingToken = 6
 	advanced := begun
 	advanced.Record.Version = 6
+	awaiting := begun
+	awaiting.Record.Awaited, awaiting.Holders = []string{"e3"}, holdersOf("e1", "e2", "e3")
+	returned := awaiting
+	returned.Endpoints = append(endpoints[:2:2], rattancatalog.Endpoint{ID: "e3"})
 	notNeeded := needed
 	notNeeded.Reporters = 0
 	for _, test := range []struct {
@@ -37,6 +41,8 @@
 		{"begun by the leader", begun, begun, 7, timeout, false},
 		{"begun by the leader long ago", begun, begun, 7, timeout + ongoingTimeout, true},
 		{"abandoned by the last leader", abandoned, abandoned, 7, timeout, true},
+		{"waiting for an endpoint", awaiting, awaiting, 7, timeout + ongoingTimeout, false},
+		{"waiting for an endpoint that is back", returned, returned, 7, timeout + ongoingTimeout, true},
 		{"record has changed", begun, advanced, 7, timeout + ongoingTimeout, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
