rattanproxy: holders of several groups in one write, waits told by a metric

Change: without synchronous replicas a change waits 2 s for others, and up to 16 groups' records go into one write; with them it is written at once. groups_awaiting_logs, the state dump (holders, awaited) and group_record tell of a switchover that waits. A soak with losses of endpoints: they receive nothing, crash, expire, and come back in any order, with their logs, without them or as other endpoints, at 0 and 1 synchronous replicas, while daemons are killed or the store is away; each promoted log is compared with the acknowledged writes and with what earlier promotes left out.

--- a/internal/daemon/rattanproxy/failover.go
+++ b/internal/daemon/rattanproxy/failover.go
@@ -120,7 +120,7 @@
 		blocked: make(map[string]rattanswitchover.Reason),
 
 		termChecks:   make(map[string]termCheck),
-		holderWrites: make(map[string]holderWrite), confirmations: make(map[string]confirmation),
+		holderWrites: make(map[string]holderWrite), confirmations: make(map[string]confirmation), changedSince: make(map[string]time.Time),
 		watchdog: rattanswitchover.NewWatchdog(),
 		coordinator: rattanswitchover.New(p.boot, p.platform.Store, &endpointControl{proxy: p}, p.platform.Promoter,
 			daemons, held, p.grants.Lifetime()),
--- a/internal/daemon/rattanproxy/holders.go
+++ b/internal/daemon/rattanproxy/holders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
@@ -12,13 +13,17 @@
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanswitchover"
 )
 
-// holderRetry is the time after which the holders of a group are written again when their
-// record has not changed.
-const holderRetry = time.Second
-
-// confirmationDelay is how long after a change of the number of synchronous replicas the
-// endpoints are asked who holds all acknowledged commits.
-const confirmationDelay = 5 * time.Second
+const (
+	// holderRetry is the time after which the holders of a group are written again when their
+	// record has not changed.
+	holderRetry = time.Second
+	// holderDelay is how long a change of the holders may wait for others where no endpoint
+	// has acknowledged commits for another one.
+	holderDelay = 2 * time.Second
+	// confirmationDelay is how long after a change of the number of synchronous replicas the
+	// endpoints are asked who holds all acknowledged commits.
+	confirmationDelay = 5 * time.Second
+)
 
 // A confirmation is when the endpoints of a group may be asked next, and the number of
 // synchronous replicas since when.
@@ -42,36 +47,71 @@
 	})
 }
 
-// startRecordHolders writes the holders of a group in the background when they have changed,
-// so that the next failover leader knows them after their entries have expired. Before that
-// it asks the endpoints, where only they can tell that a log is not needed any more.
-func (r *switchoverRunner) startRecordHolders(ctx context.Context, request rattanswitchover.Request) {
-	isConfirmed := !request.IsUnconfirmed() || !r.isConfirmationDue(request)
-	if !request.HasNewHolders() && isConfirmed || !r.tryReserve(request.Group) {
+// startRecordHolders writes the holders of groups in the background when they have changed,
+// so that the next failover leader knows them after their entries have expired. Changes of
+// several groups go into one write.
+func (r *switchoverRunner) startRecordHolders(ctx context.Context, requests []rattanswitchover.Request) {
+	var changed []rattanswitchover.Request
+	isDue := false
+	for _, request := range requests {
+		if request.IsUnconfirmed() && r.isConfirmationDue(request) && r.tryReserve(request.Group) {
+			go r.confirmHolders(ctx, request)
+			continue
+		}
+		if !request.HasNewHolders() {
+			delete(r.changedSince, request.Group)
+			continue
+		}
+		changed = append(changed, request)
+		isDue = isDue || request.SyncReplicas > 0 || r.sinceHoldersChanged(request.Group) >= holderDelay
+	}
+	if !isDue {
+		return
+	}
+	reserved := slices.DeleteFunc(changed, func(request rattanswitchover.Request) bool {
+		return !r.isHolderWriteDue(request) || !r.tryReserve(request.Group)
+	})
+	if len(reserved) == 0 {
 		return
 	}
 	go func() {
-		defer r.release(request.Group)
-		hasNew := request.HasNewHolders()
-		if !isConfirmed {
-			confirmed, isChanged := r.coordinator.Confirm(request)
-			request, hasNew = confirmed, hasNew || isChanged
+		for part := range slices.Chunk(reserved, rattanswitchover.MaxRecords) {
+			r.recordHolders(ctx, part...)
 		}
-		if hasNew {
-			r.recordHolders(ctx, request)
+		for _, request := range reserved {
+			r.release(request.Group)
 		}
 	}()
 }
 
-// recordHolders writes the holders of a group, unless a write of the same record was tried a
-// short while ago. The caller has reserved the group.
-func (r *switchoverRunner) recordHolders(ctx context.Context, request rattanswitchover.Request) {
-	if !r.isHolderWriteDue(request) {
-		return
+// sinceHoldersChanged returns for how long the holders of a group differ from its record.
+func (r *switchoverRunner) sinceHoldersChanged(group string) time.Duration {
+	now := r.proxy.clock.Now()
+	since, ok := r.changedSince[group]
+	if !ok {
+		r.changedSince[group] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// confirmHolders asks the endpoints of a group whose logs are not needed any more, and writes
+// what has changed. The caller has reserved the group.
+func (r *switchoverRunner) confirmHolders(ctx context.Context, request rattanswitchover.Request) {
+	defer r.release(request.Group)
+	confirmed, isChanged := r.coordinator.Confirm(request)
+	if isChanged || request.HasNewHolders() {
+		r.recordHolders(ctx, confirmed)
+	}
+}
+
+// recordHolders writes the holders of groups. The caller has reserved the groups.
+func (r *switchoverRunner) recordHolders(ctx context.Context, requests ...rattanswitchover.Request) {
+	err := r.coordinator.RecordHolders(ctx, requests...)
+	for _, request := range requests {
+		r.proxy.logger.Info("holders_recorded", "group", request.Group, "holders", describeHolders(request.Holders),
+			"sync_replicas", request.Record.SyncReplicas, "error", err)
 	}
-	err := r.coordinator.RecordHolders(ctx, request)
-	r.proxy.logger.Info("holders_recorded", "group", request.Group, "holders", describeHolders(request.Holders),
-		"sync_replicas", request.Record.SyncReplicas, "error", err)
 }
 
 // isConfirmationDue reports whether the endpoints may be asked now, and notes it. They take up
--- a/internal/daemon/rattanproxy/holders_test.go
+++ b/internal/daemon/rattanproxy/holders_test.go
@@ -110,7 +110,7 @@
 // of the returned writes.
 func newSyncFleet(t *testing.T) (*fleet, []string) {
 	f := newFleetWithoutDaemons(t)
-	f.syncReplicas = 1
+	f.syncReplicas, f.hasMetrics = 1, true
 	f.group.SetSyncReplicas(1)
 	f.configure(2, 1000, testKey)
 	f.startAll(3)
@@ -187,6 +187,8 @@
 	f.endpoints["e3"].SetDeaf(false)
 	time.Sleep(forgetTime)
 	f.assertRefusedAtOnce(f.daemons[2])
+	assertContains(t, get(t, "http://"+f.daemons[2].metrics+"/metrics"), "groups_awaiting_logs 1\n")
+	assertContains(t, get(t, "http://"+f.daemons[2].metrics+"/dump"), `"awaited":{"orders":["e1","e2"]}`)
 	for _, id := range []string{"e1", "e2"} {
 		if err := f.store.Put(rattancache.AbandonedPrefix+id, "lost"); err != nil {
 			t.Fatal(err)
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rattanstream/rattanstream/internal/caller/rattanstatement"
+	"github.com/rattanstream/rattanstream/internal/endpoint/rattanholder"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattanupstream"
 )
 
@@ -86,21 +87,25 @@
 // A dump is the state of a daemon, as served on request. It holds no caller's
 // key.
 type dump struct {
-	VM                    string                 `json:"vm"`
-	Incarnation           string                 `json:"incarnation"`
-	Configuration         int64                  `json:"configuration"`
-	Revision              string                 `json:"revision"`
-	HoldsGrants           bool                   `json:"holds_grants"`
-	IsIsolated            bool                   `json:"isolated"`
-	IsStoreLost           bool                   `json:"store_lost"`
-	Sessions              int                    `json:"sessions"`
-	ForwardedTransactions int                    `json:"kept_transactions"`
-	VMs                   []string               `json:"vms"`
-	Primaries             map[string]string      `json:"primaries"`
-	Endpoints             []rattanupstream.State `json:"endpoints"`
-	Loads                 []loadState            `json:"loads"`
-	Usage                 *usageState            `json:"usage,omitempty"`
-	Egress                egressState            `json:"egress"`
+	VM                    string            `json:"vm"`
+	Incarnation           string            `json:"incarnation"`
+	Configuration         int64             `json:"configuration"`
+	Revision              string            `json:"revision"`
+	HoldsGrants           bool              `json:"holds_grants"`
+	IsIsolated            bool              `json:"isolated"`
+	IsStoreLost           bool              `json:"store_lost"`
+	Sessions              int               `json:"sessions"`
+	ForwardedTransactions int               `json:"kept_transactions"`
+	VMs                   []string          `json:"vms"`
+	Primaries             map[string]string `json:"primaries"`
+	// Holders are the endpoints that may hold a part of each group's log, Awaited those that
+	// a switchover waits for.
+	Holders   map[string]rattanholder.Holders `json:"holders"`
+	Awaited   map[string][]string             `json:"awaited"`
+	Endpoints []rattanupstream.State          `json:"endpoints"`
+	Loads     []loadState                     `json:"loads"`
+	Usage     *usageState                     `json:"usage,omitempty"`
+	Egress    egressState                     `json:"egress"`
 }
 
 func (p *Proxy) dump() dump {
@@ -108,7 +113,8 @@
 	d := dump{
 		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
 		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
-		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string), Endpoints: p.endpoints.State(),
+		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string),
+		Holders: make(map[string]rattanholder.Holders), Awaited: make(map[string][]string), Endpoints: p.endpoints.State(),
 		Loads:  p.loads.State(),
 		Usage:  p.usage.state(),
 		Egress: p.egress.state(),
@@ -121,7 +127,10 @@
 	}
 	sort.Strings(d.VMs)
 	for group, entry := range snapshot.Groups {
-		d.Primaries[group] = entry.Record.Primary
+		d.Primaries[group], d.Holders[group] = entry.Record.Primary, entry.Record.Holders
+		if len(entry.Record.Awaited) > 0 {
+			d.Awaited[group] = entry.Record.Awaited
+		}
 	}
 	return d
 }
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -236,12 +236,25 @@
 // confirms that this daemon has stopped sending requests to the primary.
 func (p *Proxy) handleGroupRecord(ctx context.Context, group string, record rattangrant.PrimaryRecord) {
 	p.logger.Info("group_record", "group", group, "primary", record.Primary, "term", record.Term, "switching", record.IsSwitching,
-		"number", record.Version, "generation", record.FencingToken)
+		"number", record.Version, "generation", record.FencingToken, "awaited", record.Awaited)
+	p.countAwaiting()
 	if record.IsSwitching {
 		go p.registration.confirmStopped(ctx, group, record.Version)
 	}
 }
 
+// countAwaiting sets the number of groups whose switchover waits for endpoints that may hold
+// commits which the others lack.
+func (p *Proxy) countAwaiting() {
+	count := int64(0)
+	for _, known := range p.grants.Records() {
+		if len(known.Awaited) > 0 {
+			count++
+		}
+	}
+	p.metrics.set("groups_awaiting_logs", count)
+}
+
 func (p *Proxy) logInvalidEntries(entries []rattancache.InvalidEntry) {
 	for _, entry := range entries {
 		p.logger.Warn("entry_unreadable", "key", entry.Key, "revision", entry.Revision.String(), "error", entry.Err)
--- a/internal/daemon/rattanproxy/switchoverrunner.go
+++ b/internal/daemon/rattanproxy/switchoverrunner.go
@@ -40,6 +40,9 @@
 	// confirmations are when the groups' endpoints may be asked who holds all commits. Only
 	// checkGroups uses it.
 	confirmations map[string]confirmation
+	// changedSince is since when the holders of groups differ from their record. Only
+	// checkGroups uses it.
+	changedSince map[string]time.Time
 	// holderWrites are the last writes of groups' holders.
 	holderWrites map[string]holderWrite
 	// settledEra is the last era that this daemon has recorded as settled. Only
@@ -54,6 +57,7 @@
 		return
 	}
 	isSettled := true
+	var settled []rattanswitchover.Request
 	for _, group := range snapshot.Catalog.Groups() {
 		state := r.groupState(snapshot, group, era)
 		isSettled = isSettled && !state.IsLost && !state.IsDeposed
@@ -78,11 +82,12 @@
 		}
 		switch {
 		case reason == rattanswitchover.ReasonNone:
-			r.startRecordHolders(ctx, request)
+			settled = append(settled, request)
 		case r.tryStart(group):
 			go r.run(ctx, request, state)
 		}
 	}
+	r.startRecordHolders(ctx, settled)
 	if isSettled && max(snapshot.SettledEra, r.settledEra) < era && r.proxy.settleEra(ctx, era) {
 		r.settledEra = era
 	}
@@ -213,7 +218,7 @@
 func (r *switchoverRunner) run(ctx context.Context, request rattanswitchover.Request, state rattanswitchover.GroupState) {
 	defer r.end(request.Group)
 	if len(request.Record.Awaited) > 0 && r.coordinator.IsAwaiting(request) {
-		if request.HasNewHolders() {
+		if request.HasNewHolders() && r.isHolderWriteDue(request) {
 			r.recordHolders(ctx, request)
 		}
 		return
--- a/internal/endpoint/rattanswitchover/holders.go
+++ b/internal/endpoint/rattanswitchover/holders.go
@@ -115,11 +115,21 @@
 	return request
 }
 
-// RecordHolders writes the group's record with the holders of the request.
-func (c *Coordinator) RecordHolders(ctx context.Context, request Request) error {
-	record := request.Record
-	record.Holders, record.SyncReplicas = request.Holders, request.confirmedReplicas()
-	record.Version = rattankv.NextNumber(record.Version, request.Era)
-	_, err := c.write(ctx, request.Key, record, request.Revision)
+// MaxRecords is the largest number of groups whose holders one write records. The store takes
+// 32 expectations and writes at once.
+const MaxRecords = 16
+
+// RecordHolders writes the records of groups with the holders of the requests, all or none.
+func (c *Coordinator) RecordHolders(ctx context.Context, requests ...Request) error {
+	var txn rattankv.Txn
+	for _, request := range requests {
+		record := request.Record
+		record.Holders, record.SyncReplicas = request.Holders, request.confirmedReplicas()
+		record.Version = rattankv.NextNumber(record.Version, request.Era)
+		if err := c.addRecord(&txn, request.Key, record, request.Revision); err != nil {
+			return err
+		}
+	}
+	_, err := c.commit(ctx, txn)
 	return err
 }
--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -61,6 +61,10 @@
 	draining  map[string]bool
 	starts    map[string]int
 	evacuated map[string]bool
+	// unlisted are the endpoints whose entry has expired.
+	unlisted map[string]bool
+	// syncReplicas is how many replicas receive a commit before it is acknowledged.
+	syncReplicas int
 	// answerFaults are the wrong answers of each endpoint.
 	answerFaults map[string]rattanlineserver.AnswerFaults
 }
@@ -93,7 +97,7 @@
 	f := &Fleet{
 		program: program, directory: directory, group: rattanlineserver.NewGroup("orders", replicationLag),
 		endpoints: make(map[string]*rattanlineserver.Endpoint), links: make(map[string]*Link),
-		draining: make(map[string]bool), starts: make(map[string]int), evacuated: make(map[string]bool),
+		draining: make(map[string]bool), starts: make(map[string]int), evacuated: make(map[string]bool), unlisted: make(map[string]bool),
 		answerFaults: make(map[string]rattanlineserver.AnswerFaults),
 	}
 	f.store = rattankvserver.New(func(_, id string) bool {
@@ -132,13 +136,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, endpoint := range f.endpoints {
+		if f.unlisted[id] {
+			continue
+		}
 		state := "ready"
 		if f.draining[id] {
 			state = "draining"
 		}
 		entry := endpoint.Entry(domains[id], state)
-		entry["address"], entry["born"] = f.links[id].Address(), 1+f.starts[id]
-		if err := f.store.Put("servers/"+id, entry); err != nil {
+		entry["address"], entry["born"] = f.links[id].Address(), endpoint.StartedUnixMS()+int64(f.starts[id])
+		if err := f.store.Put("servers/"+endpoint.ID(), entry); err != nil {
 			return err
 		}
 	}
@@ -154,6 +161,7 @@
 	config := platformtest.Config{
 		Version: version, Account: account, Keys: []string{key}, Rate: 5000, Connections: 40,
 		Timeout: routeTimeout, Objective: 200 * time.Millisecond, Staleness: maxStaleness,
+		SyncReplicas: f.syncReplicas,
 	}
 	return f.store.Put(platformtest.ConfigKey, config.Entry())
 }
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -16,6 +16,7 @@
 	first    = flag.Uint64("soak.first", 1, "first seed of the soak")
 	duration = flag.Duration("soak.time", 5*time.Second, "duration of the fault injection for one seed")
 	planned  = flag.Duration("soak.planned-time", 8*time.Second, "duration of the planned work for one seed")
+	losses   = flag.Duration("soak.losses-time", 12*time.Second, "duration of the losses of endpoints for one seed")
 	daemons  = flag.Int("soak.daemons", 5, "number of daemons of the soak")
 	program  = flag.String("soak.program", "", "program to run in place of a build of this code")
 	plain    = flag.Bool("soak.plain", false, "use data and names of letters and digits only")
@@ -84,6 +85,22 @@
 	}
 }
 
+// TestSoakLosses guards against the promotion of a log that lacks acknowledged writes, or has
+// what a term has left out, after endpoints have been away for longer than their entries
+// (review/7 and review/8). Every other seed has a synchronous replica.
+func TestSoakLosses(t *testing.T) {
+	program := buildProgram(t)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		syncReplicas := int(seed % 2)
+		t.Run(fmt.Sprintf("seed %d, %d synchronous replicas", seed, syncReplicas), func(t *testing.T) {
+			soakWith(t, program, fmt.Sprintf("losses-seed-%d", seed), func(fleet *Fleet) (Result, error) {
+				return RunLosses(fleet, syncReplicas, Options{Seed: seed, Duration: *losses})
+			})
+		})
+	}
+}
+
 func soakPlanned(t *testing.T, program string, seed uint64) {
 	t.Helper()
 	soakWith(t, program, fmt.Sprintf("planned-seed-%d", seed), func(fleet *Fleet) (Result, error) {
--- a/internal/standin/rattanlineserver/group.go
+++ b/internal/standin/rattanlineserver/group.go
@@ -43,6 +43,8 @@
 	syncReplicas int
 	// promotes has the logs of the promoted endpoints, in order.
 	promotes []PromotedLog
+	// leftOut has the data that a promoted log lacked and another one held.
+	leftOut map[string]bool
 }
 
 // NewGroup returns a group whose replicas apply each commit after lag.
@@ -50,6 +52,7 @@
 	return &Group{
 		name: name, lag: lag, term: 1, endpoints: make(map[string]*Endpoint), writeCounts: make(map[string]int),
 		arrivals: make(map[string]map[Arrival]int), signed: make(map[string]SignedAnswer),
+		leftOut: make(map[string]bool),
 	}
 }
 
@@ -231,6 +234,7 @@
 	if old := g.endpoints[g.primary]; old.isCut {
 		old.deposedTerm = g.term
 	}
+	g.promotes = append(g.promotes, g.promotedLog(e))
 	g.term++
 	g.primary, e.deposedTerm = id, 0
 	for _, other := range g.endpoints {
@@ -238,7 +242,6 @@
 			other.follow()
 		}
 	}
-	g.promotes = append(g.promotes, PromotedLog{Endpoint: id, Data: dataOf(e.log), At: time.Now()})
 	return true
 }
 
--- a/internal/standin/rattanlineserver/logs.go
+++ b/internal/standin/rattanlineserver/logs.go
@@ -11,7 +11,59 @@
 	Endpoint string
 	// Data are those of its writes, in order.
 	Data []string
-	At   time.Time
+	// Missing are those that another endpoint held then and that it lacked.
+	Missing []string
+	// BroughtBack are those that an earlier promote had left out, unless no other log was
+	// without such.
+	BroughtBack []string
+	At          time.Time
+}
+
+// promotedLog returns the log of an endpoint that is promoted now. The caller holds the
+// group's mutex.
+func (g *Group) promotedLog(e *Endpoint) PromotedLog {
+	promoted := PromotedLog{Endpoint: e.id, Data: dataOf(e.log), At: time.Now()}
+	hasBetter := false
+	held := make(map[string]bool, len(e.log))
+	for _, c := range e.log {
+		held[c.data] = true
+		if g.leftOut[c.data] {
+			promoted.BroughtBack = append(promoted.BroughtBack, c.data)
+		}
+	}
+	for _, other := range g.endpoints {
+		isLeftOut := slices.ContainsFunc(other.log, func(c commit) bool { return g.leftOut[c.data] })
+		hasBetter = hasBetter || other != e && len(other.log) > 0 && !isLeftOut
+		for _, c := range other.log {
+			if !held[c.data] {
+				promoted.Missing = append(promoted.Missing, c.data)
+			}
+		}
+	}
+	for _, data := range promoted.Missing {
+		g.leftOut[data] = true
+	}
+	if !hasBetter {
+		promoted.BroughtBack = nil
+	}
+	return promoted
+}
+
+// ID returns the id of the endpoint.
+func (e *Endpoint) ID() string { return e.id }
+
+// StartedUnixMS returns the start of its process, as the endpoint reports it.
+func (e *Endpoint) StartedUnixMS() int64 {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return e.startedUnixMS
+}
+
+// IsDown reports whether the endpoint has crashed.
+func (e *Endpoint) IsDown() bool {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return e.isDown
 }
 
 // SetSyncReplicas sets how many replicas receive a commit before it is acknowledged.
