rattansuccessor: an endpoint past its limit takes over only before worse logs

Callers would have seen, since: without synchronous replicas an endpoint past its drain limit promoted while the primary is silent, so that commits of the primary are lost, and status queries every second at a primary that was started again without its log.

Cause: endpoints that get no work are asked since the holders count, and were candidates when no other one answered; nothing can confirm a primary without its log.

Change: without synchronous replicas such an endpoint is a candidate only if one that gets work answers with a log of a worse rank. The recorded primary's lost log asks for no confirmation.

Measured: the new subtests of TestCandidates and TestConfirm fail before, pass after; TestHolderModel, 30,000 tests: none fails.

--- a/internal/endpoint/rattansuccessor/candidates.go
+++ b/internal/endpoint/rattansuccessor/candidates.go
@@ -61,16 +61,16 @@
 
 // preferUsable returns the candidates that get work. Others remain where replicas hold each
 // commit, since any of them may be the only one that does, and where the best of them is of
-// a better rank.
+// a better rank than all that get work.
 func (v View) preferUsable(ordered []Status) []Status {
 	if v.group.SyncReplicas > 0 {
 		return ordered
 	}
 	usable := slices.DeleteFunc(slices.Clone(ordered), func(s Status) bool { return v.group.Unusable[s.Endpoint.ID] })
-	if len(usable) > 0 && v.rank(usable[0]) == v.rank(ordered[0]) {
-		return usable
+	if len(usable) > 0 && v.rank(usable[0]) != v.rank(ordered[0]) {
+		return ordered
 	}
-	return ordered
+	return usable
 }
 
 // acknowledged returns a position up to which a log holds all acknowledged commits. Each is
--- a/internal/endpoint/rattansuccessor/candidates_test.go
+++ b/internal/endpoint/rattansuccessor/candidates_test.go
@@ -38,6 +38,12 @@
 func TestCandidates(t *testing.T) {
 	view := New(Group{}, []Status{draining(replica("e1", 1, 30)), replica("e2", 1, 10), replica("e3", 1, 20)})
 	assertCandidates(t, view, "e3", "e2", "e1")
+	t.Run("endpoints that get no work", func(t *testing.T) {
+		group := Group{Endpoints: endpoints("e1", "e2", "e3"), Unusable: map[string]bool{"e2": true}, TermHistory: rattanmodel.TermHistory{{Term: 2, StartIndex: 41}}}
+		assertLogsMissing(t, New(group, []Status{replica("e2", 1, 30)}))
+		assertCandidates(t, New(group, []Status{replica("e2", 1, 30), replica("e3", 1, 20)}), "e3")
+		assertCandidates(t, New(group, []Status{replica("e2", 1, 30), replica("e3", 1, 50)}), "e2", "e3")
+	})
 	t.Run("the leader before a replica with an equal log", func(t *testing.T) {
 		assertCandidates(t, New(Group{}, []Status{replica("e2", 2, 9), primary("e1", 2, 9)}), "e1", "e2")
 	})
--- a/internal/endpoint/rattanswitchover/holders.go
+++ b/internal/endpoint/rattanswitchover/holders.go
@@ -66,11 +66,11 @@
 }
 
 // IsUnconfirmed reports whether the primary has to be asked which endpoints hold all
-// acknowledged commits: one has lost its log, one has left, or the number of replicas that
-// hold each commit was raised.
+// acknowledged commits: a replica has lost its log, one has left, or the number of replicas
+// that hold each commit was raised.
 func (r Request) IsUnconfirmed() bool {
 	return r.unconfirmedReplicas() > 0 || len(r.left()) > 0 || slices.ContainsFunc(r.Holders, func(h rattanholder.Holder) bool {
-		return h.HasLostLog && contains(r.Endpoints, h.ID)
+		return h.HasLostLog && h.ID != r.Record.Primary && contains(r.Endpoints, h.ID)
 	})
 }
 
--- a/internal/endpoint/rattanswitchover/holders_test.go
+++ b/internal/endpoint/rattanswitchover/holders_test.go
@@ -156,6 +156,15 @@
 	if !request.IsUnconfirmed() {
 		t.Error("there is nothing to confirm")
 	}
+	t.Run("a primary without its log is not asked again and again", func(t *testing.T) {
+		empty := Request{
+			Record: rattangrant.PrimaryRecord{Primary: "e2", Term: 1, Holders: holders[:3], SyncReplicas: 1}, Endpoints: endpointsOf("e1", "e2", "e3"),
+			Holders: holders[:3], SyncReplicas: 1,
+		}
+		if empty.IsUnconfirmed() {
+			t.Error("the primary is asked what it holds")
+		}
+	})
 	for _, test := range []struct {
 		name             string
 		confirmed        Request
