--- a/review/rattanplay/main.go
+++ b/review/rattanplay/main.go
@@ -45,6 +45,7 @@
 
 // cases are the plays by name. Each returns what has broken the rule, empty if it held.
 var cases = map[string]func(p *play) (string, error){
+	"reborn":  (*play).reborn,
 	"promote": (*play).stalePromote,
 }
 
