--- a/review/rattanplay/main.go
+++ b/review/rattanplay/main.go
@@ -47,6 +47,7 @@
 var cases = map[string]func(p *play) (string, error){
 	"reborn":  (*play).reborn,
 	"promote": (*play).stalePromote,
+	"config":  (*play).lateConfig,
 }
 
 func main() {
