--- a/review/rattanplay/main.go
+++ b/review/rattanplay/main.go
@@ -48,6 +48,7 @@
 	"reborn":  (*play).reborn,
 	"promote": (*play).stalePromote,
 	"config":  (*play).lateConfig,
+	"quota":   (*play).quota,
 }
 
 func main() {
