rattanproxy: every version in force, and every refusal, names its source and age

What callers saw: "refused with N as an older version says"; logs could not tell which version had decided. Cause: configuration_in_force was written for watched changes only and with the newest version for each of them; versions that came by relay, by a full read or in a complete response wrote nothing, and session_refused named no version. Change: one place notes each version that comes into force, with its source, the peer and the age of the last confirmation by the store; refusals for a key or a database, the metrics and the dump have the same. Nothing decides differently.

--- a/internal/config/rattancache/cache.go
+++ b/internal/config/rattancache/cache.go
@@ -64,6 +64,9 @@
 	catalogRevision rattankv.Revision
 }
 
+// CatalogRevision returns the revision of the item that Catalog was decoded from.
+func (s *Snapshot) CatalogRevision() rattankv.Revision { return s.catalogRevision }
+
 // A GroupEntry is the record of a group's primary with its revision.
 type GroupEntry struct {
 	Record   rattangrant.PrimaryRecord
--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -142,13 +142,15 @@
 	for _, load := range response.GetLoads() {
 		f.proxy.loads.learn(load, vm)
 	}
-	f.apply(ctx, response)
-	f.proxy.grants.MarkSynced(sentAt.Add(-time.Duration(response.GetSyncAgeMs()) * time.Millisecond))
+	f.apply(ctx, response, origin{source: sourceWatcher, peer: vm})
+	syncedAt := sentAt.Add(-time.Duration(response.GetSyncAgeMs()) * time.Millisecond)
+	f.proxy.configuration.confirmation.Confirm(syncedAt)
+	f.proxy.grants.MarkSynced(syncedAt)
 	f.acceptGrants(response, sentAt)
 	return true
 }
 
-func (f *follower) apply(ctx context.Context, response *rattanv1.StoreWatchResponse) {
+func (f *follower) apply(ctx context.Context, response *rattanv1.StoreWatchResponse, from origin) {
 	changes := rattankv.Changes{AsOf: rattankv.Revision(response.GetAsOf())}
 	for _, event := range response.GetEvents() {
 		changes.Events = append(changes.Events, rattankv.Event{Item: itemFromWire(event.GetItem()), Deleted: event.GetIsDeleted()})
@@ -158,11 +160,12 @@
 		for _, event := range changes.Events {
 			page.Items = append(page.Items, event.Item)
 		}
-		f.proxy.replaceCache(ctx, page)
+		f.proxy.replaceCache(ctx, page, from)
 	} else {
 		f.proxy.logInvalidEntries(f.proxy.cache.Apply(changes))
 	}
-	f.proxy.applyChanges(ctx, changes)
+	f.proxy.applyGroupRecords(ctx)
+	f.proxy.configuration.update(from)
 	f.proxy.applyLostRecords(ctx, changes)
 	f.proxy.observeNewerTerms(response.GetNewerTerms())
 }
--- a/internal/daemon/rattanproxy/lostrecords_test.go
+++ b/internal/daemon/rattanproxy/lostrecords_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	item := rattankv.Item{Key: rattancache.GroupPrefix + "orders", Value: value, Revision: asOf}
-	p.replaceCache(context.Background(), rattankv.Page{Items: []rattankv.Item{item}, AsOf: asOf})
+	p.replaceCache(context.Background(), rattankv.Page{Items: []rattankv.Item{item}, AsOf: asOf}, origin{source: sourceRead})
 }
 
 func (p *Proxy) assertPrimary(t *testing.T, want string) {
@@ -72,6 +72,6 @@
 	follower.hold(t, 2, 40, older)
 	response := &rattanv1.StoreWatchResponse{}
 	watcher.follower.fill(response, &rattanv1.StoreWatchRequest{Vm: "vm-2", Revision: int64(follower.cache.Revision())})
-	follower.follower.apply(context.Background(), response)
+	follower.follower.apply(context.Background(), response, origin{source: sourceWatcher, peer: "vm-1"})
 	follower.assertPrimary(t, "e2")
 }
--- a/internal/daemon/rattanproxy/metrics.go
+++ b/internal/daemon/rattanproxy/metrics.go
@@ -87,17 +87,17 @@
 // A dump is the state of a daemon, as served on request. It holds no caller's
 // key.
 type dump struct {
-	VM                    string            `json:"vm"`
-	Incarnation           string            `json:"incarnation"`
-	Configuration         int64             `json:"configuration"`
-	Revision              string            `json:"revision"`
-	HoldsGrants           bool              `json:"holds_grants"`
-	IsIsolated            bool              `json:"isolated"`
-	IsStoreLost           bool              `json:"store_lost"`
-	Sessions              int               `json:"sessions"`
-	ForwardedTransactions int               `json:"kept_transactions"`
-	VMs                   []string          `json:"vms"`
-	Primaries             map[string]string `json:"primaries"`
+	VM                    string             `json:"vm"`
+	Incarnation           string             `json:"incarnation"`
+	Configuration         configurationState `json:"configuration"`
+	Revision              string             `json:"revision"`
+	HoldsGrants           bool               `json:"holds_grants"`
+	IsIsolated            bool               `json:"isolated"`
+	IsStoreLost           bool               `json:"store_lost"`
+	Sessions              int                `json:"sessions"`
+	ForwardedTransactions int                `json:"kept_transactions"`
+	VMs                   []string           `json:"vms"`
+	Primaries             map[string]string  `json:"primaries"`
 	// Holders are the endpoints that may hold a part of each group's log, Awaited those that
 	// a switchover waits for.
 	Holders   map[string]rattanholder.Holders `json:"holders"`
@@ -112,16 +112,13 @@
 	snapshot := p.cache.Snapshot()
 	d := dump{
 		VM: p.settings.VM(), Incarnation: p.registration.incarnation, Revision: p.cache.Revision().String(),
-		HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
+		Configuration: p.configuration.state(), HoldsGrants: p.grants.IsHeld(), IsIsolated: p.isolation.isIsolated.Load(), IsStoreLost: p.registration.storeLost.Load(),
 		Sessions: p.sessions.count(), ForwardedTransactions: p.forwarded.count(), Primaries: make(map[string]string),
 		Holders: make(map[string]rattanholder.Holders), Awaited: make(map[string][]string), Endpoints: p.endpoints.State(),
 		Loads:  p.loads.State(),
 		Usage:  p.usage.state(),
 		Egress: p.egress.state(),
 	}
-	if snapshot.Catalog != nil {
-		d.Configuration = snapshot.Catalog.Version()
-	}
 	for name := range snapshot.VMs {
 		d.VMs = append(d.VMs, name)
 	}
@@ -143,6 +140,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		state := p.configuration.state()
+		p.metrics.set("configuration_version", state.Version)
+		p.metrics.set("configuration_confirmed_ms", state.ConfirmedMs)
 		p.metrics.writeText(w)
 		p.egress.writeText(w)
 	})
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -90,16 +90,17 @@
 	reload   Reload
 	clock    rattanclock.Clock
 	// boot also counts the time that the VM is suspended; leases and grants age by it.
-	boot        rattanclock.Clock
-	logger      *log.Logger
-	platform    Platform
-	cache       *rattancache.Cache
-	grants      *rattangrant.Grants
-	switchovers *rattangrant.SwitchoverEstimator
-	endpoints   *endpointSet
-	owners      *owners
-	loads       *loads
-	egress      *egress
+	boot          rattanclock.Clock
+	logger        *log.Logger
+	platform      Platform
+	cache         *rattancache.Cache
+	grants        *rattangrant.Grants
+	switchovers   *rattangrant.SwitchoverEstimator
+	configuration *configuration
+	endpoints     *endpointSet
+	owners        *owners
+	loads         *loads
+	egress        *egress
 	// forwarded holds the transactions of other daemons on this one's connections.
 	forwarded  *forwardedWork
 	metrics    *metrics
@@ -139,6 +140,7 @@
 		grants:      rattangrant.New(boot, grantLifetime),
 		switchovers: rattangrant.NewSwitchoverEstimator(clock),
 	}
+	p.configuration = &configuration{proxy: p}
 	p.isolation.isIsolated.Store(true)
 	p.leadership = &leadership{proxy: p}
 	p.usage = newUsage(p)
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -145,7 +145,7 @@
 	response := reply.GetKnowledgeResponse()
 	page := rattankv.Page{AsOf: rattankv.Revision(response.GetAsOf()), Items: itemsFromWire(response.GetItems())}
 	if response.GetIsComplete() {
-		r.proxy.replaceCache(ctx, page)
+		r.proxy.replaceCache(ctx, page, origin{source: sourceRelay, peer: address})
 		r.proxy.logger.Info("knowledge_relayed", "peer", address, "from_revision", known.String(), "revision", page.AsOf.String())
 	}
 	r.proxy.applyItems(ctx, page.Items)
--- a/internal/daemon/rattanproxy/session.go
+++ b/internal/daemon/rattanproxy/session.go
@@ -96,7 +96,8 @@
 	}
 	s.database, s.key = database, key
 	if _, code, detail := s.identify(); code != rattanstatement.None {
-		s.proxy.logger.Info("session_refused", "database", database, "code", code.String(), "detail", detail)
+		fields := []any{"database", database, "code", code.String(), "detail", detail}
+		s.proxy.logger.Info("session_refused", append(fields, s.proxy.configuration.state().fields()...)...)
 		if err := s.refuse(code, detail); err != nil {
 			return err
 		}
--- a/internal/daemon/rattanproxy/statementlog.go
+++ b/internal/daemon/rattanproxy/statementlog.go
@@ -29,5 +29,8 @@
 	if outcome.Cause != nil {
 		fields = append(fields, "cause", outcome.Cause.Error())
 	}
+	if outcome.Code == rattanstatement.UnknownDatabase || outcome.Code == rattanstatement.Unauthenticated {
+		fields = append(fields, p.configuration.state().fields()...)
+	}
 	p.logger.Info("statement_failed", fields...)
 }
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -66,21 +66,24 @@
 func (p *Proxy) readAll(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, readAllTimeout)
 	defer cancel()
+	sentAt := p.boot.Now()
 	page, err := p.platform.Store.Range(callCtx, "")
 	if err != nil {
 		return err
 	}
-	p.replaceCache(ctx, page)
+	p.replaceCache(ctx, page, origin{source: sourceRead})
+	p.configuration.confirmation.Confirm(sentAt)
 	return nil
 }
 
 // replaceCache replaces the cache by all that the store holds, as read from the store
 // or from another daemon.
-func (p *Proxy) replaceCache(ctx context.Context, page rattankv.Page) {
+func (p *Proxy) replaceCache(ctx context.Context, page rattankv.Page, from origin) {
 	before := p.cache.Revision()
 	p.logInvalidEntries(p.cache.Replace("", page))
 	p.cache.AdvanceRevision(page.AsOf)
 	p.applyGroupRecords(ctx)
+	p.configuration.update(from)
 	if before != 0 && page.AsOf.Era() > before.Era() {
 		p.metrics.count("store_restored")
 		p.logger.Warn("store_restored", "era_before", before.Era(), "era", page.AsOf.Era(),
@@ -115,7 +118,9 @@
 			last = p.clock.Now()
 		}
 		p.logInvalidEntries(p.cache.Apply(changes))
-		p.applyChanges(ctx, changes)
+		p.applyGroupRecords(ctx)
+		p.configuration.update(origin{source: sourceWatch})
+		p.configuration.confirmation.Confirm(sentAt)
 		p.grants.MarkSynced(sentAt)
 		p.follower.markStoreSynced(sentAt)
 	}
@@ -129,21 +134,6 @@
 	return p.platform.Store.Watch(callCtx, "", after, watchWait)
 }
 
-// applyChanges acts on changes of the groups' records, and logs a new
-// configuration.
-func (p *Proxy) applyChanges(ctx context.Context, changes rattankv.Changes) {
-	p.applyGroupRecords(ctx)
-	snapshot := p.cache.Snapshot()
-	for _, event := range changes.Events {
-		if p.platform.Decoder.IsConfig(event.Key) && snapshot.Catalog != nil {
-			p.logger.Info("configuration_in_force", "version", snapshot.Catalog.Version(), "revision", event.Revision.String())
-			for _, leftOut := range snapshot.Catalog.LeftOut() {
-				p.logger.Warn("configuration_entry_left_out", "entry", leftOut.Entry, "error", leftOut.Err)
-			}
-		}
-	}
-}
-
 // applyGroupRecords acts on the cached group records that are newer than those
 // known to the grants.
 func (p *Proxy) applyGroupRecords(ctx context.Context) {
