rattancache: changes of the store are passed on once a key, not once a version

What callers saw: a new database refused as unknown, a new key as not known, more than config_apply_ms after the version was acknowledged (CONFIG). Cause: the log of changes held every value of a key, so a daemon that was n versions behind got the whole configuration n times in one response. Ruled out: an entry left out (no such event); a refusal by another version than the newest held (session_refused names it); the relay (the lease was renewed at once, so it stopped). Change: the log keeps the newest event of each key. Measured: TestVersionsInOneResponse failed before (200 events for two keys) and passes; the package three times under the race detector.

--- a/internal/config/rattancache/changelog.go
+++ b/internal/config/rattancache/changelog.go
@@ -1,45 +1,72 @@
 package rattancache
 
-import "github.com/rattanstream/rattanstream/internal/config/rattankv"
+import (
+	"cmp"
+	"maps"
+	"slices"
 
-// changeLogSize is the number of events that a daemon keeps for others.
+	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+)
+
+// changeLogSize is the number of keys whose changes a daemon keeps for others.
 const changeLogSize = 2000
 
-// A changeLog holds the latest events of the store. Those of one response of the store
-// may be in any order.
+// A changeLog holds the newest event of each key that has changed lately. Earlier ones are
+// of no use to a daemon that lacks them, and a burst of versions would be sent in full.
 type changeLog struct {
-	// base is the revision after which the log holds every event.
+	// base is the revision after which the log holds the newest event of every key.
 	base   rattankv.Revision
-	events []rattankv.Event
+	newest map[string]rattankv.Event
 }
 
 // reset empties the log; it then holds every event after a revision.
 func (l *changeLog) reset(revision rattankv.Revision) {
-	l.base, l.events = revision, nil
+	l.base, l.newest = revision, nil
 }
 
+// add adds the events of one response of the store, which may be in any order.
 func (l *changeLog) add(events []rattankv.Event) {
-	l.events = append(l.events, events...)
-	if surplus := len(l.events) - changeLogSize; surplus > 0 {
-		for _, dropped := range l.events[:surplus] {
-			l.base = max(l.base, dropped.Revision)
+	if l.newest == nil {
+		l.newest = make(map[string]rattankv.Event)
+	}
+	for _, event := range events {
+		if event.Revision >= l.newest[event.Key].Revision {
+			l.newest[event.Key] = event
 		}
-		l.events = append([]rattankv.Event(nil), l.events[surplus:]...)
 	}
+	l.trim()
 }
 
-// after returns the events after a revision, or false when some of them are gone.
+// trim drops the oldest events above changeLogSize.
+func (l *changeLog) trim() {
+	surplus := len(l.newest) - changeLogSize
+	if surplus <= 0 {
+		return
+	}
+	for _, dropped := range byRevision(slices.Collect(maps.Values(l.newest)))[:surplus] {
+		l.base = max(l.base, dropped.Revision)
+		delete(l.newest, dropped.Key)
+	}
+}
+
+// after returns the newest event of each key that has changed after a revision, in the order
+// of their revisions, or false when some of them are gone.
 func (l *changeLog) after(revision rattankv.Revision) ([]rattankv.Event, bool) {
 	if revision < l.base {
 		return nil, false
 	}
 	var events []rattankv.Event
-	for _, event := range l.events {
+	for _, event := range l.newest {
 		if event.Revision > revision {
 			events = append(events, event)
 		}
 	}
-	return events, true
+	return byRevision(events), true
+}
+
+func byRevision(events []rattankv.Event) []rattankv.Event {
+	slices.SortFunc(events, func(a, b rattankv.Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return events
 }
 
 // ChangesSince returns the changes of the store after a revision and true, or all
--- a/internal/config/rattancache/changelog_test.go
+++ b/internal/config/rattancache/changelog_test.go
@@ -92,3 +92,28 @@
 		t.Errorf("the follower lacks an event: %s", contents(follower))
 	}
 }
+
+// TestVersionsInOneResponse guards against a daemon that gets each version of the configuration
+// that it lacks: 86 of them were above the largest message between daemons.
+func TestVersionsInOneResponse(t *testing.T) {
+	source, follower := newTestCache(), newTestCache()
+	source.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: item("config", 1, 1)}, {Item: item("endpoints/e1", 1, 1)}}, AsOf: 1})
+	follow(source, follower)
+	const versions = 200
+	for version := 2; version <= versions; version++ {
+		revision := rattankv.Revision(version)
+		source.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: item("config", byte(version), revision)}}, AsOf: revision})
+	}
+	source.Apply(rattankv.Changes{Events: []rattankv.Event{{Item: rattankv.Item{Key: "endpoints/e1", Revision: versions + 1}, Deleted: true}}, AsOf: versions + 1})
+	changes, _ := source.ChangesSince(follower.Revision())
+	if len(changes.Events) != 2 {
+		t.Errorf("%d events after %d changes of two keys, want the newest of each", len(changes.Events), versions)
+	}
+	follow(source, follower)
+	if got := follower.Snapshot().Catalog.Version(); got != versions {
+		t.Errorf("the follower has version %d, want %d", got, versions)
+	}
+	if got, want := contents(follower), contents(source); got != want {
+		t.Errorf("the follower has %s, the source %s", got, want)
+	}
+}
