rattanproxy: the age of the copy of the store decides where changes come from

What callers saw: nothing yet; with two watchers of a failure domain in this state, a new key is refused as not known for more than 3 s. Cause: a daemon's sources were judged by whether they answered. A watcher whose watch hangs while its lease is renewed served its followers as current until its last confirmation was 6.6 s old, above every config_apply_ms, and itself learned of nothing: other daemons were asked only when grants ran short. A watcher that had just been chosen, or had the store back, was refused for lack of a confirmation of its own. No place added the steps up. Evidence: TestVersionReachesDaemons on with the stand-in's control alone: the watches of one watcher hang, of both hang: the watcher is behind for more than 3 s with each of three versions; the other four cases held. Ruled out: a longer list of timers that are each shorter: what a step may take stays unknown to the others. Change: a confirmation (rattanpropagation) says up to when the copy is known to be complete, and goes with the changes from daemon to daemon, older with each step. Watches wait 1 s (3 s before). The bound of a hanging watch is the users' 3 s (4 s before).

--- a/internal/config/rattanpropagation/confirmation.go
+++ b/internal/config/rattanpropagation/confirmation.go
@@ -37,3 +37,21 @@
 	}
 	return max(0, now.Sub(c.at))
 }
+
+// EncodeAge encodes an age for another daemon, rounded up: milliseconds and one, or 0 for an
+// unknown age.
+func EncodeAge(age time.Duration) uint32 {
+	const most = math.MaxUint32 * time.Millisecond
+	if age >= most-2*time.Millisecond {
+		return 0
+	}
+	return uint32(age/time.Millisecond) + 2
+}
+
+// DecodeAge returns the age that another daemon has sent, or false if it knows none.
+func DecodeAge(encoded uint32) (time.Duration, bool) {
+	if encoded == 0 {
+		return 0, false
+	}
+	return time.Duration(encoded-1) * time.Millisecond, true
+}
--- a/internal/daemon/rattanproxy/configuration.go
+++ b/internal/daemon/rattanproxy/configuration.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// isBehind reports whether a newer version may have been in the store for so long that the
+// daemon's own sources of changes are not enough.
+func (c *configuration) isBehind() bool {
+	return c.confirmation.Age(c.proxy.boot.Now()) >= rattanpropagation.MaxAge
+}
+
 func (c *configuration) state() configurationState {
 	now := c.proxy.boot.Now()
 	confirmed := int64(-1)
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -33,9 +33,6 @@
 	testAccount = "dealer"
 	// switchoverBound is the users' time limit for a change of primary.
 	switchoverBound = 8 * time.Second
-	// hangingWatchBound is the 3 s of the sites' config_apply_ms, and one second for
-	// the watch that was dropped.
-	hangingWatchBound = 4 * time.Second
 	// settleTime is long enough for started daemons to know each other.
 	settleTime = 1 * time.Second
 	// shortStopTimeout is the stop_timeout of most tests, deployedStopTimeout that of the
--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -8,21 +8,16 @@
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattanfanout"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+	"github.com/rattanstream/rattanstream/internal/config/rattanpropagation"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 const (
-	// followWait is how long a watcher holds a request without changes. It is below
-	// half of the grant lifetime, since each response also delegates grants.
-	followWait = 400 * time.Millisecond
-	// followTimeout limits a request to a watcher.
-	followTimeout = followWait + 500*time.Millisecond
 	// watcherBackoff is how long a watcher that failed is not used.
 	watcherBackoff = 2 * time.Second
-	// maxSyncAge is the age of a watcher's last confirmation by the store from which
-	// it is no source any more: each watch confirms only what was so when it was sent,
-	// and may itself last for watchWait.
-	maxSyncAge = 2*watchWait + watchSlack
+	// maxSyncAge is the largest age that a response names of the store's last confirmation:
+	// nothing relies on one that is as old.
+	maxSyncAge = time.Hour
 )
 
 // A follower gets the changes of the store from a daemon of its failure domain that
@@ -41,9 +36,6 @@
 	snapshot *rattancache.Snapshot
 	// fedAt is when a watcher last delegated grants to this daemon.
 	fedAt time.Time
-	// syncedAt is when the last request was sent by which the store itself confirmed
-	// to this daemon that nothing was missing.
-	syncedAt time.Time
 }
 
 func newFollower(p *Proxy) *follower {
@@ -105,31 +97,18 @@
 func (f *follower) isFed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.proxy.clock.Now().Sub(f.fedAt) < followTimeout
-}
-
-// markStoreSynced records a request to the store that confirmed that nothing was
-// missing.
-func (f *follower) markStoreSynced(sentAt time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.syncedAt = sentAt
+	return f.proxy.clock.Now().Sub(f.fedAt) < rattanpropagation.FollowTimeout
 }
 
 // follow applies the next changes from a watcher. It returns false when the watcher
 // cannot be used.
 func (f *follower) follow(ctx context.Context, vm, address string) bool {
-	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, rattanpropagation.FollowTimeout)
 	defer cancel()
 	sentAt := f.proxy.boot.Now()
-	reply, err := f.proxy.peers.Call(callCtx, address, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_StoreWatchRequest{
-		StoreWatchRequest: &rattanv1.StoreWatchRequest{
-			Vm: f.proxy.settings.VM(), Address: f.proxy.settings.PeerAddress(),
-			Revision: int64(f.proxy.cache.Revision()), WaitMs: uint32(followWait.Milliseconds()),
-			Loads: f.proxy.loads.news(vm),
-		},
-	}})
-	response := reply.GetStoreWatchResponse()
+	response, err := f.request(callCtx, address, &rattanv1.StoreWatchRequest{
+		WaitMs: uint32(rattanpropagation.FollowWait.Milliseconds()), Loads: f.proxy.loads.news(vm),
+	})
 	if err != nil || !response.GetIsSource() {
 		if ctx.Err() == nil {
 			f.proxy.logger.Info("watcher_unusable", "watcher", vm, "error", err)
@@ -143,13 +122,48 @@
 		f.proxy.loads.learn(load, vm)
 	}
 	f.apply(ctx, response, origin{source: sourceWatcher, peer: vm})
-	syncedAt := sentAt.Add(-time.Duration(response.GetSyncAgeMs()) * time.Millisecond)
-	f.proxy.configuration.confirmation.Confirm(syncedAt)
-	f.proxy.grants.MarkSynced(syncedAt)
+	f.confirm(response, sentAt)
+	f.proxy.grants.MarkSynced(sentAt.Add(-syncAge(response)))
 	f.acceptGrants(response, sentAt)
 	return true
 }
 
+// request asks another daemon for changes of the store.
+func (f *follower) request(ctx context.Context, address string, request *rattanv1.StoreWatchRequest) (*rattanv1.StoreWatchResponse, error) {
+	request.Vm, request.Address = f.proxy.settings.VM(), f.proxy.settings.PeerAddress()
+	request.Revision = int64(f.proxy.cache.Revision())
+	reply, err := f.proxy.peers.Call(ctx, address, &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_StoreWatchRequest{StoreWatchRequest: request}})
+	return reply.GetStoreWatchResponse(), err
+}
+
+// seek applies the changes that a daemon knows which need not watch the store. It accepts no
+// grants.
+func (f *follower) seek(ctx context.Context, address string) {
+	sentAt := f.proxy.boot.Now()
+	response, err := f.request(ctx, address, &rattanv1.StoreWatchRequest{ChangesOnly: true})
+	if err != nil || !response.GetIsSource() {
+		return
+	}
+	f.apply(ctx, response, origin{source: sourceRelay, peer: address})
+	f.confirm(response, sentAt)
+}
+
+// confirm records up to when an applied response to a request that was sent at sentAt says
+// that nothing is missing.
+func (f *follower) confirm(response *rattanv1.StoreWatchResponse, sentAt time.Time) {
+	age, ok := rattanpropagation.DecodeAge(response.GetConfirmedAgeMs())
+	if !ok {
+		// An older daemon knows only what the store has confirmed to itself.
+		age = syncAge(response)
+	}
+	f.proxy.configuration.confirmation.Confirm(sentAt.Add(-age))
+}
+
+// syncAge returns the time from the last confirmation by the store to a response.
+func syncAge(response *rattanv1.StoreWatchResponse) time.Duration {
+	return time.Duration(response.GetSyncAgeMs()) * time.Millisecond
+}
+
 func (f *follower) apply(ctx context.Context, response *rattanv1.StoreWatchResponse, from origin) {
 	changes := rattankv.Changes{AsOf: rattankv.Revision(response.GetAsOf())}
 	for _, event := range response.GetEvents() {
@@ -191,21 +205,26 @@
 		f.proxy.loads.learn(load, request.GetVm())
 	}
 	response := &rattanv1.StoreWatchResponse{}
-	if f.syncAge() < maxSyncAge {
+	arrivedAt := f.proxy.boot.Now()
+	if f.isSource(arrivedAt) {
 		f.awaitChange(ctx, request)
 	}
-	age := f.syncAge()
-	response.IsSource = age < maxSyncAge && !f.hasEnded()
-	response.SyncAgeMs = uint32(age.Milliseconds()) + 1
+	now := f.proxy.boot.Now()
+	response.IsSource = f.isSource(now) && !f.hasEnded()
 	if response.IsSource {
+		// Before the changes are read, which may be newer than that.
+		response.SyncAgeMs = uint32(min(now.Sub(f.proxy.grants.SyncedAt()), maxSyncAge).Milliseconds()) + 1
+		response.ConfirmedAgeMs = rattanpropagation.EncodeAge(max(0, f.proxy.configuration.confirmation.Age(arrivedAt)))
 		f.fill(response, request)
+	}
+	if response.IsSource && !request.GetChangesOnly() {
 		response.Loads = f.proxy.loads.news(request.GetVm())
 	}
 	return &rattanv1.PeerFrame{Body: &rattanv1.PeerFrame_StoreWatchResponse{StoreWatchResponse: response}}, nil
 }
 
 func (f *follower) fill(response *rattanv1.StoreWatchResponse, request *rattanv1.StoreWatchRequest) {
-	if until, ok := f.proxy.grants.LeaseExpiry(); ok {
+	if until, ok := f.proxy.grants.LeaseExpiry(); ok && !request.GetChangesOnly() {
 		f.proxy.relay.recordDelegation(request.GetVm(), request.GetAddress(), until)
 		response.GrantMs = encodeGrantTime(until, f.proxy.boot.Now())
 	}
@@ -220,21 +239,15 @@
 	response.NewerTerms = f.proxy.grants.OutdatedTerms()
 }
 
-// syncAge returns the time since the store last confirmed to this daemon itself that
-// nothing was missing.
-func (f *follower) syncAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.syncedAt.IsZero() {
-		return maxSyncAge
-	}
-	return max(0, f.proxy.boot.Now().Sub(f.syncedAt))
+// isSource reports whether this daemon's copy of the store is new enough for others.
+func (f *follower) isSource(now time.Time) bool {
+	return f.proxy.configuration.confirmation.Age(now) < rattanpropagation.MaxSourceAge
 }
 
 // awaitChange waits until the cache has changes that a request lacks, or until the
 // request's wait is over.
 func (f *follower) awaitChange(ctx context.Context, request *rattanv1.StoreWatchRequest) {
-	timeout := f.proxy.clock.After(min(time.Duration(request.GetWaitMs())*time.Millisecond, watchWait))
+	timeout := f.proxy.clock.After(min(time.Duration(request.GetWaitMs())*time.Millisecond, rattanpropagation.WatchWait))
 	for {
 		_, changed := f.proxy.cache.Changed()
 		if changes, _ := f.proxy.cache.ChangesSince(rattankv.Revision(request.GetRevision())); len(changes.Events) > 0 {
--- a/internal/daemon/rattanproxy/follower_test.go
+++ b/internal/daemon/rattanproxy/follower_test.go
@@ -33,8 +33,8 @@
 		before := f.store.Calls()
 		time.Sleep(calmTime)
 		after := f.store.Calls()
-		// A watch without changes returns after 3 s.
-		limit := followedWatches * (int(calmTime/(3*time.Second)) + 2)
+		// A watch without changes returns after a second.
+		limit := followedWatches * (int(calmTime/time.Second) + 2)
 		if watches := after["/kv-watch"] - before["/kv-watch"]; watches > limit {
 			t.Errorf("%d watches in %s, want at most %d", watches, calmTime, limit)
 		}
--- a/internal/daemon/rattanproxy/proxy_test.go
+++ b/internal/daemon/rattanproxy/proxy_test.go
@@ -99,7 +99,7 @@
 	time.Sleep(settleTime)
 	f.store.SilenceWatches()
 	f.configure(2, 1000, "another-key")
-	for start := time.Now(); time.Since(start) < hangingWatchBound; time.Sleep(20 * time.Millisecond) {
+	for start := time.Now(); time.Since(start) < configApplyBound; time.Sleep(20 * time.Millisecond) {
 		conn, err := net.Dial("tcp", f.daemons[0].callers)
 		if err != nil {
 			t.Fatal(err)
@@ -111,7 +111,7 @@
 			return
 		}
 	}
-	t.Errorf("the removed key still opens sessions %s after the change", hangingWatchBound)
+	t.Errorf("the removed key still opens sessions %s after the change", configApplyBound)
 }
 
 // TestFailover guards against a crashed primary that is not replaced, a write that
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -8,17 +8,11 @@
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
+	"github.com/rattanstream/rattanstream/internal/config/rattanpropagation"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 )
 
 const (
-	// watchWait is how long the store holds a watch without events. A watch that the
-	// store drops without notice is detected only after that: 5 s was too long for
-	// the sites' config_apply_ms of 3 s.
-	watchWait = 3 * time.Second
-	// watchSlack is how much longer than watchWait a response may take before the
-	// watch fails.
-	watchSlack = 600 * time.Millisecond
 	// After a change, the next watch is delayed by burstPause if it would start
 	// within burstGap, so that one response returns many changes, for example when
 	// all daemons start or confirm a switchover: each response costs a call.
@@ -120,18 +114,26 @@
 		p.logInvalidEntries(p.cache.Apply(changes))
 		p.applyGroupRecords(ctx)
 		p.configuration.update(origin{source: sourceWatch})
-		p.configuration.confirmation.Confirm(sentAt)
+		p.configuration.confirmation.Confirm(p.watchConfirms(changes, sentAt))
 		p.grants.MarkSynced(sentAt)
-		p.follower.markStoreSynced(sentAt)
 	}
 	return nil
 }
 
+// watchConfirms returns up to when the response to a watch that was sent at sentAt says that
+// nothing is missing. The store holds a watch without events for all of its wait.
+func (p *Proxy) watchConfirms(changes rattankv.Changes, sentAt time.Time) time.Time {
+	if len(changes.Events) == 0 && p.boot.Now().Sub(sentAt) >= rattanpropagation.WatchWait {
+		return sentAt.Add(rattanpropagation.WatchWait)
+	}
+	return sentAt
+}
+
 func (p *Proxy) watchOnce(ctx context.Context, after rattankv.Revision) (rattankv.Changes, error) {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	callCtx, cancel := context.WithTimeout(ctx, rattanpropagation.WatchTimeout)
 	defer cancel()
 	p.registration.watching.Store(&cancel)
-	return p.platform.Store.Watch(callCtx, "", after, watchWait)
+	return p.platform.Store.Watch(callCtx, "", after, rattanpropagation.WatchWait)
 }
 
 // applyGroupRecords acts on the cached group records that are newer than those
--- a/internal/standin/rattankvserver/controls.go
+++ b/internal/standin/rattankvserver/controls.go
@@ -25,6 +25,30 @@
 	s.refusedClients[client] = isRefused
 }
 
+// HoldWatches makes the watches of one client hang until the client gives up, while its other
+// calls are served.
+func (s *Server) HoldWatches(client string, isHeld bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldWatches[client] = isHeld
+	s.notifyWatches()
+}
+
+// Silence makes all calls of one client hang until the client gives up.
+func (s *Server) Silence(client string, isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentClients[client] = isSilent
+	s.notifyWatches()
+}
+
+// holdsWatches reports whether the watches of a client hang.
+func (s *Server) holdsWatches(client string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heldWatches[client] || s.silentClients[client]
+}
+
 // Expire ends the lease that a key is bound to.
 func (s *Server) Expire(key string) {
 	s.mu.Lock()
--- a/internal/standin/rattankvserver/server.go
+++ b/internal/standin/rattankvserver/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -42,6 +43,8 @@
 	lastLease      int64
 	isDown         bool
 	refusedClients map[string]bool
+	// silentClients get no answers, heldWatches none to their watches.
+	silentClients, heldWatches map[string]bool
 	// lostAnswers has the keys of which the answer to the next write is lost.
 	lostAnswers map[string]bool
 	// pageSize is the largest number of items in a response to a read.
@@ -61,7 +64,8 @@
 func New(promote func(group, endpoint string) bool) *Server {
 	return &Server{
 		promote: promote, items: make(map[string]item), leases: make(map[int64]*lease),
-		revision: 1, era: 1, refusedClients: make(map[string]bool), lostAnswers: make(map[string]bool), pageSize: smallPage, calls: make(map[string]int), changed: make(chan struct{}),
+		revision: 1, era: 1, refusedClients: make(map[string]bool),
+		silentClients: make(map[string]bool), heldWatches: make(map[string]bool), lostAnswers: make(map[string]bool), pageSize: smallPage, calls: make(map[string]int), changed: make(chan struct{}),
 	}
 }
 
@@ -198,9 +202,16 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls["/"+strings.SplitN(r.URL.Path, "/", 3)[1]]++
+	isSilent := s.silentClients[r.Header.Get("Test-Client")]
 	isUnavailable := s.isDown || s.refusedClients[r.Header.Get("Test-Client")]
 	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
+	if isSilent {
+		// Only behind the body does the server notice that the client is gone.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
 	if isUnavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/rattankvserver/watch.go
+++ b/internal/standin/rattankvserver/watch.go
@@ -13,7 +13,7 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	stallsAtStart := s.watchStalls()
 	for {
-		if s.watchStalls() != stallsAtStart {
+		if s.watchStalls() != stallsAtStart || s.holdsWatches(r.Header.Get("Test-Client")) {
 			<-r.Context().Done()
 			return
 		}
