rattanproxy: a daemon that is behind reads the state of the store, not its changes

Cause: a daemon that comes back watched the store from its old revision and got every version in between, in pieces of 1 MB each or in one response that took longer than the watch may; a watch that was given up began again with the same one. After lost history it did nothing but read the whole store, also while a watcher would have answered. TestVersionsBehindNarrowLink failed before this commit: 100 versions over 1 MB/s not in force after 3 s. Change: a daemon whose copy is older than MaxAge reads the whole store in place of a watch, and follows its watcher also while history is lost.

--- a/internal/config/rattanpropagation/bound.go
+++ b/internal/config/rattanpropagation/bound.go
@@ -12,6 +12,7 @@
 // SeekInterval and one round of questions at most.
 const Limit = 2500 * time.Millisecond
 
+// Times of the sources of changes.
 const (
 	// WatchWait is how long the store holds a watch without events, and WatchTimeout until when
 	// the response must be there.
@@ -31,6 +32,7 @@
 	MaxSourceAge = 4 * time.Second
 )
 
+// Questions to other daemons by one whose copy is behind.
 const (
 	// SeekInterval separates two rounds of questions to other daemons.
 	SeekInterval = 250 * time.Millisecond
--- a/internal/daemon/rattanproxy/fleet_test.go
+++ b/internal/daemon/rattanproxy/fleet_test.go
@@ -61,6 +61,9 @@
 	syncReplicas int
 	// unlisted are the endpoints that write no entries to the store.
 	unlisted map[string]bool
+	// storeLink is the capacity of each daemon's link to the store in bytes per second, 0 for no
+	// limit.
+	storeLink int
 	// hasMetrics is true when the daemons serve metrics and dumps.
 	hasMetrics bool
 }
@@ -203,6 +206,9 @@
 	f.t.Helper()
 	storeProxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Header.Set("Test-Client", name)
+		if f.storeLink > 0 {
+			w = &narrowWriter{ResponseWriter: w, bytesPerSecond: f.storeLink}
+		}
 		f.store.ServeHTTP(w, r)
 	}))
 	f.t.Cleanup(storeProxy.Close)
@@ -244,6 +250,27 @@
 	return daemon
 }
 
+// A narrowWriter writes a response over a link of limited capacity.
+type narrowWriter struct {
+	http.ResponseWriter
+	bytesPerSecond int
+}
+
+// Write implements io.Writer.
+func (w *narrowWriter) Write(p []byte) (int, error) {
+	const part = 16 << 10
+	written := 0
+	for written < len(p) {
+		n, err := w.ResponseWriter.Write(p[written:min(written+part, len(p))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		time.Sleep(time.Duration(n) * time.Second / time.Duration(w.bytesPerSecond))
+	}
+	return written, nil
+}
+
 // stopAll stops all daemons and, if the test has failed, prints their logs.
 func (f *fleet) stopAll() {
 	for _, daemon := range f.daemons {
--- a/internal/daemon/rattanproxy/propagation_test.go
+++ b/internal/daemon/rattanproxy/propagation_test.go
@@ -65,3 +65,21 @@
 		})
 	}
 }
+
+// TestVersionsBehindNarrowLink guards against a daemon that gets each version which it has
+// missed, one after the other, before the newest one.
+func TestVersionsBehindNarrowLink(t *testing.T) {
+	t.Parallel()
+	const missed, accounts, link = 100, 600, 1 << 20
+	f := newFleetWithoutDaemons(t)
+	f.storeLink = link
+	f.start("vm-1", "a")
+	f.dial(f.daemons[0], "checkout", testKey)
+	f.store.Silence("vm-1", true)
+	time.Sleep(2 * settleTime)
+	for version := range missed {
+		f.configureAccounts(2+version, 1000, accounts, fmt.Sprint("key-of-version-", version))
+	}
+	f.store.Silence("vm-1", false)
+	f.assertKeyWorks(fmt.Sprint("key-of-version-", missed-1), configApplyBound)
+}
--- a/internal/daemon/rattanproxy/storesync.go
+++ b/internal/daemon/rattanproxy/storesync.go
@@ -39,23 +39,79 @@
 	p.sleep(ctx, min(max(pause, storeRetry), maxStoreRetry))
 }
 
-// syncStore keeps the cache synced: it reads the whole store, then watches it
-// from there.
+// A storeSync is the progress of a daemon in keeping its cache synced.
+type storeSync struct {
+	proxy *Proxy
+	// hasRead is true once the whole store was read.
+	hasRead bool
+	// isHistoryLost is true while the store no longer has the history since the cached revision.
+	isHistoryLost bool
+	// changedAt is when the last watch of the store returned changes.
+	changedAt time.Time
+}
+
+// syncStore keeps the cache synced: it reads the whole store, then gets the changes from
+// there, from the store or from a daemon that watches it.
 func (p *Proxy) syncStore(ctx context.Context) error {
+	s := &storeSync{proxy: p}
 	for ctx.Err() == nil {
-		if err := p.readAll(ctx); err != nil {
-			p.markStoreLost(ctx, "read", err)
-			p.pauseStore(ctx)
+		if vm, address, ok := p.follower.source(); ok && s.hasRead {
+			if p.follower.follow(ctx, vm, address) {
+				s.isHistoryLost = false
+			}
 			continue
 		}
-		p.markStoreAvailable()
-		if err := p.watch(ctx); err != nil && ctx.Err() == nil {
-			p.logger.Info("history_lost", "revision", p.cache.Revision().String(), "error", err)
-		}
+		s.pauseInBurst(ctx)
+		s.advance(ctx)
 	}
 	return nil
 }
 
+// pauseInBurst waits while many changes follow each other.
+func (s *storeSync) pauseInBurst(ctx context.Context) {
+	p := s.proxy
+	if p.clock.Now().Sub(s.changedAt) < burstGap && !p.isFailoverLeader() {
+		p.sleep(ctx, burstPause+time.Duration(p.follower.watchers())*burstPausePerWatcher)
+	}
+}
+
+// advance reads the whole store when the history is lost, or when the cache is behind: the
+// changes may then be many times as large. Otherwise it watches the store.
+func (s *storeSync) advance(ctx context.Context) {
+	call, run := "watch", s.watch
+	if !s.hasRead || s.isHistoryLost || s.proxy.configuration.isBehind() {
+		call, run = "read", s.read
+	}
+	err := run(ctx)
+	if errors.Is(err, rattankv.ErrCompacted) {
+		s.proxy.logger.Info("history_lost", "revision", s.proxy.cache.Revision().String(), "error", err)
+		s.isHistoryLost = true
+		return
+	}
+	if err != nil {
+		s.proxy.markStoreLost(ctx, call, err)
+		s.proxy.pauseStore(ctx)
+		return
+	}
+	s.proxy.markStoreAvailable()
+}
+
+func (s *storeSync) read(ctx context.Context) error {
+	if err := s.proxy.readAll(ctx); err != nil {
+		return err
+	}
+	s.hasRead, s.isHistoryLost = true, false
+	return nil
+}
+
+func (s *storeSync) watch(ctx context.Context) error {
+	isChanged, err := s.proxy.watch(ctx)
+	if isChanged {
+		s.changedAt = s.proxy.clock.Now()
+	}
+	return err
+}
+
 // readAll reads everything in the store.
 func (p *Proxy) readAll(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, readAllTimeout)
@@ -67,6 +123,7 @@
 	}
 	p.replaceCache(ctx, page, origin{source: sourceRead})
 	p.configuration.confirmation.Confirm(sentAt)
+	p.grants.MarkSynced(sentAt)
 	return nil
 }
 
@@ -85,39 +142,19 @@
 	}
 }
 
-// watch applies the store's changes, from the store or from a daemon that watches it,
-// until the store no longer has the history since the cached revision.
-func (p *Proxy) watch(ctx context.Context) error {
-	var last time.Time
-	for ctx.Err() == nil {
-		if vm, address, ok := p.follower.source(); ok {
-			p.follower.follow(ctx, vm, address)
-			continue
-		}
-		if now := p.clock.Now(); now.Sub(last) < burstGap && !p.isFailoverLeader() {
-			p.sleep(ctx, burstPause+time.Duration(p.follower.watchers())*burstPausePerWatcher)
-		}
-		sentAt := p.boot.Now()
-		changes, err := p.watchOnce(ctx, p.cache.Revision())
-		if errors.Is(err, rattankv.ErrCompacted) {
-			return err
-		}
-		if err != nil {
-			p.markStoreLost(ctx, "watch", err)
-			p.pauseStore(ctx)
-			continue
-		}
-		p.markStoreAvailable()
-		if len(changes.Events) > 0 {
-			last = p.clock.Now()
-		}
-		p.logInvalidEntries(p.cache.Apply(changes))
-		p.applyGroupRecords(ctx)
-		p.configuration.update(origin{source: sourceWatch})
-		p.configuration.confirmation.Confirm(p.watchConfirms(changes, sentAt))
-		p.grants.MarkSynced(sentAt)
+// watch applies the store's next changes. It reports whether there were any.
+func (p *Proxy) watch(ctx context.Context) (isChanged bool, err error) {
+	sentAt := p.boot.Now()
+	changes, err := p.watchOnce(ctx, p.cache.Revision())
+	if err != nil {
+		return false, err
 	}
-	return nil
+	p.logInvalidEntries(p.cache.Apply(changes))
+	p.applyGroupRecords(ctx)
+	p.configuration.update(origin{source: sourceWatch})
+	p.configuration.confirmation.Confirm(p.watchConfirms(changes, sentAt))
+	p.grants.MarkSynced(sentAt)
+	return len(changes.Events) > 0, nil
 }
 
 // watchConfirms returns up to when the response to a watch that was sent at sentAt says that
