soak: versions of the configuration at many daemons, with their watchers impaired

Cause: the soak had five daemons, so none followed another, and nothing measured how long a version takes to each daemon. Conclusion: kept as a guard; the fault itself is guarded by TestVersionsInOneResponse, TestVersionsBehindNarrowLink and TestVersionReachesDaemons.

--- a/internal/proof/rattansoak/fleet.go
+++ b/internal/proof/rattansoak/fleet.go
@@ -123,13 +123,16 @@
 		return nil, err
 	}
 	for i := range daemons {
-		if err := f.add(fmt.Sprintf("vm-%d", i+1), string(rune('a'+i%3))); err != nil {
+		if err := f.add(fmt.Sprintf("vm-%d", i+1), domainOf(i)); err != nil {
 			return nil, err
 		}
 	}
 	return f, nil
 }
 
+// domainOf returns the failure domain of the daemon with an index.
+func domainOf(index int) string { return string(rune('a' + index%3)) }
+
 // register writes the entries of the endpoints to the store, with the addresses of
 // their links.
 func (f *Fleet) register() error {
--- a/internal/proof/rattansoak/soak_test.go
+++ b/internal/proof/rattansoak/soak_test.go
@@ -12,16 +12,18 @@
 )
 
 var (
-	seeds    = flag.Int("soak.seeds", 2, "number of seeds of the soak")
-	first    = flag.Uint64("soak.first", 1, "first seed of the soak")
-	duration = flag.Duration("soak.time", 5*time.Second, "duration of the fault injection for one seed")
-	planned  = flag.Duration("soak.planned-time", 8*time.Second, "duration of the planned work for one seed")
-	losses   = flag.Duration("soak.losses-time", 12*time.Second, "duration of the losses of endpoints for one seed")
-	daemons  = flag.Int("soak.daemons", 5, "number of daemons of the soak")
-	program  = flag.String("soak.program", "", "program to run in place of a build of this code")
-	plain    = flag.Bool("soak.plain", false, "use data and names of letters and digits only")
-	answers  = flag.Bool("soak.answers", false, "inject wrong answers of endpoints only")
-	logs     = flag.String("soak.logs", "", "directory for the daemons' logs of failed seeds")
+	seeds       = flag.Int("soak.seeds", 2, "number of seeds of the soak")
+	first       = flag.Uint64("soak.first", 1, "first seed of the soak")
+	duration    = flag.Duration("soak.time", 5*time.Second, "duration of the fault injection for one seed")
+	planned     = flag.Duration("soak.planned-time", 8*time.Second, "duration of the planned work for one seed")
+	losses      = flag.Duration("soak.losses-time", 12*time.Second, "duration of the losses of endpoints for one seed")
+	followed    = flag.Int("soak.followed-daemons", 12, "number of daemons of the soak of the configuration")
+	propagation = flag.Duration("soak.propagation-time", 10*time.Second, "duration of the faults of the soak of the configuration")
+	daemons     = flag.Int("soak.daemons", 5, "number of daemons of the soak")
+	program     = flag.String("soak.program", "", "program to run in place of a build of this code")
+	plain       = flag.Bool("soak.plain", false, "use data and names of letters and digits only")
+	answers     = flag.Bool("soak.answers", false, "inject wrong answers of endpoints only")
+	logs        = flag.String("soak.logs", "", "directory for the daemons' logs of failed seeds")
 )
 
 // A failedSeed is a seed with which a run failed before.
@@ -101,6 +103,33 @@
 	}
 }
 
+// TestSoakPropagation guards against versions of the configuration that reach a daemon too late
+// (CONFIG), while the daemons that watch the store for it are cut off, slow, suspended or killed.
+func TestSoakPropagation(t *testing.T) {
+	program := buildProgram(t)
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed %d, %d daemons", seed, *followed), func(t *testing.T) {
+			fleet, err := NewFleet(program, t.TempDir(), *followed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			result, err := RunPropagation(fleet, seed, *propagation)
+			if closeErr := fleet.Close(); closeErr != nil {
+				t.Error(closeErr)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+			reportViolations(t, result.Violations)
+			t.Logf("%d versions, %d probes, %d faults", result.Versions, result.Probes, len(result.Faults))
+			if t.Failed() {
+				saveLogs(t, fleet, Result{Faults: result.Faults, Violations: result.Violations}, fmt.Sprintf("propagation-seed-%d", seed))
+			}
+		})
+	}
+}
+
 func soakPlanned(t *testing.T, program string, seed uint64) {
 	t.Helper()
 	soakWith(t, program, fmt.Sprintf("planned-seed-%d", seed), func(fleet *Fleet) (Result, error) {
