rattanproxy: questions for changes run beside the relay of grants

What callers saw: nothing; found by reading. Cause: the questions stood in the loop that gets delegated grants, so silent daemons could hold that up for 0.6 s of a grant's second; and what followed from an answer ran under the context of the question, so that the confirmation of a switchover's stop, which outlives it, was given up. Change: a service of its own; the answer is applied under the service's context.

--- a/internal/config/rattanpropagation/confirmation.go
+++ b/internal/config/rattanpropagation/confirmation.go
@@ -38,7 +38,7 @@
 	return max(0, now.Sub(c.at))
 }
 
-// EncodeAge encodes an age for another daemon, rounded up: milliseconds and one, or 0 for an
+// EncodeAge encodes an age for another daemon: milliseconds, rounded up, and one, or 0 for an
 // unknown age.
 func EncodeAge(age time.Duration) uint32 {
 	const most = math.MaxUint32 * time.Millisecond
--- a/internal/daemon/rattanproxy/follower.go
+++ b/internal/daemon/rattanproxy/follower.go
@@ -136,18 +136,6 @@
 	return reply.GetStoreWatchResponse(), err
 }
 
-// seek applies the changes that a daemon knows which need not watch the store. It accepts no
-// grants.
-func (f *follower) seek(ctx context.Context, address string) {
-	sentAt := f.proxy.boot.Now()
-	response, err := f.request(ctx, address, &rattanv1.StoreWatchRequest{ChangesOnly: true})
-	if err != nil || !response.GetIsSource() {
-		return
-	}
-	f.apply(ctx, response, origin{source: sourceRelay, peer: address})
-	f.confirm(response, sentAt)
-}
-
 // confirm records up to when an applied response to a request that was sent at sentAt says
 // that nothing is missing.
 func (f *follower) confirm(response *rattanv1.StoreWatchResponse, sentAt time.Time) {
@@ -214,7 +202,7 @@
 	if response.IsSource {
 		// Before the changes are read, which may be newer than that.
 		response.SyncAgeMs = uint32(min(now.Sub(f.proxy.grants.SyncedAt()), maxSyncAge).Milliseconds()) + 1
-		response.ConfirmedAgeMs = rattanpropagation.EncodeAge(max(0, f.proxy.configuration.confirmation.Age(arrivedAt)))
+		response.ConfirmedAgeMs = rattanpropagation.EncodeAge(f.proxy.configuration.confirmation.Age(arrivedAt))
 		f.fill(response, request)
 	}
 	if response.IsSource && !request.GetChangesOnly() {
--- a/internal/daemon/rattanproxy/proxy.go
+++ b/internal/daemon/rattanproxy/proxy.go
@@ -188,6 +188,7 @@
 	tree.Add(newService("kept_work", p.forwarded.endIdle))
 	tree.Add(newService("metrics", p.serveMetrics))
 	tree.Add(newService("relay", p.relay.run))
+	tree.Add(newService("seek", p.follower.runSeek))
 	tree.Add(newService("isolation", p.watchIsolation))
 	tree.Add(newService("token_pools", p.admission.watchOwners))
 	tree.Add(newService("settings", p.watchSettings))
--- a/internal/daemon/rattanproxy/relay.go
+++ b/internal/daemon/rattanproxy/relay.go
@@ -13,12 +13,14 @@
 
 	"github.com/rattanstream/rattanstream/internal/config/rattancache"
 	"github.com/rattanstream/rattanstream/internal/config/rattankv"
-	"github.com/rattanstream/rattanstream/internal/config/rattanpropagation"
 	"github.com/rattanstream/rattanstream/internal/endpoint/rattangrant"
 	"github.com/rattanstream/rattanstream/internal/wire/rattanv1"
 )
 
 const (
+	// relayInterval separates two rounds of calls by a daemon that cannot reach
+	// the store.
+	relayInterval = 250 * time.Millisecond
 	// relayTimeout limits one call to another daemon.
 	relayTimeout = 150 * time.Millisecond
 	// relayPeers is how many daemons are called in one round, one after the other.
@@ -59,18 +61,15 @@
 	return &relay{proxy: p, delegated: make(map[string]delegation)}
 }
 
-// run calls other daemons while this one lacks grants, or while its copy of the store may be
-// behind.
+// run calls other daemons while this one lacks grants.
 func (r *relay) run(ctx context.Context) error {
-	for r.proxy.sleep(ctx, rattanpropagation.SeekInterval) {
-		if r.lacksGrants() {
-			r.queryPeers(ctx)
-			if r.proxy.grants.Remaining() < r.proxy.grants.Lifetime()/2 {
-				r.proxy.extension.extend(ctx)
-			}
+	for r.proxy.sleep(ctx, relayInterval) {
+		if !r.lacksGrants() {
+			continue
 		}
-		if r.proxy.configuration.isBehind() {
-			r.seekChanges(ctx)
+		r.queryPeers(ctx)
+		if r.proxy.grants.Remaining() < r.proxy.grants.Lifetime()/2 {
+			r.proxy.extension.extend(ctx)
 		}
 	}
 	return nil
@@ -84,40 +83,6 @@
 	return !isRenewed && !r.proxy.follower.isFed()
 }
 
-// seekChanges asks other daemons for the changes of the store, one after the other, until
-// this one is behind no longer. Whether its own sources answer does not matter: they may
-// know nothing new themselves.
-func (r *relay) seekChanges(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, rattanpropagation.SeekTimeout+(rattanpropagation.SeekPeers-1)*rattanpropagation.SeekStagger)
-	defer cancel()
-	addresses := r.peerAddresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	var pending sync.WaitGroup
-	for _, address := range addresses[:min(len(addresses), rattanpropagation.SeekPeers)] {
-		answered := make(chan struct{})
-		pending.Go(func() {
-			defer close(answered)
-			r.seek(ctx, address)
-		})
-		select {
-		case <-answered:
-		case <-r.proxy.clock.After(rattanpropagation.SeekStagger):
-		}
-		if !r.proxy.configuration.isBehind() {
-			// The others are of no use any more.
-			cancel()
-			break
-		}
-	}
-	pending.Wait()
-}
-
-func (r *relay) seek(ctx context.Context, address string) {
-	callCtx, cancel := context.WithTimeout(ctx, rattanpropagation.SeekTimeout)
-	defer cancel()
-	r.proxy.follower.seek(callCtx, address)
-}
-
 func (r *relay) queryPeers(ctx context.Context) {
 	addresses := r.peerAddresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
